Add the thin whole path: entry instance, operators' program, stand-ins, demo

Three entry instances serve streamed, plain and keyed non-idempotent requests through a platform stand-in with an append-only log. A release note builds the configuration, a withdrawn key cuts its running streams, usage windows are closed and reported under a lease.

No tests yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+GO ?= go
+TOOL = cd tools && GOWORK=off $(GO) tool
+PACKAGES = ./...
+
+.PHONY: build demo test lint bench generate
+
+build:
+	$(GO) build -o bin/ ./cmd/savoryloft ./cmd/loftctl
+
+demo: build
+	scripts/demo.sh
+
+test:
+	$(GO) test -race -timeout 5m $(PACKAGES)
+
+lint:
+	@out="$$($(TOOL) gofumpt -l $$(cd .. && git ls-files '*.go' 2>/dev/null | sed 's#^#../#'))"; test -z "$$out" || { echo "gofumpt would change:"; echo "$$out"; exit 1; }
+	@$(TOOL) revive -set_exit_status -config ../revive.toml ../...
+	$(GO) vet $(PACKAGES)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem -count 3 $(PACKAGES)
+
+GENERATE = go-jsonschema --tags json,msgpack --struct-name-from-title --package savoryloft
+
+generate:
+	@for s in settings records platform peers load; do \
+		sed -E 's/(Duration", "nillable": true\}), "default": "[^"]*"/\1/' schema/$$s.json > tools/$$s.json; \
+		( $(TOOL) $(GENERATE) --output ../$${s}_generated.go $$s.json ) || exit 1; \
+		rm tools/$$s.json; \
+	done
+	@( $(TOOL) gofumpt -w $$(cd .. && ls *_generated.go | sed 's#^#../#') )
--- /dev/null
+++ b/admitter/pool.go
@@ -0,0 +1,430 @@
+package admitter
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"savoryloft.example/savoryloft"
+)
+
+// Pool holds the upstreams of one pool and the requests waiting for them.
+type Pool struct {
+	Name string
+
+	admitter *Admitter
+	table    atomic.Pointer[[]*Upstream] // Replaced as a whole, never changed.
+	floors   atomic.Pointer[[Tiers]int]
+	waiting  atomic.Int32
+	running  [Tiers]atomic.Int32
+	turn     atomic.Uint32 // Next upstream for round robin.
+	share    atomic.Pointer[Share]
+
+	mu    sync.Mutex // Guards the queue, which only waiting requests touch.
+	queue queue
+}
+
+// affinityGap is the load, as a part of the allowance, up to which the
+// upstream that has seen the same prefix is kept before a less loaded one.
+const affinityGap = 0.25
+
+// randomChoices is the number of upstreams compared on the fast path.
+const randomChoices = 3
+
+func newPool(a *Admitter, name string) *Pool {
+	p := &Pool{Name: name, admitter: a}
+	p.table.Store(&[]*Upstream{})
+	p.share.Store(&Share{})
+	p.queue.init(a.Policy)
+	return p
+}
+
+// Upstreams returns the pool's upstreams. The slice must not be changed.
+func (p *Pool) Upstreams() []*Upstream { return *p.table.Load() }
+
+// Waiting returns the number of requests queued.
+func (p *Pool) Waiting() int { return int(p.waiting.Load()) }
+
+// Running returns the number of running requests by tier.
+func (p *Pool) Running() [Tiers]int {
+	var n [Tiers]int
+	for t := range n {
+		n[t] = int(p.running[t].Load())
+	}
+	return n
+}
+
+func (p *Pool) update(targets []Target) {
+	old := map[string]*Upstream{}
+	for _, u := range p.Upstreams() {
+		old[u.Name+" "+u.Address] = u
+	}
+	table := make([]*Upstream, 0, len(targets))
+	for _, t := range targets {
+		u, ok := old[t.Name+" "+t.Address]
+		if !ok || u.Slots != t.Slots {
+			u = newUpstream(t)
+		}
+		u.leaving.Store(t.Leaving)
+		delete(old, t.Name+" "+t.Address)
+		table = append(table, u)
+	}
+	slices.SortFunc(table, func(a, b *Upstream) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	for _, u := range old {
+		u.leaving.Store(true)
+	}
+	p.table.Store(&table)
+	p.dispatch()
+}
+
+// choose takes a slot for r, or returns nil. The cost does not grow with the
+// number of upstreams unless the sampled ones are full.
+func (p *Pool) choose(r *Request) *Upstream {
+	table := p.Upstreams()
+	if len(table) == 0 {
+		return nil
+	}
+	if p.admitter.Policy.RoundRobin {
+		return p.chooseNext(table, r)
+	}
+	best, bestLoad := (*Upstream)(nil), math.Inf(1)
+	for range min(randomChoices, len(table)) {
+		u := table[rand.IntN(len(table))]
+		if load := u.load(p.admitter.FailureDomain); load < bestLoad && usable(u, r) {
+			best, bestLoad = u, load
+		}
+	}
+	if u := affine(table, r); u != nil && usable(u, r) {
+		if u.load(p.admitter.FailureDomain) <= bestLoad+affinityGap && u.acquire() {
+			return u
+		}
+	}
+	if best != nil && best.acquire() {
+		return best
+	}
+	return p.chooseAny(table, r)
+}
+
+func (p *Pool) chooseNext(table []*Upstream, r *Request) *Upstream {
+	start := int(p.turn.Add(1))
+	for i := range table {
+		u := table[(start+i)%len(table)]
+		if usable(u, r) && u.acquire() {
+			return u
+		}
+	}
+	return nil
+}
+
+// chooseAny looks at all upstreams from a random one on.
+func (p *Pool) chooseAny(table []*Upstream, r *Request) *Upstream {
+	start := rand.IntN(len(table))
+	for i := range table {
+		u := table[(start+i)%len(table)]
+		if usable(u, r) && u.acquire() {
+			return u
+		}
+	}
+	return nil
+}
+
+func usable(u *Upstream, r *Request) bool {
+	return u.room() > 0 && !slices.Contains(r.Exclude, u.Name)
+}
+
+// affine returns the upstream that requests with the same prefix prefer.
+func affine(table []*Upstream, r *Request) *Upstream {
+	if r.Prefix == 0 {
+		return nil
+	}
+	return table[r.Prefix%uint64(len(table))]
+}
+
+// load returns the used part of the allowance; upstreams in another failure
+// domain count as slightly more loaded.
+func (u *Upstream) load(domain string) float64 {
+	const otherDomain = 0.05
+	n := float64(u.inFlight.Load()) / float64(max(1, u.allowance.Load()))
+	if u.FailureDomain != domain {
+		n += otherDomain
+	}
+	return n
+}
+
+func (p *Pool) grant(ctx context.Context, u *Upstream, r *Request, floor bool) *Grant {
+	ctx, cancel := context.WithCancelCause(ctx)
+	g := &Grant{
+		Upstream: u, Context: ctx, pool: p, request: r, cancel: cancel,
+		started: time.Now(), floor: floor,
+	}
+	p.running[r.Class.Tier].Add(1)
+	u.addGrant(g)
+	return g
+}
+
+// finish returns a grant's slot and gives it to the next request waiting.
+func (p *Pool) finish(g *Grant, o Observation) {
+	g.Upstream.removeGrant(g)
+	g.Upstream.observe(g.request, o)
+	p.running[g.request.Class.Tier].Add(-1)
+	g.Upstream.inFlight.Add(-1)
+	if p.waiting.Load() > 0 {
+		p.settle(g, o)
+		p.dispatch()
+	}
+}
+
+// settle corrects the estimates that the grant was charged with.
+func (p *Pool) settle(g *Grant, o Observation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue.settle(g, o, time.Since(g.started))
+}
+
+// wait queues a request until it gets a slot, its patience ends or ctx ends.
+func (p *Pool) wait(ctx context.Context, r *Request) (*Grant, error) {
+	w := &waiter{ctx: ctx, request: r, ready: make(chan *Grant, 1), refused: make(chan *savoryloft.Error, 1)}
+	if err := p.enqueue(w); err != nil {
+		return nil, err
+	}
+	p.dispatch()
+	select {
+	case g := <-w.ready:
+		return g, nil
+	case err := <-w.refused:
+		return nil, err
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	removed := p.remove(w)
+	p.mu.Unlock()
+	if !removed { // The grant or the refusal was already under way.
+		select {
+		case g := <-w.ready:
+			g.Done(Observation{})
+		case <-w.refused:
+		}
+	}
+	return nil, context.Cause(ctx)
+}
+
+// enqueue adds a waiter, or refuses it at once when it could not get a slot in
+// time and no lower tier can yield one.
+func (p *Pool) enqueue(w *waiter) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	tier := w.request.Class.Tier
+	wait := p.queue.expectedWait(tier)
+	yieldable := p.canYield(tier)
+	if !yieldable && wait > patience(w.request.Class)-time.Since(w.request.Arrived) {
+		return refusal("Overloaded", "no slot within the class's patience", spread(wait))
+	}
+	if int(p.waiting.Load()) >= p.maxQueued() {
+		shed := p.queue.lowest(tier)
+		if shed == nil {
+			return refusal("QueueFull", "the queue is full", spread(wait))
+		}
+		p.refuse(shed, "shed for a higher tier")
+	}
+	p.queue.push(w)
+	p.waiting.Add(1)
+	return nil
+}
+
+func (p *Pool) maxQueued() int {
+	if p.admitter.MaxQueued > 0 {
+		return p.admitter.MaxQueued
+	}
+	return defaultMaxQueued
+}
+
+// remove takes a waiter out of the queue. The caller holds p.mu.
+func (p *Pool) remove(w *waiter) bool {
+	if !p.queue.remove(w) {
+		return false
+	}
+	p.waiting.Add(-1)
+	return true
+}
+
+// refuse answers a waiter at once. The caller holds p.mu.
+func (p *Pool) refuse(w *waiter, reason string) {
+	if !p.remove(w) {
+		return
+	}
+	w.refused <- refusal("Overloaded", reason, spread(p.queue.expectedWait(w.request.Class.Tier)))
+}
+
+// dispatch gives free slots to waiters, the policy's first choice first.
+func (p *Pool) dispatch() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.queue.accrue(now, p.share.Load().Floors)
+	for p.waiting.Load() > 0 {
+		w, floor := p.queue.next(now)
+		if w == nil {
+			return
+		}
+		u := p.choose(w.request)
+		if u == nil {
+			return
+		}
+		p.remove(w)
+		p.queue.charge(w, floor, now)
+		w.ready <- p.grant(w.ctx, u, w.request, floor)
+	}
+}
+
+// tick refuses waiters whose patience has ended, moves limits and preempts.
+func (p *Pool) tick() {
+	now := time.Now()
+	p.adjustUpstreams(now)
+	p.mu.Lock()
+	for _, w := range p.queue.expired(now) {
+		p.refuse(w, "no slot within the class's patience")
+	}
+	p.mu.Unlock()
+	if p.waiting.Load() > 0 {
+		p.dispatch()
+		p.preempt(now)
+	}
+	p.yield()
+}
+
+func (p *Pool) adjustUpstreams(now time.Time) {
+	table := p.Upstreams()
+	if !p.admitter.Policy.FixedLimits {
+		for _, u := range table {
+			u.adjust(now)
+		}
+	}
+	if !p.admitter.Policy.NoStragglerGuard {
+		setStragglersAside(table)
+	}
+}
+
+// setStragglersAside marks upstreams whose pace is far above the median. Only
+// a part of the pool is ever set aside for its pace.
+func setStragglersAside(table []*Upstream) {
+	var paces []float64
+	for _, u := range table {
+		if ms, ok := u.paceOf(); ok {
+			paces = append(paces, ms)
+		}
+	}
+	if len(paces) < asideShare {
+		return
+	}
+	slices.Sort(paces)
+	median := paces[len(paces)/2]
+	left := len(table) / asideShare
+	for _, u := range table {
+		ms, ok := u.paceOf()
+		slow := ok && ms > stragglerFactor*median
+		if slow && left > 0 {
+			left--
+			u.aside.Store(true)
+			continue
+		}
+		if !u.failing() {
+			u.aside.Store(false)
+		}
+	}
+}
+
+// preempt asks lower-tier attempts to yield for waiters that would otherwise
+// miss their target.
+func (p *Pool) preempt(now time.Time) {
+	if p.admitter.Policy.NoPreemption || p.admitter.Policy.FirstInFirstOut {
+		return
+	}
+	p.mu.Lock()
+	urgent := p.queue.urgent(now)
+	p.mu.Unlock()
+	for _, w := range urgent {
+		if !p.yieldOne(w.request.Class.Tier, p.floorSpares) {
+			return
+		}
+		w.asked = true
+	}
+}
+
+// yield gives slots beyond this instance's share back, when a higher tier
+// waits for them at another instance.
+func (p *Pool) yield() {
+	s := p.share.Load()
+	if p.admitter.Policy.NoPreemption || s.WaitingElsewhere >= Tiers {
+		return
+	}
+	excess := 0
+	for _, u := range p.Upstreams() {
+		excess += max(0, u.InFlight()-u.Allowance())
+	}
+	for range excess {
+		if !p.yieldOne(s.WaitingElsewhere, p.floorSpares) {
+			return
+		}
+	}
+}
+
+func (p *Pool) yieldOne(tier int, spare func(int) bool) bool {
+	var best *Grant
+	for _, u := range p.Upstreams() {
+		if u.leaving.Load() {
+			continue
+		}
+		g := u.victim(tier, spare)
+		if g != nil && (best == nil || g.request.Class.Tier > best.request.Class.Tier) {
+			best = g
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.yielded.Store(true)
+	best.cancel(savoryloft.ErrPreempted)
+	return true
+}
+
+// floorSpares reports whether a tier runs no more than its floor here.
+func (p *Pool) floorSpares(tier int) bool {
+	floor := p.share.Load().Floors[tier]
+	return float64(p.running[tier].Load()) <= floor
+}
+
+// canYield reports whether a tier below the given one waits, or runs beyond
+// its floor, here or at another instance. The caller holds p.mu.
+func (p *Pool) canYield(tier int) bool {
+	if p.admitter.Policy.FirstInFirstOut {
+		return false
+	}
+	s := p.share.Load()
+	for t := tier + 1; t < Tiers; t++ {
+		if p.queue.count[t] > 0 || s.YieldableElsewhere[t] {
+			return true
+		}
+		if !p.admitter.Policy.NoPreemption && p.running[t].Load() > 0 && !p.floorSpares(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// spread adds jitter to the time after which callers come back, so that they
+// do not all return at once.
+func spread(d time.Duration) time.Duration {
+	const least = time.Second
+	const most = 30 * time.Second
+	d = min(max(d, least), most)
+	return d + rand.N(d/2+1)
+}
--- /dev/null
+++ b/check.go
@@ -0,0 +1,47 @@
+package savoryloft
+
+import "github.com/juju/errors"
+
+// maxTier is the highest number of a service tier.
+const maxTier = 3
+
+// Check returns an error when a frame breaks its schema. Frames come in
+// msgpack, which the generated checks for JSON do not cover.
+func (f Frame) Check() error {
+	set := 0
+	for _, ok := range []bool{f.Hello != nil, f.Digest != nil, f.Fetch != nil, f.Tail != nil} {
+		if ok {
+			set++
+		}
+	}
+	if set != 1 {
+		return errors.Errorf("frame has %d parts, want one", set)
+	}
+	if f.Digest != nil {
+		return f.Digest.Check()
+	}
+	return nil
+}
+
+// Check returns an error when a digest breaks its schema.
+func (d Digest) Check() error {
+	if d.ConfirmedAgo < 0 || d.Offset < -1 {
+		return errors.Errorf("digest has a negative age or offset")
+	}
+	for _, p := range d.Demands {
+		if p.Pool == "" || len(p.Waiting) > maxTier+1 || len(p.Running) > maxTier+1 {
+			return errors.Errorf("demand on pool %q has more than %d tiers", p.Pool, maxTier+1)
+		}
+		for _, n := range append(append([]int(nil), p.Waiting...), p.Running...) {
+			if n < 0 {
+				return errors.Errorf("demand on pool %q is negative", p.Pool)
+			}
+		}
+	}
+	for _, l := range d.Loads {
+		if l.Upstream == "" || l.InFlight < 0 || l.Limit < 0 {
+			return errors.Errorf("load of upstream %q is negative", l.Upstream)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/loftctl/standin.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"savoryloft.example/savoryloft"
+)
+
+const standinUsage = `Stand-ins take the place of the platform and of upstreams in trials. Each takes
+faults as JSON at the path /standin/faults while it runs.
+
+Example:
+
+  loftctl standin platform --listen 127.0.0.1:7000 --instances instances.json
+  curl -d '{"LogDown": true}' 127.0.0.1:7000/standin/faults`
+
+func standinCommand() *cobra.Command {
+	c := &cobra.Command{Use: "standin", Short: "Run stand-ins of outside systems", Long: standinUsage}
+	c.AddCommand(standinPlatformCommand(), standinEngineCommand(), standinServiceCommand())
+	return c
+}
+
+func listenFlag(c *cobra.Command, address *string) {
+	c.Flags().StringVar(address, "listen", "", "address to listen on")
+	_ = c.MarkFlagRequired("listen")
+}
+
+// serveStandin serves until the process is told to stop.
+func serveStandin(address string, server *fasthttp.Server) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Annotate(err, "--listen")
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		_ = l.Close()
+	}()
+	return errors.Annotatef(server.Serve(l), "serve on %s", address)
+}
+
+func readInstances(file string) ([]savoryloft.ListedInstance, error) {
+	if file == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Annotate(err, "read list of instances")
+	}
+	var list savoryloft.InstanceList
+	return list.Instances, errors.Annotate(json.Unmarshal(data, &list), file)
+}
--- /dev/null
+++ b/cmd/savoryloft/serve.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/logger"
+	"savoryloft.example/savoryloft/parser"
+	"savoryloft.example/savoryloft/server"
+	"savoryloft.example/savoryloft/tracer"
+)
+
+const serveUsage = `Serve runs an entry instance until it gets SIGTERM or SIGINT.
+
+A planned stop cuts no request: the readiness probe fails first, requests go on
+for Stop.Notice so that the balancer can notice, running requests finish within
+Stop.Grace, and usage and the lease are settled last.
+
+Log events go to standard error, one line of key=value pairs each.
+
+Example:
+
+  savoryloft serve --settings /etc/savoryloft/entry.json`
+
+func serveCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "serve",
+		Short: "Run an entry instance",
+		Long:  serveUsage,
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			settings, err := readSettings(file)
+			if err != nil {
+				return err
+			}
+			return serve(settings)
+		},
+	}
+	c.Flags().StringVar(&file, "settings", "", "settings file")
+	_ = c.MarkFlagRequired("settings")
+	return c
+}
+
+func serve(settings savoryloft.Settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log := logger.New(os.Stderr, settings.Log.Verbosity).WithValues("instance", settings.Instance)
+	t, closeTracer, err := tracer.Open(settings.Trace.File, settings.Instance)
+	if err != nil {
+		return errors.Annotate(err, "Trace.File")
+	}
+	s := &server.Server{Settings: settings, Logger: log, Tracer: t}
+	err = s.Run(ctx)
+	if closeErr := closeTracer(context.Background()); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+func readSettings(file string) (savoryloft.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return savoryloft.Settings{}, errors.Annotate(err, "read settings")
+	}
+	return parser.Settings(file, data)
+}
--- /dev/null
+++ b/emulator/platform.go
@@ -0,0 +1,400 @@
+// Package emulator holds stand-ins for the systems around the router: the
+// platform's service, model engines and plain services. They speak the
+// published protocols over real sockets, or over any net.Listener in tests,
+// and can be told to be slow, down, lagging or to lose answers.
+//
+// # Usage
+//
+//	p := &emulator.Platform{Retention: 10000}
+//	go p.Serve(listener)
+//	p.SetFaults(emulator.PlatformFaults{Down: true})
+package emulator
+
+import (
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savoryloft.example/savoryloft"
+)
+
+// PlatformFaults tells a platform stand-in how to misbehave.
+type PlatformFaults struct {
+	Down         bool                // Refuse every call.
+	LogDown      bool                // Refuse calls to the log.
+	Delay        savoryloft.Duration // Wait before each effect.
+	LoseAnswers  int                 // Drop this many answers to writes after the effect.
+	ListLag      savoryloft.Duration // Show the list as it was this long ago.
+	NoCapacity   bool                // Start no upstream.
+	IgnoreFences bool                // Accept orders with old fencing numbers.
+}
+
+// PlacedOrder is an order that took effect.
+type PlacedOrder struct {
+	Order    savoryloft.Order
+	Upstream string
+	Time     time.Time
+}
+
+// ReceivedReport is one call to the usage-report interface.
+type ReceivedReport struct {
+	Window int
+	Fence  int
+	Body   string
+}
+
+// Platform is a stand-in for the platform's service.
+type Platform struct {
+	Retention int // Records kept in each stream; all when zero.
+	// Start runs an upstream for an order and returns its row of the list.
+	Start func(o savoryloft.Order) (savoryloft.ListedInstance, error)
+	// Stop ends the upstream that an order names.
+	Stop func(o savoryloft.Order)
+
+	mu      sync.Mutex
+	faults  PlatformFaults
+	streams map[string]*stream
+	list    []savoryloft.ListedInstance
+	history []listVersion
+	orders  []PlacedOrder
+	fences  map[string]int
+	reports []ReceivedReport
+	appends int
+}
+
+type stream struct {
+	earliest int
+	records  []string
+	grown    chan struct{}
+}
+
+type listVersion struct {
+	at   time.Time
+	list []savoryloft.ListedInstance
+}
+
+// Serve answers calls on a listener until it closes.
+func (p *Platform) Serve(l net.Listener) error {
+	return p.Server().Serve(l)
+}
+
+// Server returns the stand-in's HTTP server.
+func (p *Platform) Server() *fasthttp.Server {
+	return &fasthttp.Server{Handler: p.Handle, NoDefaultDate: true, MaxRequestBodySize: 64 << 20}
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(f PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// SetInstances replaces the list.
+func (p *Platform) SetInstances(list []savoryloft.ListedInstance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setList(list)
+}
+
+// Orders returns the orders that took effect.
+func (p *Platform) Orders() []PlacedOrder {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]PlacedOrder(nil), p.orders...)
+}
+
+// Reports returns the calls to the usage-report interface.
+func (p *Platform) Reports() []ReceivedReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]ReceivedReport(nil), p.reports...)
+}
+
+// Appends returns the number of append calls that took effect.
+func (p *Platform) Appends() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.appends
+}
+
+// Records returns the records that a stream still keeps.
+func (p *Platform) Records(name string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.stream(name).records...)
+}
+
+// Expire drops all but the last keep records of a stream.
+func (p *Platform) Expire(name string, keep int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trim(p.stream(name), keep)
+}
+
+// Handle answers one call.
+func (p *Platform) Handle(ctx *fasthttp.RequestCtx) {
+	parts := strings.Split(strings.Trim(string(ctx.Path()), "/"), "/")
+	if parts[0] == "standin" {
+		p.handleControl(ctx, parts)
+		return
+	}
+	p.mu.Lock()
+	f := p.faults
+	p.mu.Unlock()
+	if f.Down || f.LogDown && len(parts) > 1 && parts[1] == "streams" {
+		ctx.Error("down", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(f.Delay.Std())
+	method := string(ctx.Method())
+	switch {
+	case len(parts) == 4 && parts[1] == "streams" && method == "POST":
+		p.handleAppend(ctx, parts[2])
+	case len(parts) == 4 && parts[1] == "streams":
+		p.handleRead(ctx, parts[2])
+	case len(parts) == 2 && parts[1] == "instances":
+		answer(ctx, savoryloft.InstanceList{Instances: p.laggingList()})
+	case len(parts) == 4 && parts[1] == "domains" && method == "POST":
+		p.handleOrder(ctx)
+	case len(parts) == 5 && parts[1] == "domains":
+		p.handleFindOrder(ctx, parts[4])
+	case len(parts) == 3 && parts[1] == "usage" && method == "PUT":
+		p.handleReport(ctx, parts[2])
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+	if method != "GET" && ctx.Response.StatusCode() == fasthttp.StatusOK && p.loseAnswer() {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	}
+}
+
+// handleControl changes the stand-in itself.
+func (p *Platform) handleControl(ctx *fasthttp.RequestCtx, parts []string) {
+	switch strings.Join(parts[1:], "/") {
+	case "faults":
+		var f PlatformFaults
+		if !decode(ctx, &f) {
+			return
+		}
+		p.SetFaults(f)
+	case "instances":
+		var list savoryloft.InstanceList
+		if !decode(ctx, &list) {
+			return
+		}
+		p.SetInstances(list.Instances)
+	case "reports":
+		answer(ctx, p.Reports())
+	case "orders":
+		answer(ctx, p.Orders())
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+}
+
+func (p *Platform) handleAppend(ctx *fasthttp.RequestCtx, name string) {
+	var req savoryloft.AppendRequest
+	if !decode(ctx, &req) {
+		return
+	}
+	answer(ctx, savoryloft.AppendResult{Offset: p.append(name, req.Records)})
+}
+
+func (p *Platform) append(name string, records []string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stream(name)
+	offset := s.earliest + len(s.records)
+	s.records = append(s.records, records...)
+	p.appends++
+	if p.Retention > 0 {
+		p.trim(s, p.Retention)
+	}
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return offset
+}
+
+func (p *Platform) trim(s *stream, keep int) {
+	if n := len(s.records) - keep; n > 0 {
+		s.records = append([]string(nil), s.records[n:]...)
+		s.earliest += n
+	}
+}
+
+func (p *Platform) handleRead(ctx *fasthttp.RequestCtx, name string) {
+	args := ctx.QueryArgs()
+	from := args.GetUintOrZero("from")
+	limit := args.GetUintOrZero("limit")
+	wait, _ := time.ParseDuration(string(args.Peek("wait")))
+	deadline := time.After(wait)
+	for {
+		res, ok, grown := p.read(name, from, limit)
+		if !ok {
+			ctx.Error("expired", fasthttp.StatusGone)
+			return
+		}
+		if len(res.Records) > 0 || limit == 0 {
+			answer(ctx, res)
+			return
+		}
+		select {
+		case <-grown:
+		case <-deadline:
+			answer(ctx, res)
+			return
+		}
+	}
+}
+
+func (p *Platform) read(name string, from, limit int) (savoryloft.ReadResult, bool, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stream(name)
+	res := savoryloft.ReadResult{Earliest: s.earliest, Next: s.earliest + len(s.records)}
+	if limit == 0 {
+		return res, true, s.grown
+	}
+	if from < s.earliest {
+		return res, false, s.grown
+	}
+	for o := from; o < res.Next && len(res.Records) < limit; o++ {
+		res.Records = append(res.Records, savoryloft.LogRecord{Offset: o, Data: s.records[o-s.earliest]})
+	}
+	return res, true, s.grown
+}
+
+func (p *Platform) stream(name string) *stream {
+	if p.streams == nil {
+		p.streams = map[string]*stream{}
+	}
+	s, ok := p.streams[name]
+	if !ok {
+		s = &stream{grown: make(chan struct{})}
+		p.streams[name] = s
+	}
+	return s
+}
+
+func (p *Platform) setList(list []savoryloft.ListedInstance) {
+	p.list = append([]savoryloft.ListedInstance(nil), list...)
+	p.history = append(p.history, listVersion{at: time.Now(), list: p.list})
+}
+
+func (p *Platform) laggingList() []savoryloft.ListedInstance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until := time.Now().Add(-p.faults.ListLag.Std())
+	var list []savoryloft.ListedInstance
+	for _, v := range p.history {
+		if !v.at.After(until) {
+			list = v.list
+		}
+	}
+	return list
+}
+
+func (p *Platform) handleOrder(ctx *fasthttp.RequestCtx) {
+	var o savoryloft.Order
+	if !decode(ctx, &o) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fences == nil {
+		p.fences = map[string]int{}
+	}
+	if o.Fence < p.fences[o.FailureDomain] && !p.faults.IgnoreFences {
+		ctx.Error("fencing number is too old", fasthttp.StatusConflict)
+		return
+	}
+	p.fences[o.FailureDomain] = max(p.fences[o.FailureDomain], o.Fence)
+	placed := PlacedOrder{Order: o, Upstream: o.Upstream, Time: time.Now()}
+	if o.Action == savoryloft.OrderActionStart {
+		if p.faults.NoCapacity || p.Start == nil {
+			ctx.Error("no capacity", fasthttp.StatusInsufficientStorage)
+			return
+		}
+		row, err := p.Start(o)
+		if err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusInsufficientStorage)
+			return
+		}
+		placed.Upstream = row.Name
+		p.setList(append(p.list, row))
+	} else {
+		p.stopUpstream(o)
+	}
+	p.orders = append(p.orders, placed)
+	answer(ctx, savoryloft.OrderResult{Upstream: placed.Upstream})
+}
+
+func (p *Platform) stopUpstream(o savoryloft.Order) {
+	var list []savoryloft.ListedInstance
+	for _, i := range p.list {
+		if i.Name != o.Upstream {
+			list = append(list, i)
+		}
+	}
+	p.setList(list)
+	if p.Stop != nil {
+		p.Stop(o)
+	}
+}
+
+func (p *Platform) handleFindOrder(ctx *fasthttp.RequestCtx, id string) {
+	for _, o := range p.Orders() {
+		if o.Order.ID == id {
+			answer(ctx, savoryloft.OrderResult{Upstream: o.Upstream})
+			return
+		}
+	}
+	ctx.Error("no such order", fasthttp.StatusNotFound)
+}
+
+func (p *Platform) handleReport(ctx *fasthttp.RequestCtx, window string) {
+	w, err := strconv.Atoi(window)
+	if err != nil {
+		ctx.Error("window is not a number", fasthttp.StatusBadRequest)
+		return
+	}
+	r := ReceivedReport{Window: w, Fence: ctx.QueryArgs().GetUintOrZero("fence"), Body: string(ctx.PostBody())}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reports = append(p.reports, r)
+}
+
+func (p *Platform) loseAnswer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.LoseAnswers == 0 {
+		return false
+	}
+	p.faults.LoseAnswers--
+	return true
+}
+
+func decode(ctx *fasthttp.RequestCtx, v any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func answer(ctx *fasthttp.RequestCtx, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
--- /dev/null
+++ b/gossiper/framer.go
@@ -0,0 +1,92 @@
+package gossiper
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"savoryloft.example/savoryloft"
+)
+
+const (
+	headerBytes   = 4
+	maxFrameBytes = 16 << 20
+)
+
+// errNonsense says that a peer has sent what is not a valid frame.
+var errNonsense = errors.New("peer sent an invalid frame")
+
+// framer reads and writes frames on one connection. A connection without a
+// frame for the silence limit fails.
+type framer struct {
+	net.Conn
+	reader   *bufio.Reader
+	gossiper *Gossiper
+}
+
+func newFramer(c net.Conn, g *Gossiper) *framer {
+	return &framer{Conn: c, reader: bufio.NewReader(c), gossiper: g}
+}
+
+func (f *framer) write(frame savoryloft.Frame) error {
+	data, err := encodeFrame(frame)
+	if err != nil {
+		return err
+	}
+	_ = f.SetWriteDeadline(time.Now().Add(f.gossiper.Silence))
+	n, err := f.Conn.Write(data)
+	f.gossiper.sent.Add(int64(n))
+	return err
+}
+
+func (f *framer) read() (savoryloft.Frame, error) {
+	_ = f.SetReadDeadline(time.Now().Add(f.gossiper.Silence))
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(f.reader, header[:]); err != nil {
+		return savoryloft.Frame{}, err
+	}
+	length := binary.BigEndian.Uint32(header[:])
+	if length > maxFrameBytes {
+		return savoryloft.Frame{}, fmt.Errorf("%w: %d bytes long, at most %d are allowed", errNonsense, length, maxFrameBytes)
+	}
+	// Grows with what arrives, so that a false length alone takes no memory.
+	var body bytes.Buffer
+	n, err := io.CopyN(&body, f.reader, int64(length))
+	f.gossiper.received.Add(n + headerBytes)
+	if err != nil {
+		return savoryloft.Frame{}, err
+	}
+	return decodeFrame(body.Bytes())
+}
+
+func encodeFrame(frame savoryloft.Frame) ([]byte, error) {
+	var buf bytes.Buffer
+	buf.Write(make([]byte, headerBytes))
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(&frame); err != nil {
+		return nil, err
+	}
+	data := buf.Bytes()
+	binary.BigEndian.PutUint32(data, uint32(len(data)-headerBytes))
+	return data, nil
+}
+
+func decodeFrame(data []byte) (savoryloft.Frame, error) {
+	var frame savoryloft.Frame
+	if err := msgpack.Unmarshal(data, &frame); err != nil {
+		return frame, fmt.Errorf("%w: %w", errNonsense, err)
+	}
+	if err := frame.Check(); err != nil {
+		return frame, fmt.Errorf("%w: %w", errNonsense, err)
+	}
+	return frame, nil
+}
--- /dev/null
+++ b/gossiper/link.go
@@ -0,0 +1,193 @@
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"syscall"
+	"time"
+
+	"savoryloft.example/savoryloft"
+)
+
+// keepLink dials an address again and again until ctx ends.
+func (g *Gossiper) keepLink(ctx context.Context, address string, l *link) {
+	delay := redialMin
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := g.runLink(ctx, address, l)
+		if ctx.Err() != nil {
+			return
+		}
+		g.mu.Lock()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			l.refused = time.Now()
+		}
+		g.mu.Unlock()
+		g.Logger.V(1).Info("link lost", "step", savoryloft.StepPeer, "peer", address, "error", err.Error())
+		if time.Since(began) > redialMax {
+			delay = redialMin
+		}
+		sleep(ctx, delay/2+rand.N(delay))
+		delay = min(2*delay, redialMax)
+	}
+}
+
+// runLink sends digests on one connection until it fails.
+func (g *Gossiper) runLink(ctx context.Context, address string, l *link) error {
+	dialCtx, cancel := context.WithTimeout(ctx, g.Silence)
+	nc, err := g.Dial(dialCtx, address)
+	cancel()
+	if err != nil {
+		return err
+	}
+	f := newFramer(nc, g)
+	defer f.Close()
+	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+	defer stop()
+	if err := f.write(savoryloft.Frame{Hello: g.hello()}); err != nil {
+		return err
+	}
+	first, err := f.read()
+	if err != nil {
+		return err
+	}
+	h, err := checkHello(first)
+	if err != nil {
+		g.Logger.Info("peer dropped", "step", savoryloft.StepPeer, "peer", address, "error", err.Error())
+		return err
+	}
+	g.mu.Lock()
+	l.name, l.refused = h.Instance, time.Time{}
+	clear(l.limits)
+	g.mu.Unlock()
+	return g.exchange(ctx, f, l, h)
+}
+
+// exchange sends a digest at each interval and fetches records when the peer
+// is ahead.
+func (g *Gossiper) exchange(ctx context.Context, f *framer, l *link, h savoryloft.Hello) error {
+	t := time.NewTicker(g.Interval)
+	defer t.Stop()
+	for {
+		d := g.digest(l)
+		if err := f.write(savoryloft.Frame{Digest: &d}); err != nil {
+			return err
+		}
+		if _, err := f.read(); err != nil {
+			return err
+		}
+		if err := g.catchUp(f, h.Instance); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
+// catchUp fetches control records while the peer's digests tell of more.
+func (g *Gossiper) catchUp(f *framer, peer string) error {
+	for {
+		g.mu.Lock()
+		m, ok := g.members[peer]
+		ahead := ok && m.digest.Offset > g.Follower.Offset()
+		g.mu.Unlock()
+		if !ahead {
+			return nil
+		}
+		before := g.Follower.Offset()
+		if err := f.write(savoryloft.Frame{Fetch: &savoryloft.Fetch{From: before + 1}}); err != nil {
+			return err
+		}
+		answer, err := f.read()
+		if err != nil {
+			return err
+		}
+		if answer.Tail == nil {
+			return errors.New("answer to Fetch is not a Tail")
+		}
+		after, err := g.Follower.Offer(*answer.Tail)
+		if err != nil {
+			return err
+		}
+		if after == before {
+			return nil
+		}
+	}
+}
+
+// Serve answers links from other instances until ctx ends.
+func (g *Gossiper) Serve(ctx context.Context, l net.Listener) error {
+	g.init()
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		g.group.Go(func() { g.answerLink(ctx, nc) })
+	}
+}
+
+func (g *Gossiper) answerLink(ctx context.Context, nc net.Conn) {
+	f := newFramer(nc, g)
+	defer f.Close()
+	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+	defer stop()
+	if err := g.answerFrames(f); err != nil && ctx.Err() == nil {
+		level := 1
+		if errors.Is(err, errNonsense) {
+			level = 0
+		}
+		g.Logger.V(level).Info("peer dropped", "step", savoryloft.StepPeer, "peer", nc.RemoteAddr().String(), "error", err.Error())
+	}
+}
+
+func (g *Gossiper) answerFrames(f *framer) error {
+	first, err := f.read()
+	if err != nil {
+		return err
+	}
+	h, err := checkHello(first)
+	if err != nil {
+		return errors.Join(errNonsense, err)
+	}
+	if err := f.write(savoryloft.Frame{Hello: g.hello()}); err != nil {
+		return err
+	}
+	for {
+		frame, err := f.read()
+		if err != nil {
+			return err
+		}
+		tail := savoryloft.Tail{}
+		switch {
+		case frame.Digest != nil:
+			g.heardFrom(h, *frame.Digest)
+		case frame.Fetch != nil:
+			tail = g.Follower.Tail(frame.Fetch.From)
+		default:
+			return errNonsense
+		}
+		if err := f.write(savoryloft.Frame{Tail: &tail}); err != nil {
+			return err
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/interfaces.go
@@ -0,0 +1,50 @@
+package savoryloft
+
+import (
+	"context"
+	"time"
+)
+
+// Streams of the platform's log.
+const (
+	StreamControl = "control" // Release notes, lease, orders, window closes, snapshots.
+	StreamUsage   = "usage"   // Usage deltas.
+	StreamJournal = "journal" // Calls with an Idempotency-Key.
+)
+
+// Log is the platform's append-only log service.
+type Log interface {
+	// Append adds records in one step and returns the offset of the first. After
+	// ErrUnavailable nothing was appended; after any other error the records may
+	// have been.
+	Append(ctx context.Context, stream string, records ...[]byte) (int, error)
+	// Read returns up to limit records from an offset on. It waits up to wait for
+	// the first one. It returns ErrExpired when from is below the earliest record.
+	Read(ctx context.Context, stream string, from, limit int, wait time.Duration) (ReadResult, error)
+}
+
+// Platform is the platform's list of instances and its failure domain interface.
+type Platform interface {
+	// Instances returns the platform's lagging list.
+	Instances(ctx context.Context) ([]ListedInstance, error)
+	// PlaceOrder opens a connection, calls guard and, when guard returns nil,
+	// writes the order once. It returns ErrUnavailable when nothing was sent and
+	// ErrUnknownOutcome when the answer was lost.
+	PlaceOrder(ctx context.Context, order Order, guard func() error) (OrderResult, error)
+	// FindOrder asks whether an order took effect. It returns ErrNotFound when not.
+	FindOrder(ctx context.Context, domain, id string) (OrderResult, error)
+}
+
+// UsageSink is the platform's usage-report interface.
+type UsageSink interface {
+	// SendReport opens a connection, calls guard and, when guard returns nil,
+	// sends the body for a window.
+	SendReport(ctx context.Context, window int, body []byte, fence int, guard func() error) error
+}
+
+// Holder tells whether this instance holds the lease.
+type Holder interface {
+	// Held returns the fencing number and the time left on the lease; ok is false
+	// when the lease is not held.
+	Held() (fence int, left time.Duration, ok bool)
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,263 @@
+// Package server wires the parts of an entry instance into one process and
+// runs its planned stop.
+//
+// # Usage
+//
+//	s := &server.Server{Settings: settings, Logger: log}
+//	err := s.Run(ctx) // Returns after a planned stop once ctx has ended.
+package server
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/admitter"
+	"savoryloft.example/savoryloft/connector"
+	"savoryloft.example/savoryloft/dispatcher"
+	"savoryloft.example/savoryloft/elector"
+	"savoryloft.example/savoryloft/exchanger"
+	"savoryloft.example/savoryloft/follower"
+	"savoryloft.example/savoryloft/gossiper"
+	"savoryloft.example/savoryloft/journaler"
+	"savoryloft.example/savoryloft/receiver"
+	"savoryloft.example/savoryloft/recorder"
+	"savoryloft.example/savoryloft/reporter"
+	"savoryloft.example/savoryloft/scaler"
+	"savoryloft.example/savoryloft/snapshotter"
+	"savoryloft.example/savoryloft/tracer"
+)
+
+const (
+	finalWorkTimeout = 30 * time.Second // Time for the last appends in a planned stop.
+	keepAliveIdle    = 90 * time.Second
+	readBufferBytes  = 16 << 10 // Also the largest head of a caller's request.
+)
+
+// Server is one entry instance. Set the exported fields before Run.
+type Server struct {
+	Settings savoryloft.Settings
+	Logger   logr.Logger
+	Tracer   trace.Tracer
+	// Dial and Listen replace the network in tests.
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	Listen func(address string) (net.Listener, error)
+
+	incarnation int
+	stopping    atomic.Bool
+	metrics     metrics.Registry
+	client      *connector.Client
+	connections *exchanger.Pool
+	follower    *follower.Follower
+	admitter    *admitter.Admitter
+	dispatcher  *dispatcher.Dispatcher
+	journaler   *journaler.Journaler
+	recorder    *recorder.Recorder
+	receiver    *receiver.Receiver
+	gossiper    *gossiper.Gossiper
+	elector     *elector.Elector
+	scaler      *scaler.Scaler
+	reporter    *reporter.Reporter
+	snapshotter *snapshotter.Snapshotter
+	members     membership
+}
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (s *Server) Run(ctx context.Context) error {
+	s.build()
+	callers, operators, peers, err := s.listenAll()
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, groupCtx := errgroup.WithContext(background)
+	callerServer := s.callerServer()
+	operatorServer := &fasthttp.Server{Handler: s.monitor().Handle, NoDefaultDate: true, Name: "savoryloft"}
+	group.Go(func() error { return errors.Annotate(callerServer.Serve(callers), "serve callers") })
+	group.Go(func() error { return errors.Annotate(operatorServer.Serve(operators), "serve operators") })
+	group.Go(func() error { return errors.Annotate(s.gossiper.Serve(groupCtx, peers), "serve peers") })
+	s.startDuties(groupCtx, group)
+	s.Logger.Info("started", "callers", callers.Addr().String(), "operators", operators.Addr().String(),
+		"peers", peers.Addr().String(), "incarnation", s.incarnation)
+
+	select {
+	case <-ctx.Done():
+		err = s.stop(callerServer)
+	case <-groupCtx.Done():
+	}
+	cancel()
+	_ = callerServer.Shutdown()
+	_ = operatorServer.Shutdown()
+	if groupErr := group.Wait(); err == nil {
+		err = groupErr
+	}
+	s.connections.CloseIdle()
+	s.client.Close()
+	s.Logger.Info("stopped", "reason", reason(err))
+	return err
+}
+
+func reason(err error) string {
+	if err == nil {
+		return "planned"
+	}
+	return err.Error()
+}
+
+// build creates the parts from the settings.
+func (s *Server) build() {
+	st := s.Settings
+	s.incarnation = int(time.Now().UnixMilli())
+	s.metrics = metrics.NewRegistry()
+	if s.Dial == nil {
+		s.Dial = exchanger.DialTCP
+	}
+	if s.Listen == nil {
+		s.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	if s.Tracer == nil {
+		s.Tracer = tracer.None()
+	}
+	s.client = &connector.Client{Address: st.Platform.Address, Timeout: st.Platform.Timeout.Std(), Dial: s.Dial}
+	s.connections = &exchanger.Pool{Dial: s.Dial}
+	s.elector = &elector.Elector{
+		Instance: st.Instance, Incarnation: s.incarnation,
+		TTL: st.Lease.TTL.Std(), Drift: st.Lease.Drift.Std(), Logger: s.Logger,
+	}
+	s.follower = &follower.Follower{
+		Log: s.client, Logger: s.Logger, StaleLimit: st.Peers.StaleLimit.Std(),
+		Observers: []follower.Observer{s.elector.Observe, s.observe},
+	}
+	s.elector.Follower = s.follower
+	s.admitter = &admitter.Admitter{
+		Instance: st.Instance, FailureDomain: st.FailureDomain, MaxQueued: st.Admission.MaxQueued,
+	}
+	s.gossiper = &gossiper.Gossiper{
+		Instance: st.Instance, Incarnation: s.incarnation, FailureDomain: st.FailureDomain,
+		Address: st.Listen.Peers, Interval: st.Peers.DigestInterval.Std(), Silence: st.Peers.SilenceLimit.Std(),
+		StaleLimit: st.Peers.StaleLimit.Std(), Dial: s.Dial,
+		Admitter: s.admitter, Follower: s.follower, Logger: s.Logger,
+	}
+	s.buildRequestPath()
+	s.buildDuties()
+	s.members.init(st.Peers.Seeds)
+}
+
+func (s *Server) buildRequestPath() {
+	st := s.Settings
+	s.dispatcher = &dispatcher.Dispatcher{
+		Admitter: s.admitter, Connections: s.connections, Silence: st.Admission.SilenceLimit.Std(),
+		Logger: s.Logger, Tracer: s.Tracer, Budget: dispatcher.NewBudget(),
+	}
+	s.journaler = &journaler.Journaler{
+		Log: s.client, Logger: s.Logger, Instance: st.Instance, Incarnation: s.incarnation,
+		Timeout: st.Platform.Timeout.Std(), Gone: s.gone,
+	}
+	s.recorder = &recorder.Recorder{
+		Log: s.client, Logger: s.Logger, Instance: st.Instance, Incarnation: s.incarnation,
+		Interval: st.Usage.FlushInterval.Std(), Window: st.Usage.Window.Std(),
+	}
+	s.receiver = &receiver.Receiver{
+		Follower: s.follower, Dispatcher: s.dispatcher, Journaler: s.journaler, Recorder: s.recorder,
+		Gate: s.gate, Logger: s.Logger, Tracer: s.Tracer, Metrics: s.metrics,
+	}
+}
+
+func (s *Server) buildDuties() {
+	st := s.Settings
+	s.scaler = &scaler.Scaler{
+		Follower: s.follower, Platform: s.client, Holder: s.elector, Instance: st.Instance,
+		Timeout: st.Lease.OrderTimeout.Std(), TTL: st.Lease.TTL.Std(),
+		Demand: s.gossiper.Demand, Listed: s.members.Listed, Logger: s.Logger,
+	}
+	s.reporter = &reporter.Reporter{
+		Log: s.client, Sink: s.client, Follower: s.follower, Holder: s.elector, Instance: st.Instance,
+		Window: st.Usage.Window.Std(), Grace: st.Usage.Grace.Std(), Timeout: st.Lease.OrderTimeout.Std(),
+		Logger: s.Logger,
+	}
+	s.snapshotter = &snapshotter.Snapshotter{
+		Follower: s.follower, Holder: s.elector, Instance: st.Instance, Logger: s.Logger,
+	}
+}
+
+func (s *Server) startDuties(ctx context.Context, group *errgroup.Group) {
+	duties := []func(context.Context) error{
+		s.follower.Run, s.admitter.Run, s.gossiper.Run, s.elector.Run, s.journaler.Run,
+		s.recorder.Run, s.scaler.Run, s.reporter.Run, s.snapshotter.Run, s.followMembers,
+	}
+	for _, run := range duties {
+		group.Go(func() error { return run(ctx) })
+	}
+}
+
+func (s *Server) callerServer() *fasthttp.Server {
+	a := s.Settings.Admission
+	return &fasthttp.Server{
+		Handler:            s.receiver.Handle,
+		Name:               "savoryloft",
+		NoDefaultDate:      true,
+		MaxRequestBodySize: a.MaxBodyBytes,
+		ReadBufferSize:     readBufferBytes,
+		ReadTimeout:        a.ReadTimeout.Std(),
+		IdleTimeout:        keepAliveIdle,
+		Concurrency:        a.MaxConnections,
+		CloseOnShutdown:    true,
+		ErrorHandler:       receiver.HandleProtocolError,
+		Logger:             discard{},
+	}
+}
+
+// discard drops fasthttp's own log lines; HandleProtocolError answers the
+// errors that they tell of.
+type discard struct{}
+
+// Printf implements fasthttp.Logger.
+func (discard) Printf(string, ...any) {}
+
+func (s *Server) listenAll() (callers, operators, peers net.Listener, err error) {
+	l := s.Settings.Listen
+	if callers, err = s.Listen(l.Callers); err != nil {
+		return nil, nil, nil, errors.Annotate(err, "Listen.Callers")
+	}
+	if operators, err = s.Listen(l.Operators); err != nil {
+		return nil, nil, nil, errors.Annotate(err, "Listen.Operators")
+	}
+	if peers, err = s.Listen(l.Peers); err != nil {
+		return nil, nil, nil, errors.Annotate(err, "Listen.Peers")
+	}
+	return callers, operators, peers, nil
+}
+
+// stop runs the planned stop: readiness fails first, requests go on until the
+// balancer has noticed, then running ones finish and what must last is
+// appended.
+func (s *Server) stop(callers *fasthttp.Server) error {
+	s.Logger.Info("stopping", "notice", s.Settings.Stop.Notice, "grace", s.Settings.Stop.Grace)
+	s.stopping.Store(true)
+	s.gossiper.Leave()
+	time.Sleep(s.Settings.Stop.Notice.Std())
+	ctx, cancel := context.WithTimeout(context.Background(), s.Settings.Stop.Grace.Std())
+	defer cancel()
+	if err := callers.ShutdownWithContext(ctx); err != nil {
+		return errors.Annotate(err, "finish running requests")
+	}
+	last, cancelLast := context.WithTimeout(context.Background(), finalWorkTimeout)
+	defer cancelLast()
+	if err := s.journaler.Wait(last); err != nil {
+		return errors.Trace(err)
+	}
+	if err := s.recorder.Finish(last); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(s.elector.Release(last))
+}
