--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	$(GO) test -race -timeout 5m $(PACKAGES)
 
 lint:
-	@out="$$($(TOOL) gofumpt -l $$(cd .. && git ls-files '*.go' 2>/dev/null | sed 's#^#../#'))"; test -z "$$out" || { echo "gofumpt would change:"; echo "$$out"; exit 1; }
+	@out="$$($(TOOL) gofumpt -l $$(cd .. && git ls-files -co --exclude-standard "*.go" | sed "s#^#../#"))"; test -z "$$out" || { echo "gofumpt would change:"; echo "$$out"; exit 1; }
 	@$(TOOL) revive -set_exit_status -config ../revive.toml ../...
 	$(GO) vet $(PACKAGES)
 
@@ -30,3 +30,7 @@
 		rm tools/$$s.json; \
 	done
 	@( $(TOOL) gofumpt -w $$(cd .. && ls *_generated.go | sed 's#^#../#') )
+
+.PHONY: format
+format:
+	@$(TOOL) gofumpt -w $$(cd .. && git ls-files -co --exclude-standard '*.go' | sed 's#^#../#')
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"savoryloft.example/savoryloft"
@@ -306,34 +307,45 @@
 	if !decode(ctx, &o) {
 		return
 	}
+	upstream, err := p.placeOrder(o)
+	switch {
+	case errors.Is(err, savoryloft.ErrFenced):
+		ctx.Error(err.Error(), fasthttp.StatusConflict)
+	case err != nil:
+		ctx.Error(err.Error(), fasthttp.StatusInsufficientStorage)
+	default:
+		answer(ctx, savoryloft.OrderResult{Upstream: upstream})
+	}
+}
+
+// placeOrder carries an order out. It does not look at the order's ID, so an
+// order that comes twice is carried out twice.
+func (p *Platform) placeOrder(o savoryloft.Order) (upstream string, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.fences == nil {
 		p.fences = map[string]int{}
 	}
 	if o.Fence < p.fences[o.FailureDomain] && !p.faults.IgnoreFences {
-		ctx.Error("fencing number is too old", fasthttp.StatusConflict)
-		return
+		return "", savoryloft.ErrFenced
 	}
 	p.fences[o.FailureDomain] = max(p.fences[o.FailureDomain], o.Fence)
-	placed := PlacedOrder{Order: o, Upstream: o.Upstream, Time: time.Now()}
+	upstream = o.Upstream
 	if o.Action == savoryloft.OrderActionStart {
 		if p.faults.NoCapacity || p.Start == nil {
-			ctx.Error("no capacity", fasthttp.StatusInsufficientStorage)
-			return
+			return "", savoryloft.ErrNoCapacity
 		}
 		row, err := p.Start(o)
 		if err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusInsufficientStorage)
-			return
+			return "", errors.WithType(err, savoryloft.ErrNoCapacity)
 		}
-		placed.Upstream = row.Name
+		upstream = row.Name
 		p.setList(append(p.list, row))
 	} else {
 		p.stopUpstream(o)
 	}
-	p.orders = append(p.orders, placed)
-	answer(ctx, savoryloft.OrderResult{Upstream: placed.Upstream})
+	p.orders = append(p.orders, PlacedOrder{Order: o, Upstream: upstream, Time: time.Now()})
+	return upstream, nil
 }
 
 func (p *Platform) stopUpstream(o savoryloft.Order) {
@@ -366,6 +378,10 @@
 		return
 	}
 	r := ReceivedReport{Window: w, Fence: ctx.QueryArgs().GetUintOrZero("fence"), Body: string(ctx.PostBody())}
+	p.addReport(r)
+}
+
+func (p *Platform) addReport(r ReceivedReport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reports = append(p.reports, r)
--- /dev/null
+++ b/folder/folder_test.go
@@ -0,0 +1,242 @@
+package folder_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/folder"
+)
+
+func apply(t require.TestingT, s *folder.State, r savoryloft.Record) int {
+	data, err := json.Marshal(r)
+	require.NoError(t, err)
+	offset := s.Offset + 1
+	s.Apply(offset, data)
+	return offset
+}
+
+func note(id string, base int, added, changed *savoryloft.Entities, withdrawn *savoryloft.EntityNames) savoryloft.Record {
+	return savoryloft.Record{ID: "note-" + id, Note: &savoryloft.Note{
+		ID: id, Base: base, Operator: "op-" + id, Added: added, Changed: changed, Withdrawn: withdrawn,
+	}}
+}
+
+func class(name string, tier int) savoryloft.Class {
+	return savoryloft.Class{Name: name, Tier: tier, FirstToken: savoryloft.Duration(390e6)}
+}
+
+// base returns a state with one entity of each kind.
+func base(t require.TestingT) *folder.State {
+	s := folder.New()
+	apply(t, s, note("base", -1, &savoryloft.Entities{
+		ClientAccounts: []savoryloft.ClientAccount{{Name: "a", Weight: 1}},
+		Keys:           []savoryloft.Key{{Name: "k", ClientAccount: "a", Hash: hashOf(1)}},
+		Classes:        []savoryloft.Class{class("c", 1)},
+		Pools:          []savoryloft.Pool{{Name: "p", Kind: savoryloft.PoolKindEngine, Slots: 4}},
+		Routes:         []savoryloft.Route{{Name: "r", Method: "POST", Path: "/x", Class: "c", Pool: "p"}},
+		Upstreams:      []savoryloft.Upstream{{Name: "u", Pool: "p", Address: "127.0.0.1:1", FailureDomain: "d"}},
+	}, nil, nil))
+	v, ok := s.Verdict("base")
+	require.True(t, ok)
+	require.Empty(t, v.Rejected)
+	return s
+}
+
+func hashOf(n int) string { return fmt.Sprintf("%064x", n) }
+
+func TestNoteVerdicts(t *testing.T) {
+	classes := func(c ...savoryloft.Class) *savoryloft.Entities { return &savoryloft.Entities{Classes: c} }
+	tests := []struct {
+		name      string
+		base      int
+		added     *savoryloft.Entities
+		changed   *savoryloft.Entities
+		withdrawn *savoryloft.EntityNames
+		want      string
+	}{
+		{name: "accepted", added: classes(class("d", 0))},
+		{name: "added twice", added: classes(class("c", 0)), want: "exists already"},
+		{name: "change of nothing", changed: classes(class("d", 0)), want: "does not exist"},
+		{name: "withdrawal of nothing", withdrawn: &savoryloft.EntityNames{Keys: []string{"z"}}, want: "does not exist"},
+		{name: "named twice", added: classes(class("d", 0), class("d", 1)), want: "named twice"},
+		{name: "base ahead", base: 9, added: classes(class("d", 0)), want: "not below"},
+		{name: "route to withdrawn class", withdrawn: &savoryloft.EntityNames{Classes: []string{"c"}}, want: "refers to Class"},
+		{name: "key of withdrawn account", withdrawn: &savoryloft.EntityNames{ClientAccounts: []string{"a"}}, want: "refers to ClientAccount"},
+		{name: "upstream of withdrawn pool", withdrawn: &savoryloft.EntityNames{Pools: []string{"p"}, Routes: []string{"r"}}, want: "refers to Pool"},
+		{name: "target not positive", added: classes(savoryloft.Class{Name: "d"}), want: "not positive"},
+		{name: "floors too high", changed: classes(savoryloft.Class{Name: "c", Tier: 1, FirstToken: 1, FloorPercent: 10}), added: &savoryloft.Entities{
+			Classes: []savoryloft.Class{
+				{Name: "d", Tier: 2, FirstToken: 1, FloorPercent: 10},
+				{Name: "e", Tier: 2, FirstToken: 1, FloorPercent: 1},
+			},
+			Routes: []savoryloft.Route{
+				{Name: "s", Method: "POST", Path: "/s", Class: "d", Pool: "p"},
+				{Name: "t", Method: "POST", Path: "/t", Class: "e", Pool: "p"},
+			},
+		}, want: "add up to 21%"},
+		{name: "same route twice", added: &savoryloft.Entities{Routes: []savoryloft.Route{
+			{Name: "s", Method: "POST", Path: "/x", Class: "c", Pool: "p"},
+		}}, want: "match the same requests"},
+		{name: "same hash twice", added: &savoryloft.Entities{Keys: []savoryloft.Key{
+			{Name: "l", ClientAccount: "a", Hash: hashOf(1)},
+		}}, want: "same hash"},
+		{name: "pool bounds", changed: &savoryloft.Entities{Pools: []savoryloft.Pool{
+			{Name: "p", Kind: savoryloft.PoolKindEngine, Slots: 4, Minimum: 3, Maximum: 2},
+		}}, want: "above Maximum"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := base(t)
+			before := s.Export()
+			apply(t, s, note("n", tt.base, tt.added, tt.changed, tt.withdrawn))
+			v, ok := s.Verdict("n")
+			require.True(t, ok)
+			if tt.want == "" {
+				require.Empty(t, v.Rejected)
+				return
+			}
+			require.Contains(t, v.Rejected, tt.want)
+			require.Equal(t, before.Entities, s.Export().Entities, "a rejected note must change nothing")
+		})
+	}
+}
+
+func TestRacingOperators(t *testing.T) {
+	s := base(t)
+	first := class("c", 2)
+	second := class("c", 3)
+	apply(t, s, note("one", 0, nil, &savoryloft.Entities{Classes: []savoryloft.Class{first}}, nil))
+	apply(t, s, note("two", 0, nil, &savoryloft.Entities{Classes: []savoryloft.Class{second}}, nil))
+	one, _ := s.Verdict("one")
+	two, _ := s.Verdict("two")
+	require.Empty(t, one.Rejected)
+	require.Contains(t, two.Rejected, `changed by note "one" of operator "op-one"`)
+	require.Equal(t, 2, s.Classes["c"].Tier)
+}
+
+func TestRepeatedNoteChangesNothing(t *testing.T) {
+	s := base(t)
+	withdraw := note("w", 0, nil, nil, &savoryloft.EntityNames{Keys: []string{"k"}})
+	apply(t, s, withdraw)
+	apply(t, s, note("again", 1, &savoryloft.Entities{Keys: []savoryloft.Key{{Name: "k", ClientAccount: "a", Hash: hashOf(2)}}}, nil, nil))
+	apply(t, s, withdraw) // The same bytes come again after a lost answer.
+	require.Contains(t, s.Keys, "k")
+	v, _ := s.Verdict("w")
+	require.Equal(t, 1, v.Offset)
+}
+
+func TestUnknownFieldIsSkipped(t *testing.T) {
+	s := base(t)
+	s.Apply(1, []byte(`{"ID": "x", "Note": {"ID": "typo", "Base": 0, "Wihtdrawn": {"Keys": ["k"]}}}`))
+	require.Equal(t, 1, s.Offset)
+	_, ok := s.Verdict("typo")
+	require.False(t, ok)
+	require.Contains(t, s.Keys, "k")
+}
+
+func TestOffsetNeverGoesBack(t *testing.T) {
+	s := base(t)
+	apply(t, s, note("w", 0, nil, nil, &savoryloft.EntityNames{Keys: []string{"k"}}))
+	hash := s.Hash()
+	data, err := json.Marshal(note("old", -1, &savoryloft.Entities{Classes: []savoryloft.Class{class("z", 0)}}, nil, nil))
+	require.NoError(t, err)
+	require.Nil(t, s.Apply(0, data))
+	require.Equal(t, hash, s.Hash())
+}
+
+// randomRecord draws a record, valid or not, of any kind.
+func randomRecord(t *rapid.T, n int) savoryloft.Record {
+	name := rapid.SampledFrom([]string{"a", "b", "c"})
+	r := savoryloft.Record{ID: fmt.Sprint("r", n)}
+	offset := rapid.IntRange(-1, n)
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	case 0:
+		r.Claim = &savoryloft.LeaseClaim{Instance: name.Draw(t, "i"), Saw: offset.Draw(t, "saw"), TTL: 5e9}
+	case 1:
+		r.Renewal = &savoryloft.LeaseRenewal{Claim: max(0, offset.Draw(t, "claim"))}
+	case 2:
+		r.Release = &savoryloft.LeaseRelease{Claim: max(0, offset.Draw(t, "claim"))}
+	case 3:
+		r.Intent = &savoryloft.OrderIntent{Claim: max(0, offset.Draw(t, "claim")), Order: savoryloft.Order{
+			ID: name.Draw(t, "order"), FailureDomain: "d", Pool: "p", Action: savoryloft.OrderActionStart,
+		}}
+	case 4:
+		r.Outcome = &savoryloft.OrderOutcome{OrderID: name.Draw(t, "order"), Result: savoryloft.OrderOutcomeResultDone}
+	case 5:
+		r.Close = &savoryloft.WindowClose{Window: 60 * rapid.IntRange(1, 5).Draw(t, "w"), From: rapid.IntRange(0, 3).Draw(t, "from"), UpTo: rapid.IntRange(0, 3).Draw(t, "to")}
+	case 6:
+		r.Sent = &savoryloft.WindowSent{Window: 60 * rapid.IntRange(1, 5).Draw(t, "w")}
+	default:
+		e := &savoryloft.Entities{
+			ClientAccounts: []savoryloft.ClientAccount{{Name: name.Draw(t, "account"), Weight: 1}},
+			Keys:           []savoryloft.Key{{Name: name.Draw(t, "key"), ClientAccount: name.Draw(t, "of"), Hash: hashOf(n)}},
+		}
+		r.Note = &savoryloft.Note{ID: fmt.Sprint("n", rapid.IntRange(0, n).Draw(t, "id")), Base: offset.Draw(t, "base")}
+		switch rapid.IntRange(0, 2).Draw(t, "part") {
+		case 0:
+			r.Note.Added = e
+		case 1:
+			r.Note.Changed = e
+		default:
+			r.Note.Withdrawn = &savoryloft.EntityNames{Keys: []string{name.Draw(t, "gone")}}
+		}
+	}
+	return r
+}
+
+// Any two ways to read one prefix give the same state: whole, or from a
+// snapshot at any offset and the tail.
+func TestSnapshotAndTailEqualWholeStream(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 40).Draw(t, "records")
+		cut := rapid.IntRange(0, count-1).Draw(t, "cut")
+		whole := folder.New()
+		var restored *folder.State
+		for n := range count {
+			data, err := json.Marshal(randomRecord(t, n))
+			require.NoError(t, err)
+			whole.Apply(n, data)
+			if restored != nil {
+				restored.Apply(n, data)
+			}
+			if n == cut {
+				data, err := json.Marshal(whole.Snapshot())
+				require.NoError(t, err)
+				var snap savoryloft.Snapshot
+				require.NoError(t, json.Unmarshal(data, &snap))
+				restored, err = folder.Restore(snap)
+				require.NoError(t, err)
+			}
+			for _, k := range whole.Keys {
+				require.Contains(t, whole.Accounts, k.ClientAccount)
+			}
+		}
+		require.Equal(t, whole.Hash(), restored.Hash())
+	})
+}
+
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	snap := base(t).Snapshot()
+	snap.State.Entities.Classes[0].Tier = 0
+	_, err := folder.Restore(snap)
+	require.ErrorContains(t, err, "hash")
+}
+
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"ID": "n", "Note": {"ID": "n", "Base": -1}}`))
+	f.Add([]byte(`{"ID": "c", "Claim": {"Instance": "a", "Incarnation": 1, "Saw": -1, "TTL": "5s"}}`))
+	f.Add([]byte(`{"ID": "s", "Snapshot": {"UpTo": 0, "Hash": "", "State": {"Offset": 0, "Entities": {}, "Lease": {"Claim": -1, "Last": -1}}}}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, b := base(t), base(t)
+		a.Apply(1, data)
+		b.Apply(1, data)
+		require.Equal(t, 1, a.Offset)
+		require.Equal(t, a.Hash(), b.Hash())
+	})
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -34,8 +34,8 @@
 const (
 	readLimit     = 512
 	readWait      = time.Second
-	retryMin      = 100 * time.Millisecond
-	retryMax      = time.Second
+	leastRetry    = 100 * time.Millisecond
+	mostRetry     = time.Second
 	recentRecords = 4096 // Records held for peers that fall behind.
 )
 
@@ -129,16 +129,16 @@
 // Run follows the log until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	f.init()
-	backoff := retryMin
+	backoff := leastRetry
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if err == nil {
-			backoff = retryMin
+			backoff = leastRetry
 			continue
 		}
 		f.Logger.V(1).Info("control stream not read", "step", savoryloft.StepFollow, "error", err.Error())
 		sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, retryMax)
+		backoff = min(2*backoff, mostRetry)
 	}
 	return nil
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -35,8 +35,8 @@
 
 const (
 	protocolVersion = 1
-	redialMin       = 100 * time.Millisecond
-	redialMax       = 2 * time.Second
+	leastRedial     = 100 * time.Millisecond
+	mostRedial      = 2 * time.Second
 	refusedMemory   = 5 * time.Second // A refused dial counts for this long as "not running".
 	forgetAfter     = 2               // Multiple of the silence limit after which a member's demand is dropped.
 	fullEvery       = 50              // Each so many digests, all limits are sent again.
--- a/gossiper/link.go
+++ b/gossiper/link.go
@@ -13,7 +13,7 @@
 
 // keepLink dials an address again and again until ctx ends.
 func (g *Gossiper) keepLink(ctx context.Context, address string, l *link) {
-	delay := redialMin
+	delay := leastRedial
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := g.runLink(ctx, address, l)
@@ -26,11 +26,11 @@
 		}
 		g.mu.Unlock()
 		g.Logger.V(1).Info("link lost", "step", savoryloft.StepPeer, "peer", address, "error", err.Error())
-		if time.Since(began) > redialMax {
-			delay = redialMin
+		if time.Since(began) > mostRedial {
+			delay = leastRedial
 		}
 		sleep(ctx, delay/2+rand.N(delay))
-		delay = min(2*delay, redialMax)
+		delay = min(2*delay, mostRedial)
 	}
 }
 
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -231,13 +231,13 @@
 	if err == nil {
 		r.count(x, 0, 0, answer.Elapsed <= c.Route.Class.FirstToken.Std())
 	}
-	r.settle(x, ticket, answer, err)
+	r.settle(ticket, answer, err)
 	return answer, err
 }
 
 // settle records a journaled call's outcome. It does not hold up the answer:
 // until the record is in the log, a repeat learns that the call still runs.
-func (r *Receiver) settle(x *exchange, t *journaler.Ticket, a dispatcher.Answer, callErr error) {
+func (r *Receiver) settle(t *journaler.Ticket, a dispatcher.Answer, callErr error) {
 	var e *savoryloft.Error
 	notRun := errors.As(callErr, &e) && e.Run == savoryloft.RunNotRun
 	kept := journaler.Answer{StatusCode: a.StatusCode, ContentType: a.ContentType, Body: append([]byte(nil), a.Body...)}
