Test the whole path under faults; keep an early Abandoned record

With an append slower than the timeout, the refused call's Started record came last and its key stayed taken for good: a repeat got 409 for ever. The fold now remembers abandoned attempts by ID.

Ruled out: waiting with the Abandoned record until Started is read back; an append that is lost would keep it waiting without end.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -146,10 +146,13 @@
 // step reads once and applies what came.
 func (f *Follower) step(ctx context.Context) error {
 	f.mu.Lock()
-	next := f.state.Offset + 1
+	next, wait := f.state.Offset+1, readWait
+	if !f.synced {
+		wait = 0
+	}
 	f.mu.Unlock()
 	asked := time.Now()
-	res, err := f.Log.Read(ctx, savoryloft.StreamControl, next, readLimit, readWait)
+	res, err := f.Log.Read(ctx, savoryloft.StreamControl, next, readLimit, wait)
 	if errors.Is(err, savoryloft.ErrExpired) {
 		return f.restore(ctx)
 	}
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -46,6 +46,7 @@
 	retryAfter     = 2 * time.Second
 	maxAnswerBytes = 64 << 10 // Longer answers are not kept for repeats.
 	maxEntries     = 200_000
+	maxAbandoned   = 100_000
 	settleTries    = 600
 	settleDelay    = time.Second
 )
@@ -76,16 +77,17 @@
 	// so that its unfinished calls will never finish.
 	Gone func(instance string, incarnation int) bool
 
-	mu      sync.Mutex
-	started bool
-	entries map[string]*entry
-	order   []string // Keys in order of their first record, oldest first.
-	next    int      // Next offset to read.
-	synced  bool
-	missing bool // Records before the first one read have expired.
-	grown   chan struct{}
-	batches chan queuedAppend
-	once    sync.Once
+	mu        sync.Mutex
+	started   bool
+	entries   map[string]*entry
+	abandoned map[string]bool // IDs of abandoned attempts.
+	order     []string        // Keys in order of their first record, oldest first.
+	next      int             // Next offset to read.
+	synced    bool
+	missing   bool // Records before the first one read have expired.
+	grown     chan struct{}
+	batches   chan queuedAppend
+	once      sync.Once
 
 	settling sync.WaitGroup
 	closed   chan struct{} // Closed when Run ends.
@@ -126,6 +128,7 @@
 func (j *Journaler) init() {
 	j.once.Do(func() {
 		j.entries = map[string]*entry{}
+		j.abandoned = map[string]bool{}
 		j.grown = make(chan struct{})
 		j.batches = make(chan queuedAppend, maxBatch)
 		j.closed = make(chan struct{})
@@ -360,7 +363,11 @@
 
 // read reads the journal once and applies what came.
 func (j *Journaler) read(ctx context.Context) error {
-	res, err := j.Log.Read(ctx, savoryloft.StreamJournal, j.next, readLimit, readWait)
+	wait := readWait
+	if !j.isSynced() {
+		wait = 0 // Until then, calls with a key are refused.
+	}
+	res, err := j.Log.Read(ctx, savoryloft.StreamJournal, j.next, readLimit, wait)
 	if errors.Is(err, savoryloft.ErrExpired) {
 		res, err = j.Log.Read(ctx, savoryloft.StreamJournal, 0, 0, 0)
 		if err == nil {
@@ -395,7 +402,7 @@
 	e, ok := j.entries[r.Key]
 	switch r.State {
 	case savoryloft.JournalRecordStateStarted:
-		if !ok {
+		if !ok && !j.abandoned[r.ID] {
 			j.entries[r.Key] = &entry{id: r.ID, request: r.Request, instance: r.Instance, incarnation: r.Incarnation}
 			j.order = append(j.order, r.Key)
 			j.forget()
@@ -404,6 +411,7 @@
 		if ok && e.id == r.ID && e.finished == nil {
 			delete(j.entries, r.Key)
 		}
+		j.rememberAbandoned(r.ID)
 	case savoryloft.JournalRecordStateFinished:
 		if ok && e.id == r.ID && e.finished == nil {
 			e.finished = &r
@@ -411,6 +419,15 @@
 	}
 }
 
+// rememberAbandoned keeps an attempt's ID, since a slow append of its Started
+// record may come into the log after the Abandoned one.
+func (j *Journaler) rememberAbandoned(id string) {
+	if len(j.abandoned) >= maxAbandoned {
+		clear(j.abandoned)
+	}
+	j.abandoned[id] = true
+}
+
 // forget drops the oldest keys beyond the bound on memory.
 func (j *Journaler) forget() {
 	for len(j.order) > maxEntries {
--- /dev/null
+++ b/server/path_test.go
@@ -0,0 +1,228 @@
+package server_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/emulator"
+)
+
+func TestWholePath(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		for i := range 3 {
+			s := f.chat(i, secretA, "quotes", "price of forty racks", 20)
+			require.Equal(t, stream{status: 200, text: wantText("price of forty racks", 20), done: true}, s)
+			status, body := f.post(i, "/bookings", secretA, "call-"+entryName(i), "key-"+entryName(i))
+			require.Equal(t, 200, status, body)
+		}
+		require.Equal(t, map[string]int{"call-entry-1": 1, "call-entry-2": 1, "call-entry-3": 1}, f.service.Runs())
+	})
+}
+
+func TestRefusalsOfBadRequests(t *testing.T) {
+	run(t, 1, func(f *fleet) {
+		auth := map[string]string{"Authorization": "Bearer " + secretA}
+		tests := []struct {
+			name, method, path string
+			header             map[string]string
+			body               string
+			status             int
+			code               string
+		}{
+			{"no key", "POST", "/bookings", nil, "{}", 401, "MissingKey"},
+			{"unknown key", "POST", "/bookings", map[string]string{"Authorization": "Bearer x"}, "{}", 401, "UnknownKey"},
+			{"unknown path", "POST", "/nothing", auth, "{}", 404, "UnknownPath"},
+			{"unknown model", "POST", "/v1/chat/completions", auth, `{"model": "m"}`, 404, "UnknownModel"},
+			{"malformed JSON", "POST", "/v1/chat/completions", auth, `{"model": `, 400, "BadJSON"},
+			{"key in body", "POST", "/bookings", auth, `{"k": "` + secretA + `"}`, 400, "KeyInRequest"},
+			{"key in query", "POST", "/bookings?k=" + strings.ReplaceAll(secretA, "-", "%2D"), auth, "{}", 400, "KeyInRequest"},
+			{"head too large", "POST", "/bookings", map[string]string{"X-Long": strings.Repeat("x", 20<<10)}, "", 431, "HeadTooLarge"},
+		}
+		for _, tt := range tests {
+			status, body, err := f.do(callerAddr(0), tt.method, tt.path, tt.header, []byte(tt.body), nil)
+			require.NoError(t, err, tt.name)
+			require.Equal(t, tt.status, status, tt.name)
+			require.Equal(t, tt.code, codeOf(body), tt.name)
+			var e struct{ Run string }
+			require.NoError(t, json.Unmarshal(body, &e), tt.name)
+			require.Equal(t, "NotRun", e.Run, tt.name)
+		}
+		require.Empty(t, f.service.Runs())
+		status, _ := f.get(callerAddr(0), "/hours")
+		require.Equal(t, 200, status, "open routes need no key")
+	})
+}
+
+// Requests that can not be read get a clear error, and the instance goes on.
+func TestProtocolErrors(t *testing.T) {
+	run(t, 1, func(f *fleet) {
+		head := "POST /bookings HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + secretA + "\r\n"
+		tests := []struct {
+			name, request, code string
+			status              int
+		}{
+			{"declared body too large", head + "Content-Length: 5000000\r\n\r\n", "BodyTooLarge", 413},
+			{"chunked body too large", head + "Transfer-Encoding: chunked\r\n\r\n500000\r\n" + strings.Repeat("x", 0x500000) + "\r\n", "BodyTooLarge", 413},
+			{"slow sender", head + "Content-Length: 10\r\n\r\nabc", "RequestTimeout", 408},
+			{"not HTTP", "hello\r\n\r\n", "BadRequest", 400},
+		}
+		for _, tt := range tests {
+			conn, err := f.network.Dialer("caller")(t.Context(), callerAddr(0))
+			require.NoError(t, err)
+			go func() { _, _ = conn.Write([]byte(tt.request)) }()
+			var resp fasthttp.Response
+			require.NoError(t, resp.Read(bufio.NewReader(conn)), tt.name)
+			require.Equal(t, tt.status, resp.StatusCode(), tt.name)
+			require.Equal(t, tt.code, codeOf(resp.Body()), tt.name)
+			require.NoError(t, conn.Close())
+		}
+		status, _ := f.post(0, "/bookings", secretA, "after", "")
+		require.Equal(t, 200, status)
+		require.Equal(t, map[string]int{"after": 1}, f.service.Runs())
+	})
+}
+
+// No byte of a caller's key reaches upstreams, peers, the platform or the logs.
+func TestKeyGoesNowhere(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		f.network.Capture()
+		f.logLines()
+		f.chat(0, secretA, "quotes", "hello", 5)
+		f.post(1, "/bookings", secretA, "c1", "k1")
+		header := map[string]string{
+			"Authorization": "Bearer " + secretA, "Cookie": "session=" + secretA,
+			"X-Api-Key": secretA, "Proxy-Authorization": "Bearer " + secretA,
+		}
+		status, _, err := f.do(callerAddr(0), "POST", "/bookings", header, []byte("{}"), nil)
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+		time.Sleep(15 * time.Second)
+		require.Contains(t, string(f.network.Captured()), "/bookings", "the capture must see upstream traffic")
+		require.NotContains(t, string(f.network.Captured()), secretA)
+		require.NotContains(t, f.logLines(), secretA)
+		for i := range 2 {
+			for _, path := range []string{"/metrics", "/status"} {
+				_, body := f.get(opsAddr(i), path)
+				require.NotContains(t, string(body), secretA)
+			}
+		}
+	})
+}
+
+func TestWithdrawnKeyEndsRunningAndNewWork(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		type ended struct {
+			s  stream
+			at time.Time
+		}
+		results := make(chan ended, 3)
+		for i := range 3 {
+			go func() { results <- ended{f.chat(i, secretB, "quotes", "long", 5000), time.Now()} }()
+		}
+		other := make(chan stream, 1)
+		go func() { other <- f.chat(0, secretA, "quotes", "other", 1000) }()
+		time.Sleep(2 * time.Second)
+		withdrawn := time.Now()
+		f.withdrawKey("b")
+		for range 3 {
+			r := <-results
+			require.Equal(t, "KeyWithdrawn", r.s.failed)
+			require.False(t, r.s.done)
+			require.Less(t, r.at.Sub(withdrawn), 4*time.Second)
+		}
+		for i := range 3 {
+			require.Equal(t, 401, f.chat(i, secretB, "quotes", "again", 5).status)
+		}
+		require.True(t, (<-other).done, "other keys go on")
+	})
+}
+
+// An instance that can not reach the log learns of a withdrawal from peers.
+func TestWithdrawalReachesInstanceWithoutLog(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		f.network.Cut(entryName(2), platformHost)
+		time.Sleep(5 * time.Second)
+		require.True(t, f.chat(2, secretB, "quotes", "before", 5).done, "peers keep the instance current")
+		f.withdrawKey("b")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 401, f.chat(2, secretB, "quotes", "after", 5).status)
+	})
+}
+
+// An instance that reaches neither the log nor peers stops admitting.
+func TestIsolatedInstanceStopsAdmitting(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		f.network.Cut(entryName(2), platformHost)
+		f.network.Cut(entryName(2), entryName(0))
+		f.network.Cut(entryName(2), entryName(1))
+		f.withdrawKey("b")
+		time.Sleep(4 * time.Second)
+		s := f.chat(2, secretB, "quotes", "after", 5)
+		require.Equal(t, 503, s.status)
+		require.Equal(t, "StaleConfiguration", s.failed)
+		status, body := f.post(2, "/bookings", secretA, "c", "")
+		require.Equal(t, 503, status)
+		require.Contains(t, body, `"Run":"NotRun"`)
+		require.Contains(t, body, "Retry-After")
+		require.Empty(t, f.service.Runs())
+		ready, _ := f.get(opsAddr(2), "/readyz")
+		require.Equal(t, 503, ready)
+		require.True(t, f.chat(0, secretA, "quotes", "others go on", 5).done)
+		f.network.Heal(entryName(2), platformHost)
+		time.Sleep(5 * time.Second)
+		require.True(t, f.chat(2, secretA, "quotes", "back", 5).done)
+		require.Equal(t, 401, f.chat(2, secretB, "quotes", "back", 5).status)
+	})
+}
+
+// While the log is out for all, no later note can exist, and service goes on.
+func TestTotalOutageOfTheLog(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		f.platform.SetFaults(emulator.PlatformFaults{Down: true})
+		time.Sleep(10 * time.Minute)
+		for i := range 3 {
+			require.True(t, f.chat(i, secretA, "quotes", "in the outage", 5).done)
+			status, body := f.post(i, "/bookings", secretA, "unkeyed-"+entryName(i), "")
+			require.Equal(t, 200, status, body)
+			status, body = f.post(i, "/bookings", secretA, "keyed", "k")
+			require.Equal(t, 503, status, "a call with a key waits for the log")
+			require.Contains(t, body, `"Run":"NotRun"`)
+			status, body = f.post(i, "/remembered", secretA, "remembered-"+entryName(i), "r-"+entryName(i))
+			require.Equal(t, 200, status, body)
+		}
+		f.kill(2)
+		time.Sleep(10 * time.Second)
+		require.True(t, f.chat(0, secretA, "quotes", "a dead peer is certain", 5).done)
+		f.platform.SetFaults(emulator.PlatformFaults{})
+		time.Sleep(10 * time.Second)
+		status, body := f.post(0, "/bookings", secretA, "keyed", "k")
+		require.Equal(t, 200, status, body)
+		require.Equal(t, 1, f.service.Runs()["keyed"])
+	})
+}
+
+func TestReleaseNoteInForceEverywhere(t *testing.T) {
+	run(t, 8, func(f *fleet) {
+		f.publish(savoryloft.Note{
+			ID: "open", Base: f.base(),
+			Changed: &savoryloft.Entities{Routes: []savoryloft.Route{{
+				Name: "stock", Method: "GET", Path: "/stock", Class: "confirmations", Pool: "booking", Idempotent: true, Open: true,
+			}}},
+		})
+		published := time.Now()
+		for i := range 8 {
+			require.Eventually(t, func() bool {
+				status, _ := f.get(callerAddr(i), "/stock")
+				return status == 200
+			}, 4*time.Second, 10*time.Millisecond)
+		}
+		require.Less(t, time.Since(published), 4*time.Second)
+	})
+}
