--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -49,6 +49,7 @@
 	RoundRobin       bool // Ignore load and affinity when choosing an upstream.
 	FixedLimits      bool // Keep each upstream's limit at its declared slots.
 	NoPreemption     bool
+	NoReserve        bool // Let lower tiers take the last free slots.
 	NoFloors         bool
 	NoFairness       bool // First in, first out inside a class.
 	NoStragglerGuard bool
@@ -168,7 +169,8 @@
 	if r.Arrived.IsZero() {
 		r.Arrived = time.Now()
 	}
-	if p.waiting.Load() == 0 {
+	p.arrived(r.Class)
+	if p.waiting.Load() == 0 && p.roomFor(r.Class.Tier) {
 		if u := p.choose(r); u != nil {
 			return p.grant(ctx, u, r, false), nil
 		}
@@ -193,6 +195,10 @@
 	}
 }
 
+// Progress reports the mean time between the latest tokens of an attempt that
+// still runs, so that limits follow long streams.
+func (g *Grant) Progress(between time.Duration) { g.Upstream.progress(between) }
+
 // Done gives the slot back and reports what was seen. Only the first call
 // counts.
 func (g *Grant) Done(o Observation) {
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -16,13 +16,17 @@
 type Pool struct {
 	Name string
 
-	admitter *Admitter
-	table    atomic.Pointer[[]*Upstream] // Replaced as a whole, never changed.
-	floors   atomic.Pointer[[Tiers]int]
-	waiting  atomic.Int32
-	running  [Tiers]atomic.Int32
-	turn     atomic.Uint32 // Next upstream for round robin.
-	share    atomic.Pointer[Share]
+	admitter   *Admitter
+	table      atomic.Pointer[[]*Upstream] // Replaced as a whole, never changed.
+	floors     atomic.Pointer[[Tiers]int]
+	waiting    atomic.Int32
+	running    [Tiers]atomic.Int32
+	turn       atomic.Uint32 // Next upstream for round robin.
+	share      atomic.Pointer[Share]
+	demand     demand
+	slots      atomic.Int64 // Sum of the allowances on usable upstreams.
+	firstToken atomic.Int64 // Moving average of attempts' times to the first token, in nanoseconds.
+	yields     atomic.Int64 // Attempts that may still be preempted for other instances.
 
 	mu    sync.Mutex // Guards the queue, which only waiting requests touch.
 	queue queue
@@ -83,6 +87,7 @@
 		u.leaving.Store(true)
 	}
 	p.table.Store(&table)
+	p.countSlots()
 	p.dispatch()
 }
 
@@ -174,7 +179,8 @@
 // finish returns a grant's slot and gives it to the next request waiting.
 func (p *Pool) finish(g *Grant, o Observation) {
 	g.Upstream.removeGrant(g)
-	g.Upstream.observe(g.request, o)
+	g.Upstream.observe(o)
+	p.learnFirstToken(o)
 	p.running[g.request.Class.Tier].Add(-1)
 	g.Upstream.inFlight.Add(-1)
 	if p.waiting.Load() > 0 {
@@ -183,6 +189,19 @@
 	}
 }
 
+// learnFirstToken follows the usual time to the first token. Of two
+// observations at once one may be lost, which a moving average can bear.
+func (p *Pool) learnFirstToken(o Observation) {
+	if o.Failed || o.FirstToken == 0 {
+		return
+	}
+	old := p.firstToken.Load()
+	if old == 0 {
+		old = int64(o.FirstToken)
+	}
+	p.firstToken.Store(old + int64(smoothing*float64(int64(o.FirstToken)-old)))
+}
+
 // settle corrects the estimates that the grant was charged with.
 func (p *Pool) settle(g *Grant, o Observation) {
 	p.mu.Lock()
@@ -275,6 +294,9 @@
 		if w == nil {
 			return
 		}
+		if !floor && !p.roomFor(w.request.Class.Tier) {
+			return
+		}
 		u := p.choose(w.request)
 		if u == nil {
 			return
@@ -299,15 +321,19 @@
 		p.preempt(now)
 	}
 	p.yield()
+	p.relieve(now)
 }
 
 func (p *Pool) adjustUpstreams(now time.Time) {
 	table := p.Upstreams()
 	if !p.admitter.Policy.FixedLimits {
+		strictest := p.demand.strictest(now)
 		for _, u := range table {
-			u.adjust(now)
+			u.adjust(now, strictest)
 		}
 	}
+	p.demand.measure(now)
+	p.countSlots()
 	if !p.admitter.Policy.NoStragglerGuard {
 		setStragglersAside(table)
 	}
@@ -349,7 +375,7 @@
 		return
 	}
 	p.mu.Lock()
-	urgent := p.queue.urgent(now)
+	urgent := p.queue.urgent(now, time.Duration(p.firstToken.Load()))
 	p.mu.Unlock()
 	for _, w := range urgent {
 		if !p.yieldOne(w.request.Class.Tier, p.floorSpares) {
@@ -360,7 +386,7 @@
 }
 
 // yield gives slots beyond this instance's share back, when a higher tier
-// waits for them at another instance.
+// waits for them at another instance. Each digest allows a few.
 func (p *Pool) yield() {
 	s := p.share.Load()
 	if p.admitter.Policy.NoPreemption || s.WaitingElsewhere >= Tiers {
@@ -370,13 +396,38 @@
 	for _, u := range p.Upstreams() {
 		excess += max(0, u.InFlight()-u.Allowance())
 	}
-	for range excess {
+	for excess > 0 && p.yields.Load() > 0 {
 		if !p.yieldOne(s.WaitingElsewhere, p.floorSpares) {
 			return
 		}
+		p.yields.Add(-1)
+		excess--
+	}
+}
+
+// relieve takes lower tiers off upstreams that run more than their limit now
+// allows, one for each upstream at a time, so that the tiers above keep their
+// targets when an upstream's capacity shrinks.
+func (p *Pool) relieve(now time.Time) {
+	if p.admitter.Policy.NoPreemption || p.admitter.Policy.FixedLimits || p.admitter.Policy.FirstInFirstOut {
+		return
+	}
+	top := p.demand.top(now)
+	for _, u := range p.Upstreams() {
+		if u.leaving.Load() || u.InFlight() <= u.Allowance() || !u.overloaded.Load() {
+			continue
+		}
+		if g := u.victim(top, p.floorSpares); g != nil {
+			g.yield()
+		}
 	}
 }
 
+func (g *Grant) yield() {
+	g.yielded.Store(true)
+	g.cancel(savoryloft.ErrPreempted)
+}
+
 func (p *Pool) yieldOne(tier int, spare func(int) bool) bool {
 	var best *Grant
 	for _, u := range p.Upstreams() {
@@ -384,15 +435,14 @@
 			continue
 		}
 		g := u.victim(tier, spare)
-		if g != nil && (best == nil || g.request.Class.Tier > best.request.Class.Tier) {
+		if g != nil && (best == nil || g.yieldsBefore(best)) {
 			best = g
 		}
 	}
 	if best == nil {
 		return false
 	}
-	best.yielded.Store(true)
-	best.cancel(savoryloft.ErrPreempted)
+	best.yield()
 	return true
 }
 
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	urgentShare     = 0.25        // Part of the first-token target after which a waiter may preempt.
-	rateWindow      = time.Second // Window of the grant rate that waits are estimated from.
+	urgentFactor    = 1.5                    // Multiple of the usual time to the first token that a waiter must have left.
+	urgentMargin    = 100 * time.Millisecond // Time for a preempted attempt to yield.
+	rateWindow      = time.Second            // Window of the grant rate that waits are estimated from.
 	rateSmoothing   = 0.3
 	maxFloorCredit  = 1.0 // Slot-seconds that a class can save up.
 	defaultHoldTime = time.Second
@@ -260,16 +261,15 @@
 	return list
 }
 
-// urgent returns the waiters that have used up so much of their target that a
-// lower tier should yield, the highest tier first.
-func (q *queue) urgent(now time.Time) []*waiter {
+// urgent returns the waiters that miss their target unless a lower tier yields
+// now, the highest tier first. An attempt's own time to the first token is
+// taken from what was seen lately.
+func (q *queue) urgent(now time.Time, first time.Duration) []*waiter {
+	need := time.Duration(urgentFactor*float64(first)) + urgentMargin
 	var list []*waiter
 	q.each(func(w *waiter) {
-		if w.asked || w.request.Class.Tier == Tiers-1 {
-			return
-		}
-		limit := time.Duration(urgentShare * float64(w.request.Class.FirstToken))
-		if now.Sub(w.request.Arrived) >= limit {
+		slack := w.request.Class.FirstToken.Std() - now.Sub(w.request.Arrived)
+		if !w.asked && w.request.Class.Tier < Tiers-1 && slack <= need {
 			list = append(list, w)
 		}
 	})
--- a/admitter/sharer.go
+++ b/admitter/sharer.go
@@ -22,6 +22,7 @@
 	Slots              float64        // Slots of the pool that this instance may use.
 	Floors             [Tiers]float64 // Slots that the floors guarantee this instance, by tier.
 	WaitingElsewhere   int            // Highest tier waiting at another instance; Tiers when none.
+	Yields             int            // Attempts to preempt for other instances until the next digests.
 	YieldableElsewhere [Tiers]bool    // Tiers that wait or run beyond their floor at another instance.
 }
 
@@ -102,6 +103,8 @@
 	for i, u := range table {
 		u.allowance.Store(int32(portion(u.Name, limits[i], capacity, members, slots, self)))
 	}
+	p.countSlots()
+	p.yields.Store(int64(share.Yields))
 	p.dispatch()
 }
 
@@ -180,15 +183,13 @@
 // elsewhere tells what other members wait for and could yield.
 func elsewhere(demands []savoryloft.PoolDemand, floors [Tiers][]float64, self int) Share {
 	s := Share{WaitingElsewhere: Tiers}
+	var waiting [Tiers]int
 	for i, d := range demands {
 		if i == self {
 			continue
 		}
 		for t := range d.Waiting {
-			if d.Waiting[t] > 0 {
-				s.WaitingElsewhere = min(s.WaitingElsewhere, t)
-				s.YieldableElsewhere[t] = true
-			}
+			waiting[t] += d.Waiting[t]
 		}
 		for t := range d.Running {
 			if float64(d.Running[t]) > math.Ceil(floors[t][i]) {
@@ -196,6 +197,16 @@
 			}
 		}
 	}
+	for t := Tiers - 1; t >= 0; t-- {
+		if waiting[t] > 0 {
+			s.WaitingElsewhere = t
+			s.YieldableElsewhere[t] = true
+		}
+	}
+	if s.WaitingElsewhere < Tiers {
+		// The others that run lower tiers yield their part.
+		s.Yields = (waiting[s.WaitingElsewhere] + len(demands) - 1) / len(demands)
+	}
 	return s
 }
 
--- a/admitter/upstream.go
+++ b/admitter/upstream.go
@@ -8,13 +8,14 @@
 )
 
 const (
-	limitPeriod     = time.Second // Time between two changes of an upstream's limit.
-	limitDecrease   = 0.85        // Factor on the limit when too many observations miss the target.
-	lateShare       = 0.1         // Part of observations that may miss the target.
-	fullShare       = 0.8         // Part of the limit in use from which the limit may grow.
-	smoothing       = 0.2         // Weight of a new observation in moving averages.
-	stragglerFactor = 3           // Multiple of the pool's median pace that makes a straggler.
-	failuresToExpel = 3           // Failures in a row after which an upstream is set aside.
+	limitPeriod     = 500 * time.Millisecond // Time between two changes of an upstream's limit.
+	mostDecrease    = 0.7                    // Least factor on the limit in one period.
+	highMark        = 0.9                    // Part of a target from which the limit goes down.
+	lowMark         = 0.75                   // Part of a target up to which the limit may grow.
+	fullShare       = 0.8                    // Part of the limit in use from which the limit may grow.
+	smoothing       = 0.2                    // Weight of a new observation in moving averages.
+	stragglerFactor = 3                      // Multiple of the pool's median pace that makes a straggler.
+	failuresToExpel = 3                      // Failures in a row after which an upstream is set aside.
 	probeInterval   = 2 * time.Second
 	asideShare      = 3 // At most one in this many upstreams of a pool is set aside as a straggler.
 	minLimit        = 1
@@ -32,14 +33,16 @@
 	leaving   atomic.Bool
 	aside     atomic.Bool // Set aside: one probe at a time.
 
+	overloaded atomic.Bool // Above the high mark in the last period.
+
 	mu       sync.Mutex
 	running  []*Grant
 	limit    float64 // Estimate of the requests that the upstream carries within the targets.
 	adjusted time.Time
-	seen     int
-	late     int
+	firsts   mean // Times to the first token in this period.
+	betweens mean // Times between tokens in this period.
 	peak     int32
-	pace     float64 // Moving average of observed time over target time.
+	pace     float64 // Moving average of the time of one step, in milliseconds.
 	samples  int
 	failures int
 	probeAt  time.Time
@@ -120,7 +123,8 @@
 }
 
 // victim returns a preemptible grant of a tier below the given one, the lowest
-// tier first and in it the latest to start.
+// tier first and in it the longest running, which has made the most of its
+// prompt's processing.
 func (u *Upstream) victim(tier int, spare func(tier int) bool) *Grant {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -130,16 +134,22 @@
 		if t <= tier || !g.request.Preemptible || g.yielded.Load() || spare(t) {
 			continue
 		}
-		if best == nil || t > best.request.Class.Tier ||
-			t == best.request.Class.Tier && g.started.After(best.started) {
+		if best == nil || g.yieldsBefore(best) {
 			best = g
 		}
 	}
 	return best
 }
 
+func (g *Grant) yieldsBefore(other *Grant) bool {
+	if g.request.Class.Tier != other.request.Class.Tier {
+		return g.request.Class.Tier > other.request.Class.Tier
+	}
+	return g.started.Before(other.started)
+}
+
 // observe learns from an attempt that has ended.
-func (u *Upstream) observe(r *Request, o Observation) {
+func (u *Upstream) observe(o Observation) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if o.Failed {
@@ -154,18 +164,39 @@
 		return
 	}
 	u.failures = 0
-	first := float64(o.FirstToken) / (targetHeadroom * float64(r.Class.FirstToken))
-	between := 0.0
-	if r.Class.BetweenTokens > 0 {
-		between = float64(o.BetweenTokens) / float64(r.Class.BetweenTokens)
-	}
-	u.seen++
-	if first > 1 || between > 1 {
-		u.late++
+	u.firsts.add(o.FirstToken)
+	if o.BetweenTokens > 0 {
+		u.betweens.add(o.BetweenTokens)
 	}
 	u.learnPace(o)
 }
 
+// progress learns from an attempt that still runs.
+func (u *Upstream) progress(between time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.betweens.add(between)
+}
+
+// mean is the mean of durations.
+type mean struct {
+	sum   time.Duration
+	count int
+}
+
+func (m *mean) add(d time.Duration) {
+	m.sum += d
+	m.count++
+}
+
+// over returns the mean as a part of a target; zero when either is missing.
+func (m *mean) over(target time.Duration) float64 {
+	if m.count == 0 || target == 0 {
+		return 0
+	}
+	return float64(m.sum) / float64(m.count) / float64(target)
+}
+
 // learnPace keeps a moving average, in milliseconds, of the time that one
 // step of the upstream takes.
 func (u *Upstream) learnPace(o Observation) {
@@ -182,24 +213,31 @@
 	u.pace += smoothing * (ms - u.pace)
 }
 
-// adjust moves the limit once in each period: down by a factor when too many
-// observations miss their target, up by one when the limit is in use.
-func (u *Upstream) adjust(now time.Time) {
+// adjust moves the limit once in each period. Observed times are held against
+// the strictest targets among the classes that use the pool, whichever class
+// they were observed on, because all requests share the upstream's batch. Above
+// the high mark the limit shrinks in proportion; below the low mark it grows by
+// one while it is in use.
+func (u *Upstream) adjust(now time.Time, strictest targets) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if now.Sub(u.adjusted) < limitPeriod {
 		return
 	}
+	first := time.Duration(targetHeadroom * float64(strictest.first))
+	load := max(u.firsts.over(first), u.betweens.over(strictest.between))
+	if load > 0 {
+		u.overloaded.Store(load > highMark)
+	}
 	used := float64(max(u.peak, u.inFlight.Load()))
-	mine := max(1, float64(u.allowance.Load()))
 	switch {
-	case u.seen > 0 && float64(u.late) > lateShare*float64(u.seen):
-		u.limit = max(minLimit, u.limit*limitDecrease)
-	case u.seen > 0 && used >= fullShare*mine:
+	case load > highMark:
+		u.limit = max(minLimit, u.limit*max(mostDecrease, highMark/load))
+	case load < lowMark && used >= fullShare*float64(u.allowance.Load()):
 		u.limit = min(float64(u.Slots), u.limit+1)
 	}
 	u.adjusted = now
-	u.seen, u.late, u.peak = 0, 0, 0
+	u.firsts, u.betweens, u.peak = mean{}, mean{}, 0
 }
 
 // paceOf returns the upstream's pace; ok is false when too little was seen.
--- a/dispatcher/chat.go
+++ b/dispatcher/chat.go
@@ -24,6 +24,8 @@
 	endMarker   = "[DONE]"
 	prefixBytes = 256 // Part of the first message that decides on affinity.
 	maxLine     = 1 << 20
+	// progressTokens is the number of tokens between two reports of a stream's pace.
+	progressTokens = 8
 )
 
 // Chunk is one event of a chat stream, as the upstream sends it and as the
@@ -72,7 +74,9 @@
 	last   time.Time
 	final  *Chunk // The chunk that ends the answer, held until the end marker.
 	whole  bool   // The end marker has come.
-	lost   error  // The caller can not be written to.
+	grant  *admitter.Grant
+	marked time.Time // When the last progress was reported.
+	lost   error     // The caller can not be written to.
 }
 
 // Chat runs a chat completion as a stream. emit gets each chunk once, in
@@ -141,6 +145,7 @@
 func (d *Dispatcher) chatAttempt(g *admitter.Grant, s *chatState) (sent bool, err error) {
 	started := time.Now()
 	before := s.next
+	s.grant, s.marked = g, time.Time{}
 	o := admitter.Observation{Failed: true}
 	defer func() { g.Done(o) }()
 	ctx, span := d.span(g.Context, "attempt", g.Upstream)
@@ -315,6 +320,12 @@
 	}
 	s.last = now
 	s.next++
+	if s.next%progressTokens == 0 {
+		if !s.marked.IsZero() {
+			s.grant.Progress(now.Sub(s.marked) / progressTokens)
+		}
+		s.marked = now
+	}
 }
 
 // prefixHash identifies the start of a conversation, for prefix caches.
