Preempt less: share by expected demand, spare floors, relieve late

A waiter is never blocked by what peers run, only by its own share, so yielding for peers is gone; shares now follow the usual demand with one standard deviation, lower tiers leave a few slots to arrivals of higher ones, and running lower tiers yield only where an upstream misses a target by a tenth. Grants under a floor were preempted at once because a floor of 0.8 slots spared no request; it now spares one.

Run: go test -run Scenarios -v ./admitter/.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -66,6 +66,7 @@
 	Prefix      uint64    // Hash of the prompt's prefix; zero for no affinity.
 	Exclude     []string  // Upstreams that must not be chosen again.
 	Preemptible bool      // The attempt can be cut off and resumed.
+	Resumed     bool      // Part of the answer has been passed on.
 	Arrived     time.Time // Start of the wait that targets count from; now when zero.
 }
 
--- a/admitter/demand.go
+++ b/admitter/demand.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,12 +10,13 @@
 )
 
 const (
-	activeFor      = 10 * time.Second       // Time for which a class counts after its last request.
-	reserveWindow  = 300 * time.Millisecond // Arrivals of higher tiers that lower ones leave room for.
-	mostReserved   = 0.2                    // Most of the slots that are kept free for higher tiers.
-	measureEvery   = time.Second
-	rateWeight     = 0.3
-	millisecondsIn = 1000
+	activeFor     = 10 * time.Second       // Time for which a class counts after its last request.
+	reserveWindow = 300 * time.Millisecond // Arrivals of higher tiers that lower ones leave room for.
+	mostReserved  = 0.2                    // Most of the slots that are kept free for higher tiers.
+	measureEvery  = time.Second
+	levelTime     = 3 * time.Second // Time constant of the demand's moving average.
+	rateWeight    = 0.3
+	thousandths   = 1000
 )
 
 // demand follows the arrivals in a pool.
@@ -23,7 +25,9 @@
 	reserve  [Tiers]atomic.Int64 // Slots that a tier leaves free for those above it.
 	classes  sync.Map            // Of *activeClass, by class name.
 
-	rates    [Tiers]float64 // Arrivals in a second; only measure uses them.
+	levels   [Tiers]atomic.Int64 // Moving average of waiting and running requests, in thousandths.
+	levelAt  time.Time           // Only follow uses it.
+	rates    [Tiers]float64      // Arrivals in a second; only measure uses them.
 	measured time.Time
 }
 
@@ -100,26 +104,55 @@
 	d.measured = now
 	above := 0.0
 	for t := range d.rates {
-		d.reserve[t].Store(int64(above * reserveWindow.Seconds() * millisecondsIn))
+		arrivals := above * reserveWindow.Seconds()
+		d.reserve[t].Store(int64((arrivals + math.Sqrt(arrivals)) * thousandths))
 		rate := float64(d.arrivals[t].Swap(0)) / dt.Seconds()
 		d.rates[t] += rateWeight * (rate - d.rates[t])
 		above += d.rates[t]
 	}
 }
 
+// follow updates the moving average of the demand. Only tick calls it.
+func (p *Pool) follow(now time.Time) {
+	d := &p.demand
+	dt := now.Sub(d.levelAt)
+	if d.levelAt.IsZero() {
+		dt = 0
+	}
+	d.levelAt = now
+	weight := 1 - math.Exp(-dt.Seconds()/levelTime.Seconds())
+	waiting := p.waitingByTier()
+	for t := range d.levels {
+		present := float64(waiting[t]+int(p.running[t].Load())) * thousandths
+		old := float64(d.levels[t].Load())
+		d.levels[t].Store(int64(old + weight*(present-old)))
+	}
+}
+
+// expected returns the demand to share slots by: the usual one with one
+// standard deviation of its Poisson noise, or the present one when higher. It
+// keeps an instance's share steady, so that requests that arrive after a lull
+// do not find their slots lent to lower tiers elsewhere.
+func (p *Pool) expected(tier, present int) int {
+	level := float64(p.demand.levels[tier].Load()) / thousandths
+	if tier < Tiers-1 {
+		level += math.Sqrt(level)
+	}
+	return max(present, int(math.Ceil(level)))
+}
+
 // roomFor tells whether a request of a tier may take a free slot: a few are
-// left to the requests of higher tiers that will arrive in the next moments, so
-// that these need not preempt.
+// left to the requests of higher tiers that will arrive in the next moments,
+// with one standard deviation of their Poisson noise, so that these need not
+// preempt.
 func (p *Pool) roomFor(tier int) bool {
 	if tier == 0 || p.admitter.Policy.NoReserve || p.admitter.Policy.FirstInFirstOut {
 		return true
 	}
 	slots := float64(p.slots.Load())
-	reserve := min(float64(p.demand.reserve[tier].Load())/millisecondsIn, mostReserved*slots)
-	used := 0
-	for t := range p.running {
-		used += int(p.running[t].Load())
-	}
+	reserve := float64(p.demand.reserve[tier].Load()) / thousandths
+	reserve = min(reserve, mostReserved*slots)
+	used := p.totalRunning()
 	return used == 0 || slots-float64(used) > reserve
 }
 
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -24,14 +24,29 @@
 	turn       atomic.Uint32 // Next upstream for round robin.
 	share      atomic.Pointer[Share]
 	demand     demand
-	slots      atomic.Int64 // Sum of the allowances on usable upstreams.
-	firstToken atomic.Int64 // Moving average of attempts' times to the first token, in nanoseconds.
-	yields     atomic.Int64 // Attempts that may still be preempted for other instances.
+	slots      atomic.Int64              // Sum of the allowances on usable upstreams.
+	firstToken atomic.Int64              // Moving average of attempts' times to the first token, in nanoseconds.
+	preempted  [preemptions]atomic.Int64 // Attempts preempted, by reason.
 
 	mu    sync.Mutex // Guards the queue, which only waiting requests touch.
 	queue queue
 }
 
+// preemption is a reason for preempting an attempt.
+type preemption int
+
+const (
+	forWaiter preemption = iota // A higher tier waits at this instance.
+	forRelief                   // The upstream runs more than its limit.
+	preemptions
+)
+
+// Preempted returns the attempts preempted so far: for waiters at this
+// instance, and to relieve upstreams.
+func (p *Pool) Preempted() (waiter, relief int64) {
+	return p.preempted[forWaiter].Load(), p.preempted[forRelief].Load()
+}
+
 // affinityGap is the load, as a part of the allowance, up to which the
 // upstream that has seen the same prefix is kept before a less loaded one.
 const affinityGap = 0.25
@@ -53,6 +68,20 @@
 // Waiting returns the number of requests queued.
 func (p *Pool) Waiting() int { return int(p.waiting.Load()) }
 
+func (p *Pool) totalRunning() int {
+	n := 0
+	for t := range p.running {
+		n += int(p.running[t].Load())
+	}
+	return n
+}
+
+func (p *Pool) waitingByTier() [Tiers]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.count
+}
+
 // Running returns the number of running requests by tier.
 func (p *Pool) Running() [Tiers]int {
 	var n [Tiers]int
@@ -294,7 +323,7 @@
 		if w == nil {
 			return
 		}
-		if !floor && !p.roomFor(w.request.Class.Tier) {
+		if !floor && !w.asked && !p.roomFor(w.request.Class.Tier) {
 			return
 		}
 		u := p.choose(w.request)
@@ -320,7 +349,6 @@
 		p.dispatch()
 		p.preempt(now)
 	}
-	p.yield()
 	p.relieve(now)
 }
 
@@ -333,6 +361,7 @@
 		}
 	}
 	p.demand.measure(now)
+	p.follow(now)
 	p.countSlots()
 	if !p.admitter.Policy.NoStragglerGuard {
 		setStragglersAside(table)
@@ -378,33 +407,13 @@
 	urgent := p.queue.urgent(now, time.Duration(p.firstToken.Load()))
 	p.mu.Unlock()
 	for _, w := range urgent {
-		if !p.yieldOne(w.request.Class.Tier, p.floorSpares) {
+		if !p.yieldOne(w.request.Class.Tier, forWaiter) {
 			return
 		}
 		w.asked = true
 	}
 }
 
-// yield gives slots beyond this instance's share back, when a higher tier
-// waits for them at another instance. Each digest allows a few.
-func (p *Pool) yield() {
-	s := p.share.Load()
-	if p.admitter.Policy.NoPreemption || s.WaitingElsewhere >= Tiers {
-		return
-	}
-	excess := 0
-	for _, u := range p.Upstreams() {
-		excess += max(0, u.InFlight()-u.Allowance())
-	}
-	for excess > 0 && p.yields.Load() > 0 {
-		if !p.yieldOne(s.WaitingElsewhere, p.floorSpares) {
-			return
-		}
-		p.yields.Add(-1)
-		excess--
-	}
-}
-
 // relieve takes lower tiers off upstreams that run more than their limit now
 // allows, one for each upstream at a time, so that the tiers above keep their
 // targets when an upstream's capacity shrinks.
@@ -413,28 +422,35 @@
 		return
 	}
 	top := p.demand.top(now)
+	// Whole slots of many upstreams never match what runs exactly: one request
+	// too many on one upstream counts only when the whole share is used up.
+	tolerated := 1
+	if p.totalRunning() > int(p.slots.Load()) {
+		tolerated = 0
+	}
 	for _, u := range p.Upstreams() {
-		if u.leaving.Load() || u.InFlight() <= u.Allowance() || !u.overloaded.Load() {
+		if u.leaving.Load() || u.InFlight() <= u.Allowance()+tolerated || !u.overloaded.Load() {
 			continue
 		}
 		if g := u.victim(top, p.floorSpares); g != nil {
-			g.yield()
+			p.preemptGrant(g, forRelief)
 		}
 	}
 }
 
-func (g *Grant) yield() {
+func (p *Pool) preemptGrant(g *Grant, reason preemption) {
+	p.preempted[reason].Add(1)
 	g.yielded.Store(true)
 	g.cancel(savoryloft.ErrPreempted)
 }
 
-func (p *Pool) yieldOne(tier int, spare func(int) bool) bool {
+func (p *Pool) yieldOne(tier int, reason preemption) bool {
 	var best *Grant
 	for _, u := range p.Upstreams() {
 		if u.leaving.Load() {
 			continue
 		}
-		g := u.victim(tier, spare)
+		g := u.victim(tier, p.floorSpares)
 		if g != nil && (best == nil || g.yieldsBefore(best)) {
 			best = g
 		}
@@ -442,14 +458,14 @@
 	if best == nil {
 		return false
 	}
-	best.yield()
+	p.preemptGrant(best, reason)
 	return true
 }
 
 // floorSpares reports whether a tier runs no more than its floor here.
 func (p *Pool) floorSpares(tier int) bool {
 	floor := p.share.Load().Floors[tier]
-	return float64(p.running[tier].Load()) <= floor
+	return float64(p.running[tier].Load()) <= math.Ceil(floor)
 }
 
 // canYield reports whether a tier below the given one waits, or runs beyond
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -268,8 +268,7 @@
 	need := time.Duration(urgentFactor*float64(first)) + urgentMargin
 	var list []*waiter
 	q.each(func(w *waiter) {
-		slack := w.request.Class.FirstToken.Std() - now.Sub(w.request.Arrived)
-		if !w.asked && w.request.Class.Tier < Tiers-1 && slack <= need {
+		if !w.asked && w.request.Class.Tier < Tiers-1 && w.inNeed(now, need) {
 			list = append(list, w)
 		}
 	})
@@ -279,6 +278,18 @@
 	return list
 }
 
+// inNeed tells whether a waiter would miss its target, or its patience would
+// end, unless it gets a slot within need. One that has missed its target gains
+// nothing until its patience ends, and a resumed one has no target to meet.
+func (w *waiter) inNeed(now time.Time, need time.Duration) bool {
+	waited := now.Sub(w.request.Arrived)
+	slack := w.request.Class.FirstToken.Std() - waited
+	if !w.request.Resumed && slack <= need && slack > 0 {
+		return true
+	}
+	return patience(w.request.Class)-waited <= need
+}
+
 // accrue adds the floors' slot-seconds since the last call to the classes that
 // wait. A class that does not wait saves nothing.
 func (q *queue) accrue(now time.Time, floors [Tiers]float64) {
--- a/admitter/scenario_test.go
+++ b/admitter/scenario_test.go
@@ -133,6 +133,12 @@
 		t.Logf("%-10s offered %5d answered %5d on target %5.1f%% refused %5d preempted %4d",
 			c, r.offered, r.answered, 100*w.attainment(c), r.refused, r.preempted)
 	}
+	var waiter, relief int64
+	for _, a := range w.instances {
+		x, y := a.Pool("chat").Preempted()
+		waiter, relief = waiter+x, relief+y
+	}
+	t.Logf("preempted for a waiter %d, for relief %d", waiter, relief)
 	t.Logf("worst account %.2f of its fair share, wasted %.2f%%, %d breaches, stalled %v",
 		w.worstAccount(), 100*w.wastedShare(), w.breaches, w.stalled())
 }
--- a/admitter/sharer.go
+++ b/admitter/sharer.go
@@ -21,8 +21,6 @@
 type Share struct {
 	Slots              float64        // Slots of the pool that this instance may use.
 	Floors             [Tiers]float64 // Slots that the floors guarantee this instance, by tier.
-	WaitingElsewhere   int            // Highest tier waiting at another instance; Tiers when none.
-	Yields             int            // Attempts to preempt for other instances until the next digests.
 	YieldableElsewhere [Tiers]bool    // Tiers that wait or run beyond their floor at another instance.
 }
 
@@ -40,6 +38,10 @@
 		p.mu.Unlock()
 		running := p.Running()
 		copy(d.Running, running[:])
+		d.Expected = make([]int, Tiers)
+		for t := range Tiers {
+			d.Expected[t] = p.expected(t, d.Waiting[t]+d.Running[t])
+		}
 		list = append(list, d)
 	}
 	return list
@@ -104,7 +106,6 @@
 		u.allowance.Store(int32(portion(u.Name, limits[i], capacity, members, slots, self)))
 	}
 	p.countSlots()
-	p.yields.Store(int64(share.Yields))
 	p.dispatch()
 }
 
@@ -170,19 +171,15 @@
 }
 
 func demandOf(d savoryloft.PoolDemand, tier int) float64 {
-	n := 0
-	if tier < len(d.Waiting) {
-		n += d.Waiting[tier]
-	}
-	if tier < len(d.Running) {
-		n += d.Running[tier]
+	if tier < len(d.Expected) {
+		return float64(d.Expected[tier])
 	}
-	return float64(n)
+	return 0
 }
 
 // elsewhere tells what other members wait for and could yield.
 func elsewhere(demands []savoryloft.PoolDemand, floors [Tiers][]float64, self int) Share {
-	s := Share{WaitingElsewhere: Tiers}
+	var s Share
 	var waiting [Tiers]int
 	for i, d := range demands {
 		if i == self {
@@ -197,16 +194,11 @@
 			}
 		}
 	}
-	for t := Tiers - 1; t >= 0; t-- {
+	for t := range Tiers {
 		if waiting[t] > 0 {
-			s.WaitingElsewhere = t
 			s.YieldableElsewhere[t] = true
 		}
 	}
-	if s.WaitingElsewhere < Tiers {
-		// The others that run lower tiers yield their part.
-		s.Yields = (waiting[s.WaitingElsewhere] + len(demands) - 1) / len(demands)
-	}
 	return s
 }
 
--- a/admitter/upstream.go
+++ b/admitter/upstream.go
@@ -9,9 +9,12 @@
 
 const (
 	limitPeriod     = 500 * time.Millisecond // Time between two changes of an upstream's limit.
+	settleTime      = 500 * time.Millisecond // Time that a lower limit takes to show in observations.
+	increase        = 0.25                   // Growth of the limit in one period.
 	mostDecrease    = 0.7                    // Least factor on the limit in one period.
-	highMark        = 0.9                    // Part of a target from which the limit goes down.
-	lowMark         = 0.75                   // Part of a target up to which the limit may grow.
+	highMark        = 0.85                   // Part of a target from which the limit goes down.
+	overloadMark    = 1.1                    // Part of a target above which running lower tiers yield.
+	lowMark         = 0.7                    // Part of a target up to which the limit may grow.
 	fullShare       = 0.8                    // Part of the limit in use from which the limit may grow.
 	smoothing       = 0.2                    // Weight of a new observation in moving averages.
 	stragglerFactor = 3                      // Multiple of the pool's median pace that makes a straggler.
@@ -33,7 +36,7 @@
 	leaving   atomic.Bool
 	aside     atomic.Bool // Set aside: one probe at a time.
 
-	overloaded atomic.Bool // Above the high mark in the last period.
+	overloaded atomic.Bool // Above the overload mark in the last period.
 
 	mu       sync.Mutex
 	running  []*Grant
@@ -227,14 +230,15 @@
 	first := time.Duration(targetHeadroom * float64(strictest.first))
 	load := max(u.firsts.over(first), u.betweens.over(strictest.between))
 	if load > 0 {
-		u.overloaded.Store(load > highMark)
+		u.overloaded.Store(load > overloadMark)
 	}
 	used := float64(max(u.peak, u.inFlight.Load()))
 	switch {
 	case load > highMark:
 		u.limit = max(minLimit, u.limit*max(mostDecrease, highMark/load))
+		now = now.Add(settleTime)
 	case load < lowMark && used >= fullShare*float64(u.allowance.Load()):
-		u.limit = min(float64(u.Slots), u.limit+1)
+		u.limit = min(float64(u.Slots), u.limit+increase)
 	}
 	u.adjusted = now
 	u.firsts, u.betweens, u.peak = mean{}, mean{}, 0
--- a/check.go
+++ b/check.go
@@ -1,6 +1,10 @@
 package savoryloft
 
-import "github.com/juju/errors"
+import (
+	"slices"
+
+	"github.com/juju/errors"
+)
 
 // maxTier is the highest number of a service tier.
 const maxTier = 3
@@ -29,10 +33,10 @@
 		return errors.Errorf("digest has a negative age or offset")
 	}
 	for _, p := range d.Demands {
-		if p.Pool == "" || len(p.Waiting) > maxTier+1 || len(p.Running) > maxTier+1 {
+		if p.Pool == "" || len(p.Waiting) > maxTier+1 || len(p.Running) > maxTier+1 || len(p.Expected) > maxTier+1 {
 			return errors.Errorf("demand on pool %q has more than %d tiers", p.Pool, maxTier+1)
 		}
-		for _, n := range append(append([]int(nil), p.Waiting...), p.Running...) {
+		for _, n := range slices.Concat(p.Waiting, p.Running, p.Expected) {
 			if n < 0 {
 				return errors.Errorf("demand on pool %q is negative", p.Pool)
 			}
--- a/dispatcher/chat.go
+++ b/dispatcher/chat.go
@@ -125,7 +125,7 @@
 		}
 		last = failure(g.Upstream, sent, err)
 		// The rest of the answer is a new wait: its target counts from here.
-		r.Arrived = time.Now()
+		r.Arrived, r.Resumed = time.Now(), s.next > 0
 		if errors.Is(context.Cause(g.Context), savoryloft.ErrPreempted) {
 			continue
 		}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -305,7 +305,7 @@
 		Leaving:      g.leaving.Load(),
 	}
 	for _, p := range g.Admitter.Demands() {
-		if sum(p.Waiting)+sum(p.Running) > 0 {
+		if sum(p.Expected) > 0 {
 			d.Demands = append(d.Demands, p)
 		}
 	}
--- a/peers_generated.go
+++ b/peers_generated.go
@@ -182,6 +182,10 @@
 
 // The sender's demand on one pool by tier.
 type PoolDemand struct {
+	// Requests expected to wait and run in the next moments, from the recent past,
+	// indexed by tier.
+	Expected []int `json:"Expected,omitempty,omitzero" msgpack:"Expected,omitempty"`
+
 	// Pool corresponds to the JSON schema field "Pool".
 	Pool string `json:"Pool" msgpack:"Pool"`
 
