Choose upstreams by observed pace too; instances adopt the fleet's limits

Each instance sees one or two of an engine's requests, so its own load says little; the observed pace shows the others' too.

--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -24,6 +24,7 @@
 	turn       atomic.Uint32 // Next upstream for round robin.
 	share      atomic.Pointer[Share]
 	demand     demand
+	medianPace atomic.Uint64             // Bits of the median pace of the upstreams, in milliseconds.
 	slots      atomic.Int64              // Sum of the allowances on usable upstreams.
 	firstToken atomic.Int64              // Moving average of attempts' times to the first token, in nanoseconds.
 	preempted  [preemptions]atomic.Int64 // Attempts preempted, by reason.
@@ -52,7 +53,10 @@
 const affinityGap = 0.25
 
 // randomChoices is the number of upstreams compared on the fast path.
-const randomChoices = 3
+const randomChoices = 4
+
+// paceWeight is the weight of the relative pace in an upstream's load.
+const paceWeight = 1.0
 
 func newPool(a *Admitter, name string) *Pool {
 	p := &Pool{Name: name, admitter: a}
@@ -133,12 +137,12 @@
 	best, bestLoad := (*Upstream)(nil), math.Inf(1)
 	for range min(randomChoices, len(table)) {
 		u := table[rand.IntN(len(table))]
-		if load := u.load(p.admitter.FailureDomain); load < bestLoad && usable(u, r) {
+		if load := p.load(u); load < bestLoad && usable(u, r) {
 			best, bestLoad = u, load
 		}
 	}
 	if u := affine(table, r); u != nil && usable(u, r) {
-		if u.load(p.admitter.FailureDomain) <= bestLoad+affinityGap && u.acquire() {
+		if p.load(u) <= bestLoad+affinityGap && u.acquire() {
 			return u
 		}
 	}
@@ -183,14 +187,19 @@
 	return table[r.Prefix%uint64(len(table))]
 }
 
-// load returns the used part of the allowance; upstreams in another failure
-// domain count as slightly more loaded.
-func (u *Upstream) load(domain string) float64 {
+// load tells how busy an upstream is: the used part of the allowance, and the
+// observed pace relative to the pool's, which also shows what other instances
+// run there. Upstreams in another failure domain count as slightly busier.
+func (p *Pool) load(u *Upstream) float64 {
 	const otherDomain = 0.05
 	n := float64(u.inFlight.Load()) / float64(max(1, u.allowance.Load()))
-	if u.FailureDomain != domain {
+	if u.FailureDomain != p.admitter.FailureDomain {
 		n += otherDomain
 	}
+	median := math.Float64frombits(p.medianPace.Load())
+	if pace := math.Float64frombits(u.paceNow.Load()); pace > 0 && median > 0 {
+		n += paceWeight * (pace/median - 1)
+	}
 	return n
 }
 
@@ -363,14 +372,19 @@
 	p.demand.measure(now)
 	p.follow(now)
 	p.countSlots()
+	median, ok := medianPace(table)
+	if !ok {
+		return
+	}
+	p.medianPace.Store(math.Float64bits(median))
 	if !p.admitter.Policy.NoStragglerGuard {
-		setStragglersAside(table)
+		setStragglersAside(table, median)
 	}
 }
 
-// setStragglersAside marks upstreams whose pace is far above the median. Only
-// a part of the pool is ever set aside for its pace.
-func setStragglersAside(table []*Upstream) {
+// medianPace returns the median pace of the upstreams; ok is false when too few
+// have been observed.
+func medianPace(table []*Upstream) (ms float64, ok bool) {
 	var paces []float64
 	for _, u := range table {
 		if ms, ok := u.paceOf(); ok {
@@ -378,10 +392,15 @@
 		}
 	}
 	if len(paces) < asideShare {
-		return
+		return 0, false
 	}
 	slices.Sort(paces)
-	median := paces[len(paces)/2]
+	return paces[len(paces)/2], true
+}
+
+// setStragglersAside marks upstreams whose pace is far above the median. Only
+// a part of the pool is ever set aside for its pace.
+func setStragglersAside(table []*Upstream, median float64) {
 	left := len(table) / asideShare
 	for _, u := range table {
 		ms, ok := u.paceOf()
--- a/admitter/sharer.go
+++ b/admitter/sharer.go
@@ -84,6 +84,7 @@
 	capacity := 0.0
 	for i, u := range table {
 		limits[i] = fleetLimit(u, members, self)
+		u.adopt(limits[i])
 		if !u.leaving.Load() {
 			capacity += limits[i]
 		}
--- a/admitter/upstream.go
+++ b/admitter/upstream.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	increase        = 0.25                   // Growth of the limit in one period.
 	mostDecrease    = 0.7                    // Least factor on the limit in one period.
 	highMark        = 0.85                   // Part of a target from which the limit goes down.
+	adoption        = 0.3                    // Part of the difference to the fleet's limit that each digest removes.
 	overloadMark    = 1.1                    // Part of a target above which running lower tiers yield.
 	lowMark         = 0.7                    // Part of a target up to which the limit may grow.
 	fullShare       = 0.8                    // Part of the limit in use from which the limit may grow.
@@ -36,7 +38,8 @@
 	leaving   atomic.Bool
 	aside     atomic.Bool // Set aside: one probe at a time.
 
-	overloaded atomic.Bool // Above the overload mark in the last period.
+	paceNow    atomic.Uint64 // Bits of pace, for choosing without the lock.
+	overloaded atomic.Bool   // Above the overload mark in the last period.
 
 	mu       sync.Mutex
 	running  []*Grant
@@ -68,7 +71,7 @@
 func (u *Upstream) Limit() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return max(minLimit, int(u.limit))
+	return max(minLimit, int(math.Round(u.limit)))
 }
 
 // room returns the number of free slots.
@@ -171,7 +174,11 @@
 	if o.BetweenTokens > 0 {
 		u.betweens.add(o.BetweenTokens)
 	}
-	u.learnPace(o)
+	if o.BetweenTokens > 0 {
+		u.learnPace(o.BetweenTokens)
+	} else {
+		u.learnPace(o.FirstToken)
+	}
 }
 
 // progress learns from an attempt that still runs.
@@ -179,6 +186,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.betweens.add(between)
+	u.learnPace(between)
 }
 
 // mean is the mean of durations.
@@ -202,18 +210,14 @@
 
 // learnPace keeps a moving average, in milliseconds, of the time that one
 // step of the upstream takes.
-func (u *Upstream) learnPace(o Observation) {
-	step := o.BetweenTokens
-	if step == 0 {
-		step = o.FirstToken
-	}
+func (u *Upstream) learnPace(step time.Duration) {
 	ms := float64(step) / float64(time.Millisecond)
 	u.samples++
 	if u.samples == 1 {
 		u.pace = ms
-		return
 	}
 	u.pace += smoothing * (ms - u.pace)
+	u.paceNow.Store(math.Float64bits(u.pace))
 }
 
 // adjust moves the limit once in each period. Observed times are held against
@@ -244,6 +248,14 @@
 	u.firsts, u.betweens, u.peak = mean{}, mean{}, 0
 }
 
+// adopt moves the limit towards the fleet's, since each instance sees only a
+// few of the upstream's requests.
+func (u *Upstream) adopt(fleet float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit += adoption * (fleet - u.limit)
+}
+
 // paceOf returns the upstream's pace; ok is false when too little was seen.
 func (u *Upstream) paceOf() (ms float64, ok bool) {
 	u.mu.Lock()
