--- /dev/null
+++ b/admitter/bench_test.go
@@ -0,0 +1,145 @@
+package admitter_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/admitter"
+)
+
+// policies are the whole policy, the baseline, and the policy with one part
+// switched off each.
+var policies = []struct {
+	name   string
+	policy admitter.Policy
+}{
+	{"whole", admitter.Policy{}},
+	{"baseline", admitter.Policy{
+		FirstInFirstOut: true, RoundRobin: true, FixedLimits: true, NoPreemption: true,
+		NoStragglerGuard: true, NoFairness: true, NoFloors: true, NoReserve: true, EqualShares: true,
+	}},
+	{"fifo", admitter.Policy{FirstInFirstOut: true}},
+	{"round-robin", admitter.Policy{RoundRobin: true}},
+	{"fixed-limits", admitter.Policy{FixedLimits: true}},
+	{"no-preemption", admitter.Policy{NoPreemption: true}},
+	{"no-reserve", admitter.Policy{NoReserve: true}},
+	{"no-floors", admitter.Policy{NoFloors: true}},
+	{"no-fairness", admitter.Policy{NoFairness: true}},
+	{"no-straggler-guard", admitter.Policy{NoStragglerGuard: true}},
+	{"equal-shares", admitter.Policy{EqualShares: true}},
+}
+
+// BenchmarkPolicies runs each scenario under each policy in virtual time. Its
+// metrics do not depend on the machine's speed.
+func BenchmarkPolicies(b *testing.B) {
+	for _, s := range scenarios() {
+		for _, p := range policies {
+			b.Run(s.name+"/"+p.name, func(b *testing.B) {
+				var w *world
+				for range b.N {
+					w = simulateBench(s, p.policy)
+				}
+				b.ReportMetric(100*w.attainment("counter"), "%tier0")
+				b.ReportMetric(100*w.attainment("quotes"), "%tier1")
+				b.ReportMetric(100*w.attainment("reviews"), "%tier3")
+				b.ReportMetric(100*w.wastedShare(), "%wasted")
+				b.ReportMetric(w.worstAccount(), "worst-account")
+				b.ReportMetric(float64(w.breaches), "breaches")
+				b.ReportMetric(float64(len(w.stalled())), "stalled")
+				b.ReportMetric(w.goodput(), "goodput-tok/s")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
+
+func simulateBench(s scenario, policy admitter.Policy) *world {
+	var w *world
+	// A benchmark has no *testing.T for a bubble of its own.
+	testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{{
+		Name: "bubble",
+		F: func(t *testing.T) {
+			synctest.Test(t, func(*testing.T) {
+				w = newWorld(s, policy, 1)
+				w.run()
+			})
+		},
+	}})
+	return w
+}
+
+// BenchmarkAdmit measures admission without a queue, which every request pays.
+func BenchmarkAdmit(b *testing.B) {
+	for _, upstreams := range []int{24, 240, 3700} {
+		b.Run(fmt.Sprint("upstreams=", upstreams), func(b *testing.B) {
+			a := admitterWith(upstreams)
+			class := &savoryloft.Class{Name: "c", Tier: 0, FirstToken: ms(390)}
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					g, err := a.Admit(context.Background(), &admitter.Request{Pool: "chat", Class: class, Account: "a", Weight: 1, Prefix: 5})
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					g.Done(admitter.Observation{FirstToken: 1e8, BetweenTokens: 3e7, Tokens: 50})
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkShare measures the work for one set of digests.
+func BenchmarkShare(b *testing.B) {
+	for _, n := range []struct{ members, upstreams int }{{8, 24}, {80, 240}, {46, 218}, {780, 3700}} {
+		b.Run(fmt.Sprintf("members=%d,upstreams=%d", n.members, n.upstreams), func(b *testing.B) {
+			a := admitterWith(n.upstreams)
+			var members []admitter.Member
+			for i := range n.members {
+				members = append(members, admitter.Member{
+					Name: fmt.Sprint("entry-", i),
+					Demands: map[string]savoryloft.PoolDemand{"chat": {
+						Pool: "chat", Waiting: []int{0, 1, 2, 3}, Running: []int{4, 3, 2, 1}, Expected: []int{5, 5, 5, 5},
+					}},
+				})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				a.Share(members)
+			}
+		})
+	}
+}
+
+func admitterWith(upstreams int) *admitter.Admitter {
+	a := &admitter.Admitter{Instance: "entry-0", FailureDomain: "d0"}
+	var targets []admitter.Target
+	for i := range upstreams {
+		targets = append(targets, admitter.Target{Name: fmt.Sprint("u", i), Pool: "chat", FailureDomain: fmt.Sprint("d", i%4), Slots: 64})
+	}
+	a.Update(map[string]savoryloft.Pool{"chat": {Name: "chat"}}, nil, targets)
+	return a
+}
+
+// Admission without a queue allocates the same for any number of upstreams.
+func TestAdmissionAllocationsDoNotGrow(t *testing.T) {
+	measure := func(upstreams int) float64 {
+		a := admitterWith(upstreams)
+		class := &savoryloft.Class{Name: "c", Tier: 0, FirstToken: ms(390)}
+		return testing.AllocsPerRun(200, func() {
+			g, _ := a.Admit(context.Background(), &admitter.Request{Pool: "chat", Class: class, Account: "a", Weight: 1, Prefix: 5})
+			g.Done(admitter.Observation{FirstToken: 1e8, Tokens: 50})
+		})
+	}
+	few, many := measure(24), measure(3700)
+	if few != many {
+		t.Fatalf("%v allocations with 24 upstreams, %v with 3700", few, many)
+	}
+	const most = 8
+	if few > most {
+		t.Fatalf("%v allocations for each request, at most %d are allowed", few, most)
+	}
+}
--- a/admitter/demand.go
+++ b/admitter/demand.go
@@ -14,7 +14,7 @@
 	reserveWindow = 300 * time.Millisecond // Arrivals of higher tiers that lower ones leave room for.
 	mostReserved  = 0.2                    // Most of the slots that are kept free for higher tiers.
 	measureEvery  = time.Second
-	levelTime     = 3 * time.Second // Time constant of the demand's moving average.
+	levelTime     = 10 * time.Second // Time constant of the demand's moving average.
 	rateWeight    = 0.3
 	thousandths   = 1000
 )
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -332,7 +332,7 @@
 		if w == nil {
 			return
 		}
-		if !floor && !w.asked && !p.roomFor(w.request.Class.Tier) {
+		if !floor && !w.asked.Load() && !p.roomFor(w.request.Class.Tier) {
 			return
 		}
 		u := p.choose(w.request)
@@ -429,7 +429,7 @@
 		if !p.yieldOne(w.request.Class.Tier, forWaiter) {
 			return
 		}
-		w.asked = true
+		w.asked.Store(true)
 	}
 }
 
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -6,6 +6,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"savoryloft.example/savoryloft"
@@ -26,7 +27,7 @@
 	request *Request
 	ready   chan *Grant
 	refused chan *savoryloft.Error
-	asked   bool // A lower tier was asked to yield for it.
+	asked   atomic.Bool // A lower tier was asked to yield for it.
 	account *accountQueue
 	class   *classQueue
 	element *list.Element
@@ -268,7 +269,7 @@
 	need := time.Duration(urgentFactor*float64(first)) + urgentMargin
 	var list []*waiter
 	q.each(func(w *waiter) {
-		if !w.asked && w.request.Class.Tier < Tiers-1 && w.inNeed(now, need) {
+		if !w.asked.Load() && w.request.Class.Tier < Tiers-1 && w.inNeed(now, need) {
 			list = append(list, w)
 		}
 	})
--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,145 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"savoryloft.example/savoryloft/exchanger"
+)
+
+// upstream reads each request, counts it and then behaves as told.
+type upstream struct {
+	requests atomic.Int32
+	behave   func(c net.Conn, r *bufio.Reader)
+}
+
+func (u *upstream) dial(context.Context, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go func() {
+		defer func() { _ = server.Close() }()
+		r := bufio.NewReader(server)
+		for {
+			var req fasthttp.Request
+			if req.Read(r) != nil {
+				return
+			}
+			u.requests.Add(1)
+			u.behave(server, r)
+		}
+	}()
+	return client, nil
+}
+
+func exchange(ctx context.Context, p *exchanger.Pool, mode exchanger.Mode, method string) (sent bool, body []byte, err error) {
+	conn, err := p.Get(ctx, "u", mode)
+	if err != nil {
+		return false, nil, err
+	}
+	defer conn.Release()
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI("http://u/")
+	req.Header.SetMethod(method)
+	if err := conn.Exchange(ctx, req, resp, time.Second); err != nil {
+		return conn.Sent(), nil, err
+	}
+	body, err = conn.ReadBody(ctx, resp, 100)
+	return true, body, err
+}
+
+func answer(c net.Conn, _ *bufio.Reader) {
+	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+}
+
+// An upstream that reads, counts and closes sees each request once, whatever
+// its method.
+func TestNothingIsRepeated(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "PUT", "POST", "DELETE"} {
+		for _, mode := range []exchanger.Mode{exchanger.Reuse, exchanger.Fresh} {
+			synctest.Test(t, func(t *testing.T) {
+				u := &upstream{behave: func(c net.Conn, _ *bufio.Reader) { _ = c.Close() }}
+				p := &exchanger.Pool{Dial: u.dial}
+				sent, _, err := exchange(t.Context(), p, mode, method)
+				require.Error(t, err)
+				require.True(t, sent)
+				require.Equal(t, int32(1), u.requests.Load())
+			})
+		}
+	}
+}
+
+func TestConnectionsAreKeptOnlyWhenReadToTheEnd(t *testing.T) {
+	tests := []struct {
+		name   string
+		behave func(c net.Conn, r *bufio.Reader)
+		dials  int32
+	}{
+		{"whole answers", answer, 1},
+		{"bytes after the answer", func(c net.Conn, _ *bufio.Reader) {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"))
+		}, 3},
+		{"too long", func(c net.Conn, _ *bufio.Reader) {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" + string(make([]byte, 200))))
+		}, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &upstream{behave: tt.behave}
+				var dials atomic.Int32
+				p := &exchanger.Pool{Dial: func(ctx context.Context, a string) (net.Conn, error) {
+					dials.Add(1)
+					return u.dial(ctx, a)
+				}}
+				for range 3 {
+					_, body, err := exchange(t.Context(), p, exchanger.Reuse, "GET")
+					if err == nil {
+						require.Equal(t, "ok", string(body))
+					}
+				}
+				require.Equal(t, tt.dials, dials.Load())
+				p.CloseIdle()
+			})
+		})
+	}
+}
+
+func TestSilentUpstreamIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{behave: func(net.Conn, *bufio.Reader) { time.Sleep(time.Minute) }}
+		began := time.Now()
+		sent, _, err := exchange(t.Context(), &exchanger.Pool{Dial: u.dial}, exchanger.Fresh, "GET")
+		require.Error(t, err)
+		require.True(t, sent)
+		require.Equal(t, time.Second, time.Since(began))
+		time.Sleep(time.Minute) // The upstream's own sleep must end in the bubble.
+	})
+}
+
+func TestCancelledExchangeEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{behave: func(net.Conn, *bufio.Reader) { time.Sleep(time.Minute) }}
+		reason := errors.New("reason")
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(100*time.Millisecond, func() { cancel(reason) })
+		_, _, err := exchange(ctx, &exchanger.Pool{Dial: u.dial}, exchanger.Fresh, "GET")
+		require.ErrorIs(t, err, reason)
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestFailedDialHasSentNothing(t *testing.T) {
+	p := &exchanger.Pool{Dial: func(context.Context, string) (net.Conn, error) { return nil, os.ErrPermission }}
+	sent, _, err := exchange(t.Context(), p, exchanger.Fresh, "GET")
+	require.ErrorIs(t, err, os.ErrPermission)
+	require.False(t, sent)
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -24,6 +24,8 @@
 	"github.com/juju/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/tailscale/hujson"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
 
 	"savoryloft.example/savoryloft"
 )
@@ -123,19 +125,24 @@
 	if !ok {
 		return err.Error()
 	}
-	var lines []string
-	for _, u := range ve.BasicOutput().Errors {
-		if u.Error == nil || u.InstanceLocation == "" && len(ve.Causes) > 0 && strings.Contains(u.Error.String(), "validation failed") {
-			continue
-		}
-		path := strings.ReplaceAll(strings.Trim(u.InstanceLocation, "/"), "/", ".")
+	lines := leaves(ve, message.NewPrinter(language.English))
+	sort.Strings(lines)
+	return strings.Join(lines, "; ")
+}
+
+func leaves(ve *jsonschema.ValidationError, p *message.Printer) []string {
+	if len(ve.Causes) == 0 {
+		path := strings.Join(ve.InstanceLocation, ".")
 		if path == "" {
 			path = "top level"
 		}
-		lines = append(lines, path+": "+u.Error.String())
+		return []string{path + ": " + ve.ErrorKind.LocalizedString(p)}
 	}
-	sort.Strings(lines)
-	return strings.Join(lines, "; ")
+	var lines []string
+	for _, c := range ve.Causes {
+		lines = append(lines, leaves(c, p)...)
+	}
+	return lines
 }
 
 // withDefaults fills absent properties of doc from the schema's defaults.
