--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -254,24 +254,43 @@
 		return nil, err
 	}
 	p.dispatch()
+	end := time.NewTimer(time.Until(r.Arrived.Add(patience(r.Class))))
+	defer end.Stop()
 	select {
 	case g := <-w.ready:
 		return g, nil
 	case err := <-w.refused:
 		return nil, err
+	case <-end.C:
+		return p.leave(w, nil)
 	case <-ctx.Done():
+		return p.leave(w, context.Cause(ctx))
 	}
+}
+
+// leave ends a wait. A grant or refusal that was already under way decides,
+// unless the request itself has ended.
+func (p *Pool) leave(w *waiter, cause error) (*Grant, error) {
 	p.mu.Lock()
-	removed := p.remove(w)
+	if cause == nil {
+		p.refuse(w, "no slot within the class's patience")
+	} else {
+		p.remove(w)
+	}
 	p.mu.Unlock()
-	if !removed { // The grant or the refusal was already under way.
-		select {
-		case g := <-w.ready:
-			g.Done(Observation{})
-		case <-w.refused:
+	select {
+	case g := <-w.ready:
+		if cause == nil {
+			return g, nil
 		}
+		g.Done(Observation{})
+	case err := <-w.refused:
+		if cause == nil {
+			return nil, err
+		}
+	default:
 	}
-	return nil, context.Cause(ctx)
+	return nil, cause
 }
 
 // enqueue adds a waiter, or refuses it at once when it could not get a slot in
@@ -345,15 +364,10 @@
 	}
 }
 
-// tick refuses waiters whose patience has ended, moves limits and preempts.
+// tick moves limits and preempts.
 func (p *Pool) tick() {
 	now := time.Now()
 	p.adjustUpstreams(now)
-	p.mu.Lock()
-	for _, w := range p.queue.expired(now) {
-		p.refuse(w, "no slot within the class's patience")
-	}
-	p.mu.Unlock()
 	if p.waiting.Load() > 0 {
 		p.dispatch()
 		p.preempt(now)
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -251,17 +251,6 @@
 	return worst.waiters.Back().Value.(*waiter)
 }
 
-// expired returns the waiters whose patience has ended.
-func (q *queue) expired(now time.Time) []*waiter {
-	var list []*waiter
-	q.each(func(w *waiter) {
-		if now.Sub(w.request.Arrived) >= patience(w.request.Class) {
-			list = append(list, w)
-		}
-	})
-	return list
-}
-
 // urgent returns the waiters that miss their target unless a lower tier yields
 // now, the highest tier first. An attempt's own time to the first token is
 // taken from what was seen lately.
--- a/check.go
+++ b/check.go
@@ -13,7 +13,7 @@
 // msgpack, which the generated checks for JSON do not cover.
 func (f Frame) Check() error {
 	set := 0
-	for _, ok := range []bool{f.Hello != nil, f.Digest != nil, f.Fetch != nil, f.Tail != nil} {
+	for _, ok := range []bool{f.Hello != nil, f.Digest != nil, f.Fetch != nil, f.Tail != nil, f.Handover != nil} {
 		if ok {
 			set++
 		}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -56,6 +56,8 @@
 	Admitter      *admitter.Admitter
 	Follower      *follower.Follower
 	Logger        logr.Logger
+	// Adopt takes over usage deltas that a leaving peer could not append.
+	Adopt func(deltas []string)
 
 	leaving  atomic.Bool
 	sequence atomic.Int64
--- a/gossiper/link.go
+++ b/gossiper/link.go
@@ -120,6 +120,48 @@
 	}
 }
 
+// HandOver gives usage deltas to the first peer that takes them.
+func (g *Gossiper) HandOver(ctx context.Context, deltas []string) error {
+	g.mu.Lock()
+	var addresses []string
+	for _, m := range g.members {
+		if !m.digest.Leaving && time.Since(m.heard) < g.Silence {
+			addresses = append(addresses, m.hello.Address)
+		}
+	}
+	g.mu.Unlock()
+	err := errors.New("no peer is linked")
+	for _, a := range addresses {
+		if err = g.handOverTo(ctx, a, deltas); err == nil {
+			g.Logger.Info("usage handed over", "step", savoryloft.StepPeer, "peer", a, "deltas", len(deltas))
+			return nil
+		}
+	}
+	return err
+}
+
+func (g *Gossiper) handOverTo(ctx context.Context, address string, deltas []string) error {
+	dialCtx, cancel := context.WithTimeout(ctx, g.Silence)
+	defer cancel()
+	nc, err := g.Dial(dialCtx, address)
+	if err != nil {
+		return err
+	}
+	f := newFramer(nc, g)
+	defer f.Close()
+	if err := f.write(savoryloft.Frame{Hello: g.hello()}); err != nil {
+		return err
+	}
+	if _, err := f.read(); err != nil {
+		return err
+	}
+	if err := f.write(savoryloft.Frame{Handover: &savoryloft.Handover{Deltas: deltas}}); err != nil {
+		return err
+	}
+	_, err = f.read()
+	return err
+}
+
 // Serve answers links from other instances until ctx ends.
 func (g *Gossiper) Serve(ctx context.Context, l net.Listener) error {
 	g.init()
@@ -174,6 +216,8 @@
 			g.heardFrom(h, *frame.Digest)
 		case frame.Fetch != nil:
 			tail = g.Follower.Tail(frame.Fetch.From)
+		case frame.Handover != nil:
+			g.Adopt(frame.Handover.Deltas)
 		default:
 			return errNonsense
 		}
--- a/peers_generated.go
+++ b/peers_generated.go
@@ -89,6 +89,9 @@
 	// Fetch corresponds to the JSON schema field "Fetch".
 	Fetch *Fetch `json:"Fetch,omitempty,omitzero" msgpack:"Fetch,omitempty"`
 
+	// Handover corresponds to the JSON schema field "Handover".
+	Handover *Handover `json:"Handover,omitempty,omitzero" msgpack:"Handover,omitempty"`
+
 	// Hello corresponds to the JSON schema field "Hello".
 	Hello *Hello `json:"Hello,omitempty,omitzero" msgpack:"Hello,omitempty"`
 
@@ -96,6 +99,13 @@
 	Tail *Tail `json:"Tail,omitempty,omitzero" msgpack:"Tail,omitempty"`
 }
 
+// Gives usage that could not be appended to a peer, in a planned stop while the
+// log is out.
+type Handover struct {
+	// UsageDelta records in JSON, in the order of their sequence numbers.
+	Deltas []string `json:"Deltas,omitempty,omitzero" msgpack:"Deltas,omitempty"`
+}
+
 // First frame in each direction.
 type Hello struct {
 	// Address on which the sender listens for links.
--- a/receiver/errors.go
+++ b/receiver/errors.go
@@ -41,10 +41,22 @@
 		}
 	}
 	x.http.SetStatusCode(status)
-	writeJSON(x.http, errorBody(x.id, err))
+	body := errorBody(x.id, err)
+	if body.Run == savoryloft.RunNotRun && !x.mayClaimNotRun(body.Step) {
+		body.Run = savoryloft.RunUnknown
+	}
+	writeJSON(x.http, body)
 	r.end(x, status, err)
 }
 
+// mayClaimNotRun tells whether a refusal may say "not run". A request with an
+// Idempotency-Key can be the repeat of one that ran, so only the journal, or
+// what comes after its decision, may claim it.
+func (x *exchange) mayClaimNotRun(step savoryloft.Step) bool {
+	keyed := len(x.http.Request.Header.Peek("Idempotency-Key")) > 0
+	return !keyed || x.decided || step == savoryloft.StepJournal
+}
+
 // errorBody returns an error in the form that callers get. The cause stays
 // out: it may name addresses that are none of the caller's business.
 func errorBody(id string, err error) ErrorBody {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -63,6 +63,7 @@
 	id      string
 	chat    chatHead
 	isChat  bool
+	decided bool // The journal has decided that no earlier call with this key has run.
 }
 
 // chatHead is the part of a chat request's body that the router reads.
@@ -227,6 +228,7 @@
 		x.http.Response.Header.Set("Idempotent-Replayed", "true")
 		return dispatcher.Answer{StatusCode: replay.StatusCode, ContentType: replay.ContentType, Body: replay.Body}, nil
 	}
+	x.decided = true
 	answer, err := r.Dispatcher.Service(x.ctx, c)
 	if err == nil {
 		r.count(x, 0, 0, answer.Elapsed <= c.Route.Class.FirstToken.Std())
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -27,9 +27,6 @@
 
 const shards = 16
 
-// finalTries bounds the appends tried in a planned stop.
-const finalTries = 20
-
 // Usage is what one request adds.
 type Usage struct {
 	Requests     int
@@ -50,7 +47,7 @@
 	shards   [shards]shard
 	seed     maphash.Seed
 	once     sync.Once
-	mu       sync.Mutex // Guards the fields below.
+	turn     chan struct{} // Held by the flush under way, which owns the fields below.
 	sequence int
 	pending  [][]byte // Deltas whose append is not acknowledged.
 }
@@ -67,7 +64,10 @@
 }
 
 func (r *Recorder) init() {
-	r.once.Do(func() { r.seed = maphash.MakeSeed() })
+	r.once.Do(func() {
+		r.seed = maphash.MakeSeed()
+		r.turn = make(chan struct{}, 1)
+	})
 }
 
 // WindowAt returns the start, in Unix seconds, of the window that t lies in.
@@ -110,25 +110,57 @@
 	}
 }
 
-// Finish appends what is left, in a planned stop.
-func (r *Recorder) Finish(ctx context.Context) error {
-	var err error
-	for range finalTries {
-		if err = r.Flush(ctx); err == nil || ctx.Err() != nil {
-			return errors.Trace(err)
+// Finish appends what is left, in a planned stop. While the log does not take
+// it, it offers what is left to handOver, which gives it to a peer.
+func (r *Recorder) Finish(ctx context.Context, handOver func(context.Context, []string) error) error {
+	for {
+		err := r.Flush(ctx)
+		if err == nil {
+			return nil
+		}
+		if handErr := handOver(ctx, r.unappended()); handErr == nil {
+			return nil
 		}
 		select {
 		case <-ctx.Done():
+			return errors.Annotate(err, "append last usage")
 		case <-time.After(r.Interval):
 		}
 	}
-	return errors.Annotate(err, "append last usage")
+}
+
+// unappended returns the deltas whose append is not acknowledged.
+func (r *Recorder) unappended() []string {
+	r.turn <- struct{}{}
+	defer func() { <-r.turn }()
+	list := make([]string, len(r.pending))
+	for i, d := range r.pending {
+		list[i] = string(d)
+	}
+	return list
+}
+
+// Adopt takes over deltas that a leaving instance could not append. They keep
+// the sequence numbers of that instance, so that they count once even when its
+// own append has taken effect after all.
+func (r *Recorder) Adopt(deltas []string) {
+	r.init()
+	r.turn <- struct{}{}
+	defer func() { <-r.turn }()
+	for _, d := range deltas {
+		r.pending = append(r.pending, []byte(d))
+	}
 }
 
 // Flush appends the pending deltas, or the usage since the last one.
 func (r *Recorder) Flush(ctx context.Context) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.init()
+	select {
+	case r.turn <- struct{}{}:
+		defer func() { <-r.turn }()
+	case <-ctx.Done():
+		return errors.Annotate(context.Cause(ctx), "wait for an append under way")
+	}
 	if len(r.pending) > 0 {
 		if err := r.appendPending(ctx); err != nil {
 			return err
--- a/server/server.go
+++ b/server/server.go
@@ -167,6 +167,7 @@
 		Log: s.client, Logger: s.Logger, Instance: st.Instance, Incarnation: s.incarnation,
 		Interval: st.Usage.FlushInterval.Std(), Window: st.Usage.Window.Std(),
 	}
+	s.gossiper.Adopt = s.recorder.Adopt
 	s.receiver = &receiver.Receiver{
 		Follower: s.follower, Dispatcher: s.dispatcher, Journaler: s.journaler, Recorder: s.recorder,
 		Gate: s.gate, Logger: s.Logger, Tracer: s.Tracer, Metrics: s.metrics,
@@ -256,7 +257,7 @@
 	if err := s.journaler.Wait(last); err != nil {
 		return errors.Trace(err)
 	}
-	if err := s.recorder.Finish(last); err != nil {
+	if err := s.recorder.Finish(last, s.gossiper.HandOver); err != nil {
 		return errors.Trace(err)
 	}
 	return errors.Trace(s.elector.Release(last))
