--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 TOOL = cd tools && GOWORK=off $(GO) tool
 PACKAGES = ./...
 
-.PHONY: build demo test lint bench generate
+.PHONY: build demo faults test lint bench generate
 
 build:
 	$(GO) build -o bin/ ./cmd/savoryloft ./cmd/loftctl
@@ -10,6 +10,9 @@
 demo: build
 	scripts/demo.sh
 
+faults: build
+	scripts/faults.sh
+
 test:
 	scripts/test.sh -race
 
--- a/cmd/loftctl/standin.go
+++ b/cmd/loftctl/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -24,7 +25,7 @@
 
 func standinCommand() *cobra.Command {
 	c := &cobra.Command{Use: "standin", Short: "Run stand-ins of outside systems", Long: standinUsage}
-	c.AddCommand(standinPlatformCommand(), standinEngineCommand(), standinServiceCommand())
+	c.AddCommand(standinPlatformCommand(), standinEngineCommand(), standinServiceCommand(), standinAskCommand())
 	return c
 }
 
@@ -59,3 +60,28 @@
 	var list savoryloft.InstanceList
 	return list.Instances, errors.Annotate(json.Unmarshal(data, &list), file)
 }
+
+const standinAskUsage = `Ask gets a path from a stand-in and prints the answer: /standin/orders and
+/standin/reports of a platform, /standin/served of an engine, /standin/runs of a
+service.
+
+Example:
+
+  loftctl standin ask 127.0.0.1:9101 /standin/runs`
+
+func standinAskCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "ask ADDRESS PATH",
+		Short: "Print what a stand-in has seen",
+		Long:  standinAskUsage,
+		Args:  cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			body, err := fetch(args[0], args[1])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), string(body))
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/scripts/latency.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Measures what an entry instance costs: the time that it adds to an answer
+# (the same plan against the stand-ins directly and through one instance), its
+# allocations and processor time for each request, and what it uses when idle.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. scripts/fleet.sh
+start_fleet
+bin/loftctl note publish --wait "$operators" examples/note.json >/dev/null
+key=$(bin/loftctl key issue --account tsagaan --name tsagaan-1 --wait "$operators" | tail -n 1)
+grep -v '"service"' examples/latency.json | sed '/"whole"/s/},$/}/' >"$work/chat.json"
+grep -v -e '"streamed"' -e '"whole"' examples/latency.json >"$work/service.json"
+
+used() { # Prints mallocs and processor seconds of the first instance.
+  bin/loftctl standin ask 127.0.0.1:8101 /metrics | awk '/mallocs_total/ {m=$2} /cpu_seconds_total/ {c=$2} END {print m, c}'
+}
+
+through() { # PLAN
+  local before after
+  before=$(used)
+  bin/loftctl load --targets 127.0.0.1:8001 --key "$key" "$1" | tee "$work/out.txt"
+  after=$(used)
+  echo "$before $after $(awk 'NR > 1 {n += $2} END {print n}' "$work/out.txt")" |
+    awk '{printf "%d requests, %.0f allocations and %.3f ms of processor time for each, duties included\n", $5, ($3-$1)/$5, 1000*($4-$2)/$5}'
+}
+
+echo "== idle for 20 s"
+before=$(used)
+sleep 20
+echo "$before $(used)" | awk '{printf "%.2f%% of a core, %.0f allocations a second\n", 100*($4-$2)/20, ($3-$1)/20}'
+bin/loftctl standin ask 127.0.0.1:8101 /metrics | grep -E 'heap_bytes|memory_bytes|goroutines'
+grep VmRSS "/proc/${pid_of[entry-1]}/status"
+
+for round in 1 2 3; do
+  echo "== round $round, directly"
+  bin/loftctl load --targets 127.0.0.1:9001,127.0.0.1:9002 "$work/chat.json"
+  bin/loftctl load --targets 127.0.0.1:9101 "$work/service.json"
+  echo "== round $round, through an instance"
+  through "$work/chat.json"
+  through "$work/service.json"
+done
--- a/server/matrix_test.go
+++ b/server/matrix_test.go
@@ -80,7 +80,7 @@
 		}},
 		{name: "withdrawn key", inject: func(f *fleet) { f.withdrawKey("b") }},
 		{name: "freeze entry", inject: nil, except: map[string]string{
-			"": "virtual time can not stop one process; scripts/freeze.sh does with SIGSTOP, and the lease model covers pauses",
+			"": "virtual time can not stop one process; make faults does with SIGSTOP, and the lease model covers pauses",
 		}},
 	}
 }
