--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -81,6 +81,12 @@
 	heard  time.Time
 }
 
+// confirmedAgo returns the age of the member's news unless it has had later
+// ones since its last digest.
+func (m *member) confirmedAgo() time.Duration {
+	return m.digest.ConfirmedAgo.Std() + time.Since(m.heard)
+}
+
 // link is the outgoing link to one address.
 type link struct {
 	cancel  context.CancelFunc
@@ -230,7 +236,7 @@
 			continue
 		}
 		m, ok := g.members[l.name]
-		if !ok || time.Since(m.heard) > g.Silence || m.digest.ConfirmedAgo.Std() <= g.StaleLimit {
+		if !ok || time.Since(m.heard) > g.Silence || m.confirmedAgo() <= g.StaleLimit {
 			return false
 		}
 		linked++
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,6 +1,12 @@
-# Functions that start a platform stand-in, two engines, a service and three
-# entry instances as separate processes on loopback. Sourced by the scripts
-# that need a fleet; ends only the processes that it started.
+# Functions that start a platform stand-in, engines, services and entry
+# instances as separate processes on loopback. Sourced by the scripts that need
+# a fleet; ends only the processes that it started. The numbers of processes can
+# be set before sourcing it.
+
+entries=${entries:-3}
+engines=${engines:-2}
+services=${services:-1}
+engine_flags=${engine_flags:-}
 
 work=$(mktemp -d)
 pids=()
@@ -37,15 +43,15 @@
 }
 
 export SAVORYLOFT_PLATFORM=127.0.0.1:7000
-operators=127.0.0.1:8101,127.0.0.1:8102,127.0.0.1:8103
-callers=127.0.0.1:8001,127.0.0.1:8002,127.0.0.1:8003
+operators=$(seq "$entries" | sed 's/^/127.0.0.1:810/' | paste -sd, -)
+callers=$(seq "$entries" | sed 's/^/127.0.0.1:800/' | paste -sd, -)
+domains=(a b c d)
 
 start_entry() { # NUMBER
-  local domains=(a b c)
   cat >"$work/entry-$1.json" <<SETTINGS
 {
   "Instance": "entry-$1",
-  "FailureDomain": "${domains[$(($1 - 1))]}",
+  "FailureDomain": "${domains[$((($1 - 1) % 4))]}",
   "Listen": {"Callers": "127.0.0.1:800$1", "Operators": "127.0.0.1:810$1", "Peers": "127.0.0.1:820$1"},
   "Platform": {"Address": "127.0.0.1:7000"},
   "Usage": {"Window": "5s", "Grace": "2s"}, // Short windows, so that reports can be seen.
@@ -55,20 +61,38 @@
   start "entry-$1" bin/savoryloft serve --settings "$work/entry-$1.json"
 }
 
+row() { # NAME KIND POOL ADDRESS NUMBER
+  printf '{"Name": "%s", "Kind": "%s", "Pool": "%s", "Address": "%s", "FailureDomain": "%s", "State": "Live"}' \
+    "$1" "$2" "$3" "$4" "${domains[$((($5 - 1) % 4))]}"
+}
+
+port() { # BASE NUMBER
+  printf '127.0.0.1:%d' $(($1 + $2))
+}
+
+write_list() { # Lists entries and, with LISTED set, upstreams.
+  local rows=()
+  for n in $(seq "$entries"); do rows+=("$(row "entry-$n" Entry "" "127.0.0.1:820$n" "$n")"); done
+  if [ -n "${listed:-}" ]; then
+    for n in $(seq "$engines"); do rows+=("$(row "engine-$n" Upstream chat "$(port 9000 "$n")" "$n")"); done
+    for n in $(seq "$services"); do rows+=("$(row "booking-$n" Upstream booking "$(port 9100 "$n")" "$n")"); done
+  fi
+  printf '%s\n' "${rows[@]}" | paste -sd, - | sed 's/^/{"Instances": [/; s/$/]}/' >"$work/instances.json"
+}
+
 start_fleet() {
-  cat >"$work/instances.json" <<LIST
-{"Instances": [
-  {"Name": "entry-1", "Kind": "Entry", "Address": "127.0.0.1:8201", "FailureDomain": "a", "State": "Live"},
-  {"Name": "entry-2", "Kind": "Entry", "Address": "127.0.0.1:8202", "FailureDomain": "b", "State": "Live"},
-  {"Name": "entry-3", "Kind": "Entry", "Address": "127.0.0.1:8203", "FailureDomain": "c", "State": "Live"}
-]}
-LIST
+  write_list
   start platform bin/loftctl standin platform --listen 127.0.0.1:7000 --instances "$work/instances.json"
-  start engine-1 bin/loftctl standin engine --listen 127.0.0.1:9001 --name engine-1
-  start engine-2 bin/loftctl standin engine --listen 127.0.0.1:9002 --name engine-2
-  start booking-1 bin/loftctl standin service --listen 127.0.0.1:9101 --name booking-1
-  for n in 1 2 3; do start_entry "$n"; done
-  for n in 1 2 3; do await_ready "127.0.0.1:810$n"; done
+  for n in $(seq "$engines"); do
+    # The flags are several words.
+    # shellcheck disable=SC2086
+    start "engine-$n" bin/loftctl standin engine --listen "$(port 9000 "$n")" --name "engine-$n" $engine_flags
+  done
+  for n in $(seq "$services"); do
+    start "booking-$n" bin/loftctl standin service --listen "$(port 9100 "$n")" --name "booking-$n"
+  done
+  for n in $(seq "$entries"); do start_entry "$n"; done
+  for n in $(seq "$entries"); do await_ready "127.0.0.1:810$n"; done
 }
 
 holder() { # Prints the number of the instance that holds the lease.
--- a/server/harness_test.go
+++ b/server/harness_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,7 +50,7 @@
 	name   string
 	cancel context.CancelFunc
 	done   chan error
-	ended  bool
+	ended  atomic.Bool
 }
 
 // logCapture keeps all log lines.
@@ -143,13 +144,13 @@
 // kill ends an entry instance as SIGKILL does: nothing of it goes out any more.
 func (f *fleet) kill(i int) {
 	f.network.Kill(entryName(i))
-	f.entries[i].ended = true
+	f.entries[i].ended.Store(true)
 	f.entries[i].cancel()
 }
 
 // stopEntry runs an entry instance's planned stop.
 func (f *fleet) stopEntry(i int) error {
-	f.entries[i].ended = true
+	f.entries[i].ended.Store(true)
 	f.entries[i].cancel()
 	return <-f.entries[i].done
 }
@@ -158,7 +159,7 @@
 func (f *fleet) stop() {
 	f.platform.SetFaults(emulator.PlatformFaults{})
 	for i, e := range f.entries {
-		if e.ended {
+		if e.ended.Load() {
 			continue
 		}
 		for j := range f.entries {
@@ -179,7 +180,7 @@
 
 func (f *fleet) awaitReady() {
 	for i, e := range f.entries {
-		if e.ended {
+		if e.ended.Load() {
 			continue
 		}
 		require.Eventually(f.t, func() bool {
--- a/server/matrix_test.go
+++ b/server/matrix_test.go
@@ -88,7 +88,7 @@
 // victim is the instance that faults hit: the lease holder when there is one.
 func (f *fleet) victim() int {
 	for i, e := range f.entries {
-		if e.ended {
+		if e.ended.Load() {
 			continue
 		}
 		_, body := f.get(opsAddr(i), "/status")
@@ -219,7 +219,7 @@
 	require.Eventually(f.t, func() bool { return len(f.hashes()) == 1 }, 5*time.Second, 50*time.Millisecond,
 		"instances hold different states")
 	for i, e := range f.entries {
-		if e.ended {
+		if e.ended.Load() {
 			continue
 		}
 		for _, id := range c.notes {
@@ -237,7 +237,7 @@
 func (f *fleet) hashes() []string {
 	var list []string
 	for i, e := range f.entries {
-		if e.ended {
+		if e.ended.Load() {
 			continue
 		}
 		_, body := f.get(opsAddr(i), "/status")
--- a/server/path_test.go
+++ b/server/path_test.go
@@ -186,6 +186,11 @@
 func TestTotalOutageOfTheLog(t *testing.T) {
 	run(t, 3, func(f *fleet) {
 		f.platform.SetFaults(emulator.PlatformFaults{Down: true})
+		for n := range 600 { // Also while the instances' news grows old one after the other.
+			status, body := f.get(callerAddr(n%3), "/hours")
+			require.Equal(t, 200, status, string(body))
+			time.Sleep(10 * time.Millisecond)
+		}
 		time.Sleep(10 * time.Minute)
 		for i := range 3 {
 			require.True(t, f.chat(i, secretA, "quotes", "in the outage", 5).done)
--- a/server/usage_test.go
+++ b/server/usage_test.go
@@ -52,7 +52,7 @@
 	sent := 0
 	for n := range seconds * 4 {
 		i := n % len(f.entries)
-		if f.entries[i].ended {
+		if f.entries[i].ended.Load() {
 			continue
 		}
 		sent++
@@ -122,7 +122,7 @@
 func (f *fleet) holder() int {
 	for range 100 {
 		for i, e := range f.entries {
-			if e.ended {
+			if e.ended.Load() {
 				continue
 			}
 			_, body := f.get(opsAddr(i), "/status")
