Leave 6% of each upstream's limit unshared

Cause: with real processes at Tsagaan Deel's sizes, shares overlap for moments because digests are up to an interval old; an engine's batch of 16 then is over-full and first tokens wait inside the engine. Ruled out: a busy machine (the same with nothing else running).

--- a/admitter/sharer.go
+++ b/admitter/sharer.go
@@ -9,6 +9,11 @@
 	"savoryloft.example/savoryloft"
 )
 
+// headroom is the part of an upstream's limit that is shared out to nobody.
+// Digests are up to an interval old, so shares overlap for moments; without it
+// an upstream's batch is then over-full and the first tokens of all wait.
+const headroom = 0.06
+
 // Member is what an instance knows of one entry instance's demand, itself
 // included.
 type Member struct {
@@ -85,6 +90,7 @@
 	for i, u := range table {
 		limits[i] = fleetLimit(u, members, self)
 		u.adopt(limits[i])
+		limits[i] -= headroom * limits[i]
 		if !u.leaving.Load() {
 			capacity += limits[i]
 		}
