Tests for the first close, listed upstreams that leave, truly crossed answers

Nineteen mechanisms were broken on purpose, one at a time. Survivors: the window close (no test closed one window twice), and the attempt IDs (the stand-in crossed IDs but not texts). Both have tests that fail without the mechanism now; so has the list's leaving mark. The account-flood scenario did not reach capacity, so that it showed nothing of fairness; its load is higher now.

--- a/admitter/bench_test.go
+++ b/admitter/bench_test.go
@@ -47,6 +47,7 @@
 				b.ReportMetric(100*w.attainment("reviews"), "%tier3")
 				b.ReportMetric(100*w.wastedShare(), "%wasted")
 				b.ReportMetric(w.worstAccount(), "worst-account")
+				b.ReportMetric(100*w.worstOnTarget(), "%worst-small")
 				b.ReportMetric(float64(w.breaches), "breaches")
 				b.ReportMetric(float64(len(w.stalled())), "stalled")
 				b.ReportMetric(w.goodput(), "goodput-tok/s")
--- a/admitter/scenario_test.go
+++ b/admitter/scenario_test.go
@@ -79,7 +79,7 @@
 				e.set(1, 10)
 			}
 		}},
-		{name: "account-flood", engines: 20, flows: flood(mixed(15, 15, 10, 10), 10)},
+		{name: "account-flood", engines: 20, flows: flood(mixed(18, 18, 11, 11), 10)},
 		{name: "one-instance-gets-all", engines: 20, flows: mixed(15, 12, 8, 8), crowded: true},
 	}
 	for i := range list {
--- a/admitter/world_test.go
+++ b/admitter/world_test.go
@@ -66,7 +66,8 @@
 }
 
 type accountResult struct {
-	offered, served int // Tokens.
+	offered, served    int // Tokens.
+	requests, onTarget int
 }
 
 const (
@@ -359,6 +360,7 @@
 	w.results[f.class].offered++
 	w.results[f.class].offeredIn[int(at/progressInterval)]++
 	w.account(f.account).offered += tokens
+	w.account(f.account).requests++
 }
 
 func (w *world) finish(f *flow, tokens int, first, between, at time.Duration) {
@@ -371,6 +373,7 @@
 	if first <= c.FirstToken.Std() && (c.BetweenTokens == 0 || between <= c.BetweenTokens.Std()) {
 		r.onTarget++
 		w.onTargetTokens += tokens
+		w.account(f.account).onTarget++
 	}
 	w.tokens += promptTokens + tokens
 	w.account(f.account).served += tokens
@@ -455,3 +458,19 @@
 func (w *world) goodput() float64 {
 	return float64(w.onTargetTokens) / w.scenario.length.Seconds()
 }
+
+// worstOnTarget returns the lowest part of an account's requests that met their
+// targets, among accounts that ask for no more than an equal part of the load.
+func (w *world) worstOnTarget() float64 {
+	total := 0
+	for _, a := range w.accounts {
+		total += a.offered
+	}
+	worst := 1.0
+	for _, a := range w.accounts {
+		if a.offered*len(w.accounts) <= total {
+			worst = min(worst, float64(a.onTarget)/float64(a.requests))
+		}
+	}
+	return worst
+}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -19,7 +19,7 @@
 	Slowdown     float64 // Factor on all times; 1 when zero.
 	CutAfter     int     // Close streams after this many tokens.
 	SilentAfter  int     // Stop sending after this many tokens, without closing.
-	CrossAnswers bool    // Echo the attempt ID of another request.
+	CrossAnswers bool    // Answer with the attempt ID and the text of another request.
 }
 
 // Engine is a stand-in for a model engine with continuous batching. Its answer
@@ -144,6 +144,7 @@
 	id := string(ctx.Request.Header.Peek("X-Request-Id"))
 	if f.CrossAnswers {
 		id += "-other"
+		req.Messages = []Message{{Role: "user", Content: "the prompt of another request"}}
 	}
 	ctx.Response.Header.Set("X-Request-Id", id)
 	if req.Stream {
--- a/folder/folder_test.go
+++ b/folder/folder_test.go
@@ -240,3 +240,25 @@
 		require.Equal(t, a.Hash(), b.Hash())
 	})
 }
+
+// Two would-be reporters close one window; the first close in log order stands.
+func TestFirstCloseStands(t *testing.T) {
+	s := base(t)
+	closing := func(id string, window, from, upTo, tokens int) savoryloft.Record {
+		return savoryloft.Record{ID: id, Close: &savoryloft.WindowClose{
+			Window: window, From: from, UpTo: upTo,
+			Figures: []savoryloft.UsageFigure{{ClientAccount: "a", Class: "c", OutputTokens: tokens}},
+		}}
+	}
+	apply(t, s, closing("first", 60, 0, 10, 7))
+	apply(t, s, closing("second", 60, 0, 12, 9))
+	apply(t, s, closing("gap", 120, 12, 20, 9))
+	require.Len(t, s.Unsent, 1)
+	require.Equal(t, 7, s.Unsent[0].Figures[0].OutputTokens)
+	apply(t, s, closing("next", 120, 10, 20, 5))
+	require.Len(t, s.Unsent, 2)
+	apply(t, s, savoryloft.Record{ID: "sent", Sent: &savoryloft.WindowSent{Window: 60}})
+	apply(t, s, closing("late", 60, 20, 21, 1))
+	require.Len(t, s.Unsent, 1)
+	require.Equal(t, 120, s.Unsent[0].Window)
+}
--- a/server/stream_test.go
+++ b/server/stream_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/emulator"
 )
 
@@ -137,9 +138,7 @@
 		f.publish(withdrawUpstream("engine-1", f.base()))
 		time.Sleep(3 * time.Second)
 		before, _ := f.engines[0].Served()
-		for n := range 20 {
-			require.True(t, f.chat(n%2, secretA, "quotes", "new", 5).done)
-		}
+		f.chats(20)
 		after, _ := f.engines[0].Served()
 		require.Equal(t, before, after)
 		for range 4 {
@@ -148,3 +147,37 @@
 		}
 	})
 }
+
+// The same for an upstream that the platform's lagging list shows as leaving.
+func TestListedUpstreamLeaves(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		list := func(state savoryloft.ListedInstanceState) {
+			f.platform.SetInstances([]savoryloft.ListedInstance{{
+				Name: "engine-3", Kind: savoryloft.ListedInstanceKindUpstream, Pool: "chat",
+				Address: "127.0.0.1:9003", FailureDomain: "d2", State: state,
+			}})
+		}
+		third := &emulator.Engine{Name: "engine-3", FirstToken: 30 * time.Millisecond, BetweenToken: 10 * time.Millisecond}
+		f.serve("engine-3", "127.0.0.1:9003", third.Server())
+		defer f.network.Kill("engine-3")
+		f.platform.SetFaults(emulator.PlatformFaults{ListLag: 2e9})
+		list(savoryloft.ListedInstanceStateLive)
+		time.Sleep(5 * time.Second)
+		f.chats(40)
+		used, _ := third.Served()
+		require.Positive(t, used)
+		list(savoryloft.ListedInstanceStateLeaving)
+		time.Sleep(4 * time.Second) // The list's lag and one reading of it.
+		before, _ := third.Served()
+		f.chats(40)
+		after, _ := third.Served()
+		require.Equal(t, before, after)
+	})
+}
+
+// chats sends short chats at the first two instances in turn.
+func (f *fleet) chats(count int) {
+	for n := range count {
+		require.True(f.t, f.chat(n%2, secretA, "quotes", fmt.Sprint("short ", n), 5).done)
+	}
+}
