Tell waiting calls of a withdrawn key that they have not run

A plain-service call that waited for a slot when its key was withdrawn got 500 "internal error" with Run Unknown: the admitter returns the bare cause, which only the chat path turned into an answer. Both paths share it now.

Run: go test -run EndsWaiting ./server/. Before: fails (code Internal); after: passes. Unused fields and a step that nothing named are gone.

--- a/dispatcher/chat.go
+++ b/dispatcher/chat.go
@@ -109,10 +109,7 @@
 	for failures := 0; failures < maxAttempts; {
 		g, err := d.admit(ctx, r)
 		if err != nil {
-			if ctx.Err() != nil {
-				return ended(ctx, sentAny)
-			}
-			return afterAttempts(err, last)
+			return notAdmitted(ctx, err, last)
 		}
 		s.result.Attempts++
 		sent, err := d.chatAttempt(g, s)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -77,7 +77,6 @@
 type Result struct {
 	PromptTokens int
 	OutputTokens int
-	Wasted       int // Tokens generated for attempts that were thrown away.
 	FirstToken   time.Duration
 	Between      time.Duration // Mean time between tokens.
 	Attempts     int
@@ -157,7 +156,7 @@
 	for n := 1; n <= maxAttempts; n++ {
 		g, err := d.admit(ctx, r)
 		if err != nil {
-			return Answer{}, afterAttempts(err, last)
+			return Answer{}, notAdmitted(ctx, err, last)
 		}
 		answer, sent, err := d.serviceAttempt(g, c, n, repeatable)
 		if err == nil {
@@ -252,11 +251,25 @@
 	return e
 }
 
+// notAdmitted returns what the caller of a request is told that got no slot,
+// after an earlier attempt that may have failed with last.
+func notAdmitted(ctx context.Context, err, last error) error {
+	if ctx.Err() != nil {
+		return ended(ctx, mayHaveRun(last))
+	}
+	return afterAttempts(err, last)
+}
+
+func mayHaveRun(last error) bool {
+	var e *savoryloft.Error
+	return errors.As(last, &e) && e.Run == savoryloft.RunUnknown
+}
+
 // afterAttempts turns a refusal into "unknown" when an earlier attempt may
 // have run.
 func afterAttempts(err, last error) error {
-	var refused, previous *savoryloft.Error
-	if errors.As(err, &refused) && errors.As(last, &previous) && previous.Run == savoryloft.RunUnknown {
+	var refused *savoryloft.Error
+	if errors.As(err, &refused) && mayHaveRun(last) {
 		e := *refused
 		e.Run = savoryloft.RunUnknown
 		return &e
--- a/errors.go
+++ b/errors.go
@@ -20,7 +20,6 @@
 	StepQueue        Step = "Queue"
 	StepDispatch     Step = "Dispatch"
 	StepAttempt      Step = "Attempt"
-	StepStream       Step = "Stream"
 	StepFollow       Step = "Follow"
 	StepLease        Step = "Lease"
 	StepOrder        Step = "Order"
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	f := &follower.Follower{Log: client, StaleLimit: 3 * time.Second}
+//	f := &follower.Follower{Log: client, Logger: log}
 //	go f.Run(ctx)
 //	config := f.Config() // nil until the first state is known
 //
@@ -65,10 +65,9 @@
 
 // Follower follows the control stream. Set the exported fields before Run.
 type Follower struct {
-	Log        savoryloft.Log
-	Logger     logr.Logger
-	StaleLimit time.Duration // Longest time without confirmation in which admission goes on.
-	Observers  []Observer
+	Log       savoryloft.Log
+	Logger    logr.Logger
+	Observers []Observer
 
 	view      atomic.Pointer[View]
 	confirmed atomic.Int64 // Time of the last confirmation, in nanoseconds since start.
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -18,7 +18,7 @@
 
 func node(network *emulator.Network, name, address string) *Gossiper {
 	p := &emulator.Platform{}
-	f := &follower.Follower{Log: &emulator.Direct{Platform: p}, Logger: logr.Discard(), StaleLimit: 3 * time.Second}
+	f := &follower.Follower{Log: &emulator.Direct{Platform: p}, Logger: logr.Discard()}
 	return &Gossiper{
 		Instance: name, Incarnation: 1, FailureDomain: "d", Address: address,
 		Interval: 200 * time.Millisecond, Silence: time.Second, StaleLimit: 3 * time.Second,
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -65,7 +65,7 @@
 	b.cancel = cancel
 	_, err := direct.Append(ctx, savoryloft.StreamControl, []byte(fmt.Sprintf(pools, reclaimable, fencing)))
 	require.NoError(t, err)
-	b.follower = &follower.Follower{Log: direct, Logger: logr.Discard(), StaleLimit: time.Second}
+	b.follower = &follower.Follower{Log: direct, Logger: logr.Discard()}
 	go func() {
 		defer close(b.done)
 		_ = b.follower.Run(ctx)
--- a/server/path_test.go
+++ b/server/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -144,6 +145,34 @@
 	})
 }
 
+// Calls of a withdrawn key that still wait never run, and are told so; running
+// ones are told that their outcome is unknown.
+func TestWithdrawnKeyEndsWaitingCalls(t *testing.T) {
+	run(t, 1, func(f *fleet) {
+		const calls = 80 // More than the service's 32 slots.
+		f.service.SetFaults(emulator.ServiceFaults{Delay: 4 * time.Second})
+		answers := make(chan string, calls)
+		for n := range calls {
+			go func() {
+				_, body := f.post(0, "/bookings", secretB, fmt.Sprint("call-", n), "")
+				answers <- body
+			}()
+		}
+		time.Sleep(time.Second)
+		f.withdrawKey("b")
+		notRun := 0
+		for range calls {
+			body := <-answers
+			require.Equal(t, "KeyWithdrawn", codeOf([]byte(body)))
+			if strings.Contains(body, `"Run":"NotRun"`) {
+				notRun++
+			}
+		}
+		require.Positive(t, notRun)
+		require.LessOrEqual(t, len(f.service.Runs()), calls-notRun)
+	})
+}
+
 // An instance that can not reach the log learns of a withdrawal from peers.
 func TestWithdrawalReachesInstanceWithoutLog(t *testing.T) {
 	run(t, 3, func(f *fleet) {
--- a/server/server.go
+++ b/server/server.go
@@ -135,7 +135,7 @@
 		TTL: st.Lease.TTL.Std(), Drift: st.Lease.Drift.Std(), Logger: s.Logger,
 	}
 	s.follower = &follower.Follower{
-		Log: s.client, Logger: s.Logger, StaleLimit: st.Peers.StaleLimit.Std(),
+		Log: s.client, Logger: s.Logger,
 		Observers: []follower.Observer{s.elector.Observe, s.observe},
 	}
 	s.elector.Follower = s.follower
