--- a/gossiper/framer.go
+++ b/gossiper/framer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"savoryloft.example/savoryloft"
 )
@@ -18,6 +19,7 @@
 const (
 	headerBytes   = 4
 	maxFrameBytes = 16 << 20
+	maxElements   = 1 << 16 // Most elements of one array or map.
 )
 
 // errNonsense says that a peer has sent what is not a valid frame.
@@ -82,6 +84,9 @@
 
 func decodeFrame(data []byte) (savoryloft.Frame, error) {
 	var frame savoryloft.Frame
+	if err := checkLengths(data); err != nil {
+		return frame, fmt.Errorf("%w: %w", errNonsense, err)
+	}
 	if err := msgpack.Unmarshal(data, &frame); err != nil {
 		return frame, fmt.Errorf("%w: %w", errNonsense, err)
 	}
@@ -90,3 +95,38 @@
 	}
 	return frame, nil
 }
+
+// checkLengths walks through an encoded frame and refuses arrays and maps that
+// claim more elements than a frame can have. The decoder would allocate what
+// they claim before it reads the first element.
+func checkLengths(data []byte) error {
+	r := bytes.NewReader(data)
+	dec := msgpack.NewDecoder(r)
+	for pending := 1; pending > 0; pending-- {
+		if pending > r.Len()+1 {
+			return fmt.Errorf("%d elements are announced in %d bytes", pending, r.Len())
+		}
+		code, err := dec.PeekCode()
+		if err != nil {
+			return err
+		}
+		n := 0
+		switch {
+		case msgpcode.IsFixedArray(code), code == msgpcode.Array16, code == msgpcode.Array32:
+			n, err = dec.DecodeArrayLen()
+		case msgpcode.IsFixedMap(code), code == msgpcode.Map16, code == msgpcode.Map32:
+			n, err = dec.DecodeMapLen()
+			n *= 2
+		default:
+			err = dec.Skip()
+		}
+		if err != nil {
+			return err
+		}
+		if n > maxElements {
+			return fmt.Errorf("an array or map announces %d elements, at most %d are allowed", n, maxElements)
+		}
+		pending += n
+	}
+	return nil
+}
