An excluded upstream no longer holds up the queue; count waiters by their own tier

A request that had failed on the only upstream with room stood at the head of the queue, and nobody behind it got that room until its patience ended; the exclusion is a preference now while a request waits. A class that changed its tier while requests waited left a wrong count of waiters behind for good, which kept the fast path off and misled shares.

Run: go test -run 'Excluded|TierChanges|Patience' ./admitter/.

--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -251,6 +251,10 @@
 			return
 		}
 		u := p.choose(w.request)
+		if u == nil && len(w.request.Exclude) > 0 {
+			w.request.Exclude = nil // Better the same upstream again than a queue that stands still.
+			u = p.choose(w.request)
+		}
 		if u == nil {
 			return
 		}
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -84,7 +84,7 @@
 	w.class, w.account = c, a
 	w.element = a.waiters.PushBack(w)
 	c.count++
-	q.count[c.class.Tier]++
+	q.count[w.request.Class.Tier]++
 }
 
 // leastServed returns the lowest counter of the accounts that wait, to which
@@ -106,7 +106,7 @@
 	w.account.waiters.Remove(w.element)
 	w.element = nil
 	w.class.count--
-	q.count[w.class.class.Tier]--
+	q.count[w.request.Class.Tier]--
 	return true
 }
 
