Bound the wait for a control record to be read back

Cause: Publish waited for its record until the duty's context ended. A call that was lost before it took effect never comes into the log, so one lost call stopped orders, or window reports, on the lease holder for good. The stand-ins only lost answers after the effect and did not show it; they lose calls too now. Ruled out: repeating the append inside Publish; an intent that is repeated would be sent under one ID but announced twice.

Run: go test -run 'OrdersFollow|FaultMatrix/.*/lost_calls' ./scaler ./server.

--- a/emulator/direct.go
+++ b/emulator/direct.go
@@ -61,6 +61,9 @@
 	if err := d.refused(log); err != nil {
 		return err
 	}
+	if d.Platform.loseCall() {
+		return savoryloft.ErrUnknownOutcome
+	}
 	if err := d.run(ctx, effect); err != nil {
 		return err
 	}
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -30,6 +30,7 @@
 	LogDown      bool                // Refuse calls to the log.
 	Delay        savoryloft.Duration // Wait before each effect.
 	LoseAnswers  int                 // Drop this many answers to writes after the effect.
+	LoseCalls    int                 // Drop this many writes before the effect, without an answer.
 	ListLag      savoryloft.Duration // Show the list as it was this long ago.
 	NoCapacity   bool                // Start no upstream.
 	IgnoreFences bool                // Accept orders with old fencing numbers.
@@ -154,6 +155,10 @@
 	}
 	time.Sleep(f.Delay.Std())
 	method := string(ctx.Method())
+	if method != "GET" && p.loseCall() {
+		drop(ctx)
+		return
+	}
 	switch {
 	case len(parts) == 4 && parts[1] == "streams" && method == "POST":
 		p.handleAppend(ctx, parts[2])
@@ -171,8 +176,7 @@
 		ctx.Error("no such call", fasthttp.StatusNotFound)
 	}
 	if method != "GET" && ctx.Response.StatusCode() == fasthttp.StatusOK && p.loseAnswer() {
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(net.Conn) {})
+		drop(ctx)
 	}
 }
 
@@ -387,6 +391,22 @@
 	p.reports = append(p.reports, r)
 }
 
+// drop closes the connection without an answer.
+func drop(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {})
+}
+
+func (p *Platform) loseCall() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.LoseCalls == 0 {
+		return false
+	}
+	p.faults.LoseCalls--
+	return true
+}
+
 func (p *Platform) loseAnswer() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -91,8 +91,7 @@
 		time.Sleep(time.Hour)
 	}
 	if s.loseAnswer() {
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(net.Conn) {})
+		drop(ctx)
 		return
 	}
 	ctx.Response.Header.Set("X-Request-Id", string(ctx.Request.Header.Peek("X-Request-Id")))
--- a/follower/publish.go
+++ b/follower/publish.go
@@ -3,18 +3,25 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/juju/errors"
 
 	"savoryloft.example/savoryloft"
 )
 
+// publishTimeout bounds the wait for a record to be read back. A call that was
+// lost before it took effect would be waited for without end.
+const publishTimeout = 5 * time.Second
+
 // Publish appends a record to the control stream and waits until it is read
 // back, which settles an append whose answer was lost. It returns the record's
 // offset. After an error the record may still come into the log, unless the
 // error is savoryloft.ErrUnavailable.
 func (f *Follower) Publish(ctx context.Context, r savoryloft.Record) (int, error) {
 	f.init()
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
 	data, err := json.Marshal(r)
 	if err != nil {
 		return 0, errors.Annotate(err, "encode control record")
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -133,6 +133,7 @@
 		{"demand", 20, emulator.PlatformFaults{}, 3},
 		{"maximum", 1000, emulator.PlatformFaults{}, 6},
 		{"lost answers", 20, emulator.PlatformFaults{LoseAnswers: 20}, 3},
+		{"lost calls", 20, emulator.PlatformFaults{LoseCalls: 5}, 3},
 		{"list lags", 20, emulator.PlatformFaults{ListLag: 30e9}, 3},
 		{"effect after the timeout", 20, emulator.PlatformFaults{Delay: 2e9}, 3},
 		{"ignores fences", 20, emulator.PlatformFaults{IgnoreFences: true, LoseAnswers: 5}, 3},
--- a/server/matrix_test.go
+++ b/server/matrix_test.go
@@ -65,6 +65,7 @@
 		{name: "log out", inject: platform(emulator.PlatformFaults{LogDown: true})},
 		{name: "platform out", inject: platform(emulator.PlatformFaults{Down: true})},
 		{name: "lost answers", inject: platform(emulator.PlatformFaults{LoseAnswers: 6})},
+		{name: "lost calls", inject: platform(emulator.PlatformFaults{LoseCalls: 6})},
 		{name: "lagging list", inject: platform(emulator.PlatformFaults{ListLag: 20e9})},
 		{name: "straggler", inject: func(f *fleet) { f.engines[0].SetFaults(emulator.EngineFaults{Slowdown: 10}) }},
 		{name: "reclaimed domain", inject: func(f *fleet) { f.network.Kill("engine-1") }},
--- a/server/usage_test.go
+++ b/server/usage_test.go
@@ -75,6 +75,7 @@
 	}{
 		{"no fault", emulator.PlatformFaults{}},
 		{"lost answers", emulator.PlatformFaults{LoseAnswers: 40}},
+		{"lost calls", emulator.PlatformFaults{LoseCalls: 40}},
 		{"slow", emulator.PlatformFaults{Delay: 700e6}},
 		{"log out", emulator.PlatformFaults{LogDown: true}},
 		{"platform out", emulator.PlatformFaults{Down: true}},
