--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,4 +7,10 @@
   echo "known red, passed over:"
   sed -n '/^#/!p' KNOWN-RED.txt
 fi
-go test -timeout 8m ${skip:+-skip "$skip"} "$@" ./...
+race=()
+if [ "$(go env CGO_ENABLED)" = 1 ]; then
+  race=(-race)
+else
+  echo "no C compiler: running without the race detector"
+fi
+go test -timeout 8m "${race[@]}" ${skip:+-skip "$skip"} "$@" ./...
