A caller's bad request no longer counts against engines

Found by reading. An engine's 400 to a malformed chat counted as its failure, was repeated on the other engines, and three of them set an engine aside: one caller could expel all engines. A caller's own resume_at went through to the engine and made its stream look crossed, with the same effect. Rejections (4xx but 408 and 429) go to the caller and blame nobody; resume_at is the router's alone.

--- a/dispatcher/chat.go
+++ b/dispatcher/chat.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"time"
@@ -63,6 +64,18 @@
 // errCrossed says that an answer belongs to another attempt.
 var errCrossed = errors.New("answer belongs to another attempt")
 
+// rejection is an upstream's answer that the request itself is wrong.
+type rejection struct{ status int }
+
+// Error implements error.
+func (r *rejection) Error() string {
+	return fmt.Sprintf("upstream rejected the request with status %d", r.status)
+}
+
+func isRejection(status int) bool {
+	return status >= 400 && status < 500 && status != fasthttp.StatusTooManyRequests && status != fasthttp.StatusRequestTimeout
+}
+
 // chatState is the progress of a chat call over its attempts.
 type chatState struct {
 	call   *Call
@@ -120,6 +133,13 @@
 		if s.lost != nil || ctx.Err() != nil {
 			return ended(ctx, sentAny)
 		}
+		var rejected *rejection
+		if errors.As(err, &rejected) {
+			return &savoryloft.Error{
+				Step: savoryloft.StepAttempt, Peer: g.Upstream.Name, StatusCode: rejected.status,
+				Code: "UpstreamRejected", Message: err.Error(), Run: savoryloft.RunUnknown,
+			}
+		}
 		last = failure(g.Upstream, sent, err)
 		// The rest of the answer is a new wait: its target counts from here.
 		r.Arrived, r.Resumed = time.Now(), s.next > 0
@@ -170,7 +190,9 @@
 	if err == nil {
 		conn.Complete()
 	}
-	o = admitter.Observation{Failed: err != nil && ctx.Err() == nil && s.lost == nil}
+	var rejected *rejection
+	blameless := ctx.Err() != nil || s.lost != nil || errors.As(err, &rejected)
+	o = admitter.Observation{Failed: err != nil && !blameless}
 	if !first.IsZero() {
 		o.FirstToken = first.Sub(started)
 		o.Tokens = s.next
@@ -192,7 +214,7 @@
 		fields["resume_at"] = s.next
 	}
 	for name, v := range s.body {
-		if _, ok := fields[name]; !ok {
+		if _, ok := fields[name]; !ok && name != "resume_at" {
 			fields[name] = v
 		}
 	}
@@ -211,8 +233,11 @@
 	if err := conn.Exchange(ctx, req, resp, d.Silence); err != nil {
 		return first, err
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return first, errors.Errorf("upstream answered status %d", resp.StatusCode())
+	if status := resp.StatusCode(); status != fasthttp.StatusOK {
+		if isRejection(status) {
+			return first, &rejection{status: status}
+		}
+		return first, errors.Errorf("upstream answered status %d", status)
 	}
 	if echo := string(resp.Header.Peek(requestIDName)); echo != id {
 		return first, errors.Annotatef(errCrossed, "got %q, want %q", echo, id)
