--- a/server/harness_test.go
+++ b/server/harness_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/trace"
 
 	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/emulator"
@@ -32,6 +33,9 @@
 	secretB      = "sl-secret-of-cadena"
 )
 
+// entryTracer is the tracer of the instances that a test starts; none when nil.
+var entryTracer trace.Tracer
+
 // fleet is a platform, upstreams and entry instances on an in-memory network.
 // It must run inside a synctest bubble.
 type fleet struct {
@@ -128,7 +132,7 @@
 	require.NoError(f.t, err)
 	host := entryName(i)
 	s := &server.Server{
-		Settings: settings, Logger: f.log.logger(), Dial: f.network.Dialer(host),
+		Settings: settings, Logger: f.log.logger(), Dial: f.network.Dialer(host), Tracer: entryTracer,
 		Listen: func(address string) (net.Listener, error) { return f.network.Listen(host, address) },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/server/path_test.go
+++ b/server/path_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/emulator"
@@ -90,8 +92,12 @@
 	})
 }
 
-// No byte of a caller's key reaches upstreams, peers, the platform or the logs.
+// No byte of a caller's key reaches upstreams, peers, the platform, logs,
+// metrics or traces.
 func TestKeyGoesNowhere(t *testing.T) {
+	spans := tracetest.NewInMemoryExporter()
+	entryTracer = sdktrace.NewTracerProvider(sdktrace.WithSyncer(spans)).Tracer("test")
+	defer func() { entryTracer = nil }()
 	run(t, 2, func(f *fleet) {
 		f.network.Capture()
 		f.logLines()
@@ -108,6 +114,10 @@
 		require.Contains(t, string(f.network.Captured()), "/bookings", "the capture must see upstream traffic")
 		require.NotContains(t, string(f.network.Captured()), secretA)
 		require.NotContains(t, f.logLines(), secretA)
+		written, err := json.Marshal(spans.GetSpans().Snapshots())
+		require.NoError(t, err)
+		require.NotEmpty(t, spans.GetSpans(), "the test must see spans")
+		require.NotContains(t, fmt.Sprintf("%s %+v", written, spans.GetSpans()), secretA)
 		for i := range 2 {
 			for _, path := range []string{"/metrics", "/status"} {
 				_, body := f.get(opsAddr(i), path)
