Hold starvation against the stated bound of 10 s

The scenario check let a class stand still for one interval of 10 s and left the last one out; the bound is progress in each 10 s. It now counts every interval in which a class is asked for.

--- a/admitter/world_test.go
+++ b/admitter/world_test.go
@@ -424,10 +424,10 @@
 // stalled returns the classes that had offers but no answer begun in some 10 s.
 func (w *world) stalled() []string {
 	var list []string
-	last := int(w.scenario.length/progressInterval) - 1
+	last := int(w.scenario.length / progressInterval)
 	for name, r := range w.results {
 		for i := range last {
-			if r.offeredIn[i] > 5 && r.progress[i] == 0 && r.progress[i+1] == 0 {
+			if r.offeredIn[i] > 0 && r.progress[i] == 0 {
 				list = append(list, fmt.Sprint(name, " in interval ", i))
 			}
 		}
