Make one piece of what stood twice; drop a counter that nothing read

The loops of chooseNext and chooseAny differed in their start alone; three stand-in counters of faults were one; the preemption's reason was always the same at its one caller; the dispatcher counted attempts for nobody, on the path of each request. Behaviour is the same.

--- a/admitter/choose.go
+++ b/admitter/choose.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	if p.admitter.Policy.RoundRobin {
-		return p.chooseNext(table, r)
+		return firstWithRoom(table, r, int(p.turn.Add(1)))
 	}
 	best, bestLoad := (*Upstream)(nil), math.Inf(1)
 	for range min(randomChoices, len(table)) {
@@ -41,23 +41,11 @@
 	if best != nil && best.acquire() {
 		return best
 	}
-	return p.chooseAny(table, r)
+	return firstWithRoom(table, r, rand.IntN(len(table)))
 }
 
-func (p *Pool) chooseNext(table []*Upstream, r *Request) *Upstream {
-	start := int(p.turn.Add(1))
-	for i := range table {
-		u := table[(start+i)%len(table)]
-		if usable(u, r) && u.acquire() {
-			return u
-		}
-	}
-	return nil
-}
-
-// chooseAny looks at all upstreams from a random one on.
-func (p *Pool) chooseAny(table []*Upstream, r *Request) *Upstream {
-	start := rand.IntN(len(table))
+// firstWithRoom looks at all upstreams in turn, from the one at start on.
+func firstWithRoom(table []*Upstream, r *Request, start int) *Upstream {
 	for i := range table {
 		u := table[(start+i)%len(table)]
 		if usable(u, r) && u.acquire() {
--- a/admitter/preempt.go
+++ b/admitter/preempt.go
@@ -32,7 +32,7 @@
 	urgent := p.queue.urgent(now, time.Duration(p.firstToken.Load()))
 	p.mu.Unlock()
 	for _, w := range urgent {
-		if !p.yieldOne(w.request.Class.Tier, forWaiter) {
+		if !p.yieldTo(w.request.Class.Tier) {
 			return
 		}
 		w.asked.Store(true)
@@ -69,7 +69,9 @@
 	g.cancel(savoryloft.ErrPreempted)
 }
 
-func (p *Pool) yieldOne(tier int, reason preemption) bool {
+// yieldTo preempts one attempt of a tier below the given one; it returns false
+// when there is none.
+func (p *Pool) yieldTo(tier int) bool {
 	var best *Grant
 	for _, u := range p.Upstreams() {
 		if u.leaving.Load() {
@@ -83,7 +85,7 @@
 	if best == nil {
 		return false
 	}
-	p.preemptGrant(best, reason)
+	p.preemptGrant(best, forWaiter)
 	return true
 }
 
--- a/dispatcher/chat.go
+++ b/dispatcher/chat.go
@@ -185,7 +185,6 @@
 		o.Failed = false
 		return false, err
 	}
-	d.attempts.Add(1)
 	first, err := d.stream(ctx, conn, req, resp, id, s)
 	if err == nil {
 		conn.Complete()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -16,7 +16,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -100,13 +99,9 @@
 	Tracer      trace.Tracer
 	Budget      *Budget
 
-	attempts atomic.Int64
 	estimate estimator
 }
 
-// Attempts returns the number of attempts sent so far.
-func (d *Dispatcher) Attempts() int64 { return d.attempts.Load() }
-
 // request describes a call to the admitter.
 func (d *Dispatcher) request(c *Call, prefix uint64, preemptible bool) *admitter.Request {
 	return &admitter.Request{
@@ -201,7 +196,6 @@
 		req.Header.Set(idempotencyKey, c.IdempotencyKey)
 	}
 	req.SetBody(c.Body)
-	d.attempts.Add(1)
 	if err := conn.Exchange(ctx, req, resp, d.Silence); err != nil {
 		return answer, conn.Sent(), err
 	}
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -397,23 +397,18 @@
 	ctx.Hijack(func(net.Conn) {})
 }
 
-func (p *Platform) loseCall() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.faults.LoseCalls == 0 {
-		return false
-	}
-	p.faults.LoseCalls--
-	return true
-}
+func (p *Platform) loseCall() bool { return spend(&p.mu, &p.faults.LoseCalls) }
 
-func (p *Platform) loseAnswer() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.faults.LoseAnswers == 0 {
+func (p *Platform) loseAnswer() bool { return spend(&p.mu, &p.faults.LoseAnswers) }
+
+// spend takes one from a fault's count; it returns false when none is left.
+func spend(mu *sync.Mutex, left *int) bool {
+	mu.Lock()
+	defer mu.Unlock()
+	if *left == 0 {
 		return false
 	}
-	p.faults.LoseAnswers--
+	*left--
 	return true
 }
 
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -114,12 +114,4 @@
 	return s.runs[id]
 }
 
-func (s *Service) loseAnswer() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faults.LoseAnswers == 0 {
-		return false
-	}
-	s.faults.LoseAnswers--
-	return true
-}
+func (s *Service) loseAnswer() bool { return spend(&s.mu, &s.faults.LoseAnswers) }
