--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 GENERATE = go-jsonschema --tags json,msgpack --struct-name-from-title --package savoryloft
 
 generate:
-	@for s in settings records platform peers load; do \
+	@for s in settings records platform peers load mesh duties; do \
 		sed -E 's/(Duration", "nillable": true\}), "default": "[^"]*"/\1/' schema/$$s.json > tools/$$s.json; \
 		( $(TOOL) $(GENERATE) --output ../$${s}_generated.go $$s.json ) || exit 1; \
 		rm tools/$$s.json; \
--- a/check.go
+++ b/check.go
@@ -49,3 +49,42 @@
 	}
 	return nil
 }
+
+// Check returns an error when a frame breaks its schema.
+func (f LinkFrame) Check() error {
+	for _, g := range f.Members {
+		if g.Instance == "" || g.Address == "" {
+			return errors.New("member without a name or an address")
+		}
+	}
+	if f.Greeting != nil && (f.Greeting.Instance == "" || f.Greeting.Address == "") {
+		return errors.New("greeting without a name or an address")
+	}
+	for _, r := range f.Records {
+		if r.Offset < 0 {
+			return errors.Errorf("record of %q has a negative offset", r.Key)
+		}
+	}
+	if f.Status != nil {
+		return f.Status.Check()
+	}
+	return nil
+}
+
+// Check returns an error when a status breaks its schema.
+func (s LinkStatus) Check() error {
+	if s.VersionAge < -1 || s.RegistryAge < -1 {
+		return errors.New("status has a negative age")
+	}
+	for _, u := range s.Usage {
+		if u.Requests < 0 {
+			return errors.Errorf("usage of account %q is negative", u.Account)
+		}
+	}
+	for _, l := range s.Loads {
+		if l.Upstream == "" || l.Running < 0 || l.Prefill < 0 || l.Tokens < 0 {
+			return errors.Errorf("load of upstream %q is negative", l.Upstream)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/claimer/term.go
@@ -0,0 +1,115 @@
+package claimer
+
+import (
+	"time"
+
+	"savoryloft.example/savoryloft"
+)
+
+const keptSendings = 64 // Own appends whose time is remembered; a delayed one arrives within seconds.
+
+// term holds what one instance knows of the duties topic and its own part in
+// it. Its methods take the uptime as an argument and do nothing but decide.
+type term struct {
+	end        int                   // Offset behind the last record known.
+	changedAt  time.Duration         // Uptime after which the last record was read.
+	readAt     time.Duration         // Uptime of the last read to the end; 0 when knowledge may be old.
+	free       bool                  // The topic is empty or ends with a release.
+	holding    bool                  // The last claim is this incarnation's.
+	fence      int                   // Offset of the last claim.
+	deadline   time.Duration         // Uptime until which this instance may act.
+	sequence   int                   // Number of the last own append.
+	sentAt     map[int]time.Duration // Uptime before each own append, by its number.
+	lastSent   time.Duration
+	inDoubt    bool // An own append may have or may yet take effect.
+	everRead   bool // The topic was read at least once.
+	figures    map[int]map[string]int
+	lastWindow int
+}
+
+// held returns the time for which this instance may still act.
+func (t *term) held(now time.Duration) (left time.Duration, ok bool) {
+	left = t.deadline - now
+	return left, t.holding && left > 0
+}
+
+// sending notes that an append is about to be sent and returns its number.
+func (t *term) sending(now time.Duration) int {
+	if t.sentAt == nil {
+		t.sentAt = map[int]time.Duration{}
+	}
+	t.sequence++
+	t.sentAt[t.sequence] = now
+	t.lastSent = now
+	delete(t.sentAt, t.sequence-keptSendings)
+	return t.sequence
+}
+
+// observe takes in the record at an offset. An own record extends the lease
+// from before it was sent.
+func (t *term) observe(now time.Duration, offset int, d savoryloft.DutyRecord, mine bool, ttl time.Duration) {
+	t.skipTo(now, offset+1)
+	t.free = d.Kind == savoryloft.DutyRecordKindRelease
+	switch d.Kind {
+	case savoryloft.DutyRecordKindClaim:
+		t.holding, t.fence = mine, offset
+	case savoryloft.DutyRecordKindRelease:
+		t.holding = false
+	}
+	if sent, ok := t.sentAt[d.Sequence]; ok && mine && t.holding {
+		t.deadline = max(t.deadline, sent+ttl)
+	}
+	if d.Figures != nil {
+		t.keepFigures(d.Figures)
+	}
+}
+
+// keepFigures remembers the figures of a window. The first in the topic stand.
+func (t *term) keepFigures(f *savoryloft.WindowFigures) {
+	if t.figures == nil {
+		t.figures = map[int]map[string]int{}
+	}
+	if _, ok := t.figures[f.Window]; !ok {
+		t.figures[f.Window] = f.Counts
+	}
+	t.lastWindow = max(t.lastWindow, f.Window)
+	for w := range t.figures {
+		if w < t.lastWindow-keptWindowCount {
+			delete(t.figures, w)
+		}
+	}
+}
+
+// skipTo notes that the topic reaches up to an offset.
+func (t *term) skipTo(now time.Duration, end int) {
+	t.end = end
+	t.changedAt = now
+	t.free = false
+}
+
+// caughtUp notes that the topic was read to its end.
+func (t *term) caughtUp(now time.Duration) {
+	if !t.everRead || t.readAt == 0 {
+		t.everRead = true
+		t.changedAt = now
+		t.free = t.free || t.end == 0
+	}
+	t.readAt = now
+	t.inDoubt = false
+}
+
+// forget notes that another instance holds the lease, so that a later
+// candidacy starts with a new read.
+func (t *term) forget() { t.readAt = 0 }
+
+// claimable tells whether the holder's time has surely ended, seen from after
+// its last record was read.
+func (t *term) claimable(now, ttl, delay time.Duration) bool {
+	if t.readAt == 0 || t.inDoubt {
+		return false
+	}
+	if t.free {
+		return now-t.changedAt >= delay
+	}
+	return now-t.changedAt >= ttl+delay
+}
--- /dev/null
+++ b/cmd/savoryloft/edge.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/spf13/cobra"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/exchanger"
+	"savoryloft.example/savoryloft/launcher"
+	"savoryloft.example/savoryloft/logger"
+	"savoryloft.example/savoryloft/platform"
+	"savoryloft.example/savoryloft/tracer"
+)
+
+const (
+	// unacknowledgedLimit fails connections whose bytes are not acknowledged: a
+	// peer without power or behind a partition answers nothing.
+	unacknowledgedLimit = time.Second
+	dialLimit           = time.Second
+	idleLimit           = 20 * time.Second // Idle connections to upstreams; their own limit is mostly shorter.
+	dutyTimeout         = 800 * time.Millisecond
+	memoryPart          = 0.6 // Part of the memory limit at which the collector works harder.
+	collectorPercent    = 200 // Heap growth between collections; memory is plenty, processor time is not.
+)
+
+const edgeUsage = `Edge runs an entry instance on the prepared platform until it gets SIGTERM or
+SIGINT. It reads the settings file that the platform writes; its path stands in
+the environment variable SAVORYLOFT_BOOT.
+
+A planned stop cuts no request: the readiness probe fails first, requests go on
+until the balancer has noticed, and running ones finish within the grace time of
+the settings. SIGHUP and changes of the file are checked and logged.
+
+Log events go to standard output, one line of key=value pairs each.
+
+Example:
+
+  savoryloft edge --settings /etc/savoryloft/boot.toml`
+
+func edgeCommand() *cobra.Command {
+	var file string
+	var verbosity int
+	c := &cobra.Command{
+		Use:   "edge",
+		Short: "Run an entry instance on the prepared platform",
+		Long:  edgeUsage,
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if file == "" {
+				file = platform.SettingsPath()
+			}
+			return edge(file, verbosity)
+		},
+	}
+	c.Flags().StringVar(&file, "settings", "", "settings file of the platform; the one that SAVORYLOFT_BOOT names when empty")
+	c.Flags().IntVar(&verbosity, "verbosity", 0, "log level; 1 adds details")
+	return c
+}
+
+func edge(file string, verbosity int) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	d, err := platform.ReadSettings(file)
+	if err != nil {
+		return err
+	}
+	limitResources(d.Limits)
+	out := logger.NewWriter(os.Stdout)
+	defer out.Close()
+	log := logger.New(out, verbosity).WithValues("instance", d.Instance)
+	reload := &reloader{file: file, current: d, logger: log}
+	go reload.run(ctx)
+	pool := &exchanger.Pool{
+		Dial:      exchanger.Dialer{Unacknowledged: unacknowledgedLimit, Timeout: dialLimit}.Dial,
+		IdleLimit: idleLimit,
+	}
+	l := &launcher.Launcher{
+		Deployment: d, Wire: platform.Wire{}, Decoder: platform.Decoder{},
+		Log:    &platform.Store{Address: d.LogAddress, Pool: pool},
+		Target: &platform.DutyClient{Address: d.DutyAddress, Instance: d.Instance, Pool: pool, Timeout: dutyTimeout},
+		Pool:   pool, Logger: log, Tracer: tracer.None(),
+		Readiness: platform.ReadinessPath, Metrics: platform.MetricsPath,
+	}
+	return l.Run(ctx)
+}
+
+// limitResources fits the runtime to what the process may use.
+func limitResources(l savoryloft.DeploymentLimits) {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(l.Cores)
+	}
+	debug.SetGCPercent(collectorPercent)
+	if l.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(l.MemoryBytes) * memoryPart))
+	}
+}
+
+// reloader checks the settings file when it may have changed. What an instance
+// is bound to at its start, such as its addresses, is in force from the next
+// start; a file that is not valid changes nothing.
+type reloader struct {
+	file    string
+	current savoryloft.Deployment
+	logger  logr.Logger
+}
+
+const reloadInterval = 2 * time.Second // Between looks at the file, which may change without a signal.
+
+func (r *reloader) run(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	t := time.NewTicker(reloadInterval)
+	defer t.Stop()
+	var modified time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			r.reload("SIGHUP")
+		case <-t.C:
+			info, err := os.Stat(r.file)
+			if err != nil || info.ModTime().Equal(modified) {
+				continue
+			}
+			if !modified.IsZero() {
+				r.reload("file changed")
+			}
+			modified = info.ModTime()
+		}
+	}
+}
+
+func (r *reloader) reload(why string) {
+	d, err := platform.ReadSettings(r.file)
+	if err != nil {
+		r.logger.Info("settings not reloaded; the last valid ones stay in force", "why", why, "error", err.Error())
+		return
+	}
+	changed := fmt.Sprintf("%+v", d) != fmt.Sprintf("%+v", r.current)
+	r.current = d
+	r.logger.Info("settings read again", "why", why, "changed", changed, "in_force", "from the next start")
+}
--- a/cmd/savoryloft/main.go
+++ b/cmd/savoryloft/main.go
@@ -3,6 +3,7 @@
 // # Usage
 //
 //	savoryloft serve --settings entry.json
+//	savoryloft edge
 //	savoryloft settings check --settings entry.json [--print]
 //	savoryloft version
 package main
@@ -25,7 +26,7 @@
 		SilenceErrors: true,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(serveCommand(), settingsCommand(), versionCommand())
+	root.AddCommand(serveCommand(), edgeCommand(), settingsCommand(), versionCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "savoryloft:", err)
 		os.Exit(1)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -22,6 +22,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -43,6 +44,7 @@
 const (
 	defaultMaxIdle   = 64
 	defaultIdleLimit = 10 * time.Second
+	keepAliveMargin  = 700 * time.Millisecond // Time on the way of a request that crosses the other side's close.
 	readBufferBytes  = 16 << 10
 	writeBufferBytes = 16 << 10
 )
@@ -77,10 +79,14 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	silence  time.Duration
-	written  int64
+	written  atomic.Int64
 	sentMark int64
 	complete bool
 	idleAt   time.Time
+	keepFor  time.Duration // Longest idle time that the other side allows; 0 when unknown.
+	reused   bool
+	tainted  bool
+	writing  chan error // Result of a body that is written in the background.
 	stop     func() bool
 }
 
@@ -112,7 +118,8 @@
 	for len(l.conns) > 0 {
 		c := l.conns[len(l.conns)-1]
 		l.conns = l.conns[:len(l.conns)-1]
-		if time.Since(c.idleAt) < p.idleLimit() {
+		if time.Since(c.idleAt) < c.idleLimit() && quiet(c.Conn) {
+			c.reused = true
 			return c
 		}
 		_ = c.Close()
@@ -154,6 +161,15 @@
 	return defaultMaxIdle
 }
 
+// idleLimit returns the age at which an idle connection is not used again.
+func (c *Conn) idleLimit() time.Duration {
+	limit := c.pool.idleLimit()
+	if c.keepFor > 0 {
+		limit = min(limit, c.keepFor-keepAliveMargin)
+	}
+	return limit
+}
+
 func (p *Pool) idleLimit() time.Duration {
 	if p.IdleLimit > 0 {
 		return p.IdleLimit
@@ -166,7 +182,7 @@
 // silent for longer than silence, or when ctx ends.
 func (c *Conn) Exchange(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, silence time.Duration) error {
 	c.silence = silence
-	c.sentMark = c.written
+	c.sentMark = c.written.Load()
 	c.complete = false
 	c.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetWriteDeadline(time.Now().Add(silence))
@@ -184,7 +200,7 @@
 }
 
 // Sent tells whether a byte of the last request left this process.
-func (c *Conn) Sent() bool { return c.written > c.sentMark }
+func (c *Conn) Sent() bool { return c.written.Load() > c.sentMark }
 
 // ReadBody reads the whole body of an answer, up to limit bytes.
 func (c *Conn) ReadBody(ctx context.Context, resp *fasthttp.Response, limit int) ([]byte, error) {
@@ -204,6 +220,9 @@
 	return body, nil
 }
 
+// Reused tells whether the connection has carried a request before.
+func (c *Conn) Reused() bool { return c.reused }
+
 // Complete marks the answer as read to its end, so that Release keeps the
 // connection.
 func (c *Conn) Complete() { c.complete = true }
@@ -212,7 +231,7 @@
 // its end and closes it otherwise.
 func (c *Conn) Release() {
 	cancelled := c.stop != nil && !c.stop()
-	if !c.complete || cancelled || c.reader.Buffered() > 0 {
+	if !c.complete || c.tainted || cancelled || c.reader.Buffered() > 0 || !c.bodySent() {
 		_ = c.Close()
 		return
 	}
@@ -241,6 +260,6 @@
 
 func (w countingWriter) Write(b []byte) (int, error) {
 	n, err := w.c.Conn.Write(b)
-	w.c.written += int64(n)
+	w.c.written.Add(int64(n))
 	return n, err
 }
--- a/gossiper/bench_test.go
+++ b/gossiper/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/framer"
 )
 
 // BenchmarkDigest encodes and decodes one digest, with demand on some pools.
@@ -20,11 +21,11 @@
 			size := 0
 			b.ReportAllocs()
 			for b.Loop() {
-				data, err := encodeFrame(savoryloft.Frame{Digest: &d})
+				data, err := framer.Encode(&savoryloft.Frame{Digest: &d})
 				if err != nil {
 					b.Fatal(err)
 				}
-				if _, err := decodeFrame(data[headerBytes:]); err != nil {
+				if _, err := decodeFrame(data[framer.HeaderBytes:]); err != nil {
 					b.Fatal(err)
 				}
 				size = len(data)
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -14,6 +14,7 @@
 	"savoryloft.example/savoryloft/admitter"
 	"savoryloft.example/savoryloft/emulator"
 	"savoryloft.example/savoryloft/follower"
+	"savoryloft.example/savoryloft/framer"
 )
 
 func node(network *emulator.Network, name, address string) *Gossiper {
@@ -44,7 +45,7 @@
 }
 
 func TestNonsenseIsDropped(t *testing.T) {
-	hello, err := encodeFrame(savoryloft.Frame{Hello: &savoryloft.Hello{Version: 99, Instance: "x"}})
+	hello, err := framer.Encode(&savoryloft.Frame{Hello: &savoryloft.Hello{Version: 99, Instance: "x"}})
 	require.NoError(t, err)
 	long := binary.BigEndian.AppendUint32(nil, 1<<31)
 	tests := []struct {
@@ -166,9 +167,9 @@
 		{Fetch: &savoryloft.Fetch{From: 3}},
 		{Tail: &savoryloft.Tail{State: "{}"}},
 	} {
-		data, err := encodeFrame(frame)
+		data, err := framer.Encode(&frame)
 		require.NoError(f, err)
-		f.Add(data[headerBytes:])
+		f.Add(data[framer.HeaderBytes:])
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		frame, err := decodeFrame(data)
--- a/gossiper/link.go
+++ b/gossiper/link.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/framer"
 )
 
 // keepLink dials an address again and again until ctx ends.
@@ -42,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	f := newFramer(nc, g)
+	f := newFrames(nc, g)
 	defer f.Close()
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
 	defer stop()
@@ -67,7 +68,7 @@
 
 // exchange sends a digest at each interval and fetches records when the peer
 // is ahead.
-func (g *Gossiper) exchange(ctx context.Context, f *framer, l *link, h savoryloft.Hello) error {
+func (g *Gossiper) exchange(ctx context.Context, f *frames, l *link, h savoryloft.Hello) error {
 	t := time.NewTicker(g.Interval)
 	defer t.Stop()
 	for {
@@ -90,7 +91,7 @@
 }
 
 // catchUp fetches control records while the peer's digests tell of more.
-func (g *Gossiper) catchUp(f *framer, peer string) error {
+func (g *Gossiper) catchUp(f *frames, peer string) error {
 	for {
 		g.mu.Lock()
 		m, ok := g.members[peer]
@@ -147,7 +148,7 @@
 	if err != nil {
 		return err
 	}
-	f := newFramer(nc, g)
+	f := newFrames(nc, g)
 	defer f.Close()
 	if err := f.write(savoryloft.Frame{Hello: g.hello()}); err != nil {
 		return err
@@ -180,27 +181,27 @@
 }
 
 func (g *Gossiper) answerLink(ctx context.Context, nc net.Conn) {
-	f := newFramer(nc, g)
+	f := newFrames(nc, g)
 	defer f.Close()
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
 	defer stop()
 	if err := g.answerFrames(f); err != nil && ctx.Err() == nil {
 		level := 1
-		if errors.Is(err, errNonsense) {
+		if errors.Is(err, framer.ErrInvalid) {
 			level = 0
 		}
 		g.Logger.V(level).Info("peer dropped", "step", savoryloft.StepPeer, "peer", nc.RemoteAddr().String(), "error", err.Error())
 	}
 }
 
-func (g *Gossiper) answerFrames(f *framer) error {
+func (g *Gossiper) answerFrames(f *frames) error {
 	first, err := f.read()
 	if err != nil {
 		return err
 	}
 	h, err := checkHello(first)
 	if err != nil {
-		return errors.Join(errNonsense, err)
+		return errors.Join(framer.ErrInvalid, err)
 	}
 	if err := f.write(savoryloft.Frame{Hello: g.hello()}); err != nil {
 		return err
@@ -219,7 +220,7 @@
 		case frame.Handover != nil:
 			g.Adopt(frame.Handover.Deltas)
 		default:
-			return errNonsense
+			return framer.ErrInvalid
 		}
 		if err := f.write(savoryloft.Frame{Tail: &tail}); err != nil {
 			return err
--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,274 @@
+// Package launcher wires the parts of an instance on the prepared platform
+// into one process and runs its planned stop.
+//
+// # Usage
+//
+//	l := &launcher.Launcher{Deployment: d, Wire: platform.Wire{}, Decoder: platform.Decoder{},
+//		Log: store, Target: duties, Pool: pool, Logger: log, Tracer: tracer}
+//	err := l.Run(ctx) // Returns after a planned stop once ctx has ended.
+package launcher
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/biller"
+	"savoryloft.example/savoryloft/claimer"
+	"savoryloft.example/savoryloft/counter"
+	"savoryloft.example/savoryloft/exchanger"
+	"savoryloft.example/savoryloft/limiter"
+	"savoryloft.example/savoryloft/linker"
+	"savoryloft.example/savoryloft/placer"
+	"savoryloft.example/savoryloft/provisioner"
+	"savoryloft.example/savoryloft/relayer"
+	"savoryloft.example/savoryloft/watcher"
+)
+
+const (
+	readBufferBytes = 32 << 10 // Also the largest head of a caller's request.
+	defaultBody     = 4 << 20  // Largest body before a configuration tells.
+	headTimeout     = 5 * time.Second
+	idleTimeout     = 60 * time.Second        // Beyond what configurations allow callers.
+	refreshInterval = 250 * time.Millisecond  // Of peers' loads in the placer; a status's interval.
+	readyPart       = 0.5                     // Part of the bound on withdrawn keys up to which an instance counts as ready.
+	stopNotice      = 2500 * time.Millisecond // The balancer asks each second and takes two misses.
+	stopReserve     = 700 * time.Millisecond  // Left of the grace time for the end of the process.
+	lastWork        = 400 * time.Millisecond  // For the release of the lease.
+	registerPause   = time.Second             // Between attempts to enter the list of members.
+	membersEvery    = 10 * time.Second        // Between reads of the list of members by readers.
+)
+
+// Launcher is one instance. Set the exported fields before Run.
+type Launcher struct {
+	Deployment savoryloft.Deployment
+	Wire       savoryloft.WireFormat
+	Decoder    savoryloft.RecordDecoder
+	Log        savoryloft.RecordLog
+	Target     savoryloft.DutyTarget
+	Pool       *exchanger.Pool
+	Logger     logr.Logger
+	Tracer     trace.Tracer
+	// Readiness and Metrics are the paths of these pages.
+	Readiness string
+	Metrics   string
+
+	incarnation int
+	stopping    atomic.Bool
+	registry    metrics.Registry
+	watcher     *watcher.Watcher
+	linker      *linker.Linker
+	claimer     *claimer.Claimer
+	counter     *counter.Counter
+	placer      *placer.Placer
+	relayer     *relayer.Relayer
+	listener    *relayer.Listener
+}
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (l *Launcher) Run(ctx context.Context) error {
+	l.build()
+	callers, readiness, links, pages, err := l.listen()
+	if err != nil {
+		return err
+	}
+	l.listener = &relayer.Listener{Listener: callers}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, groupCtx := errgroup.WithContext(background)
+	serve := func(name string, s *fasthttp.Server, ln net.Listener) {
+		group.Go(func() error { return errors.Annotate(s.Serve(ln), name) })
+	}
+	serve("serve callers", l.callerServer(), l.listener)
+	serve("serve readiness", pageServer(l.handleReadiness), readiness)
+	if pages != nil {
+		serve("serve metrics", pageServer(l.handleMetrics), pages)
+	}
+	group.Go(func() error { return errors.Annotate(l.linker.Serve(groupCtx, links), "serve links") })
+	for _, run := range l.duties() {
+		group.Go(func() error { return run(groupCtx) })
+	}
+	l.Logger.Info("started", "incarnation", l.incarnation, "callers", callers.Addr().String(), "links", links.Addr().String())
+	select {
+	case <-ctx.Done():
+		l.stop()
+	case <-groupCtx.Done():
+	}
+	cancel()
+	_ = callers.Close()
+	_ = readiness.Close()
+	if pages != nil {
+		_ = pages.Close()
+	}
+	err = group.Wait()
+	l.Logger.Info("stopped", "planned", ctx.Err() != nil)
+	return err
+}
+
+// duties returns what runs in the background.
+func (l *Launcher) duties() []func(context.Context) error {
+	d := l.Deployment
+	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.register, l.refresh}
+	if d.Duties.UsageReports || d.Duties.Orders {
+		list = append(list, l.claimer.Run)
+	}
+	if d.Duties.UsageReports {
+		b := &biller.Biller{
+			Duties: l.claimer, Target: l.Target, Counts: l.counter.Totals, Now: l.trueTime,
+			Window: d.Bounds.UsageWindow, Logger: l.Logger,
+		}
+		list = append(list, b.Run)
+	}
+	if d.Duties.Orders {
+		p := &provisioner.Provisioner{
+			Holder: l.claimer, Target: l.Target, Services: l.services, Upstreams: l.watcher.Upstreams, Logger: l.Logger,
+		}
+		list = append(list, p.Run)
+	}
+	return list
+}
+
+// build creates the parts from the settings.
+func (l *Launcher) build() {
+	d := l.Deployment
+	l.incarnation = int(time.Now().UnixMilli())
+	l.registry = metrics.NewRegistry()
+	l.counter = &counter.Counter{Source: fmt.Sprintf("%s/%d", d.Instance, l.incarnation), Window: d.Bounds.UsageWindow}
+	l.placer = &placer.Placer{FailureDomain: d.FailureDomain}
+	l.linker = &linker.Linker{
+		Instance: d.Instance, Incarnation: l.incarnation, FailureDomain: d.FailureDomain, Address: d.Listen.Links,
+		Seeds: d.Seeds, Dial: l.Pool.Dial, Logger: l.Logger, Source: source{l},
+	}
+	l.watcher = &watcher.Watcher{
+		Log: l.Log, Decoder: l.Decoder, Logger: l.Logger, Reader: l.linker.IsReader, Changed: l.passOn,
+	}
+	l.claimer = &claimer.Claimer{
+		Log: l.Log, Instance: d.Instance, Incarnation: l.incarnation, TTL: d.Bounds.Lease,
+		Position: l.linker.Position, OtherLeads: l.otherLeads, Logger: l.Logger,
+	}
+	l.relayer = &relayer.Relayer{
+		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
+		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, Instances: l.instances,
+		Count: l.countRequest,
+		Limiter: &limiter.Limiter{
+			Ratio: d.Bounds.RetryRatio, Slack: d.Bounds.RetrySlack, Window: d.Bounds.RetryWindow, Instances: l.instances,
+		},
+	}
+}
+
+// passOn sends records to the peers. In a mesh only the instance that read
+// them does.
+func (l *Launcher) passOn(records []savoryloft.ControlRecord, own bool) {
+	if own || !l.linker.InMesh() {
+		l.linker.Send(records)
+	}
+}
+
+func (l *Launcher) otherLeads() bool {
+	for _, m := range l.linker.Members() {
+		if m.Leading {
+			return true
+		}
+	}
+	return false
+}
+
+// instances returns the number of instances that this one knows of, itself
+// included.
+func (l *Launcher) instances() int { return len(l.linker.Members()) + 1 }
+
+func (l *Launcher) countRequest(account string) {
+	t, _ := l.trueTime()
+	l.counter.Add(t, account)
+}
+
+// trueTime returns the time of day of the median instance. ok is false while
+// this instance has no peer to compare with shortly after its start.
+func (l *Launcher) trueTime() (t time.Time, ok bool) {
+	return time.Now().Add(l.linker.ClockOffset()), true
+}
+
+func (l *Launcher) services() []savoryloft.UpstreamService {
+	t := l.watcher.Table()
+	if t == nil {
+		return nil
+	}
+	var list []savoryloft.UpstreamService
+	for _, name := range t.Services() {
+		list = append(list, *t.Traits(name))
+	}
+	return list
+}
+
+// refresh feeds the placer with the peers' loads.
+func (l *Launcher) refresh(ctx context.Context) error {
+	for ctx.Err() == nil {
+		savoryloft.Sleep(ctx, refreshInterval)
+		l.placer.SetPeers(l.linker.PeerLoads())
+		l.placer.Forget(time.Now())
+	}
+	return nil
+}
+
+// register enters this instance into the list of members and reads the list.
+func (l *Launcher) register(ctx context.Context) error {
+	d := l.Deployment
+	me := savoryloft.LinkGreeting{
+		Instance: d.Instance, Incarnation: l.incarnation, FailureDomain: d.FailureDomain, Address: d.Listen.Links,
+	}
+	value, err := json.Marshal(me)
+	if err != nil {
+		return errors.Annotate(err, "encode member")
+	}
+	for registered := false; ctx.Err() == nil; {
+		if !registered {
+			err := l.Log.Put(ctx, savoryloft.TopicMembers, d.Instance, value)
+			registered = err == nil
+			if err != nil {
+				l.Logger.V(1).Info("not in the list of members yet", "step", savoryloft.StepPeer, "error", err.Error())
+			}
+		}
+		if err := l.readMembers(ctx); err != nil {
+			l.Logger.V(1).Info("list of members not read", "step", savoryloft.StepPeer, "error", err.Error())
+		} else if registered {
+			savoryloft.Sleep(ctx, membersEvery)
+			for !l.linker.IsReader() && ctx.Err() == nil {
+				savoryloft.Sleep(ctx, membersEvery)
+			}
+			continue
+		}
+		savoryloft.Sleep(ctx, registerPause)
+	}
+	return nil
+}
+
+// readMembers reads the list of members. Entries of instances that are gone
+// are kept in it, so only those that answer become peers.
+func (l *Launcher) readMembers(ctx context.Context) error {
+	page, err := l.Log.Newest(ctx, savoryloft.TopicMembers)
+	if err != nil {
+		return err
+	}
+	var list []savoryloft.LinkGreeting
+	for _, r := range page.Records {
+		var g savoryloft.LinkGreeting
+		if err := json.Unmarshal(r.Value, &g); err != nil {
+			l.Logger.V(1).Info("record left out", "step", savoryloft.StepPeer, "key", r.Key, "error", err.Error())
+			continue
+		}
+		list = append(list, g)
+	}
+	l.linker.AddMembers(list)
+	return nil
+}
--- /dev/null
+++ b/launcher/source.go
@@ -0,0 +1,62 @@
+package launcher
+
+import (
+	"time"
+
+	"savoryloft.example/savoryloft"
+)
+
+// source connects the links with the parts of an instance.
+type source struct{ *Launcher }
+
+// FillStatus implements linker.Source.
+func (s source) FillStatus(st *savoryloft.LinkStatus) {
+	_, _, st.Leading = s.claimer.Held()
+	st.Wall = int(time.Now().UnixMilli())
+	st.Version = s.watcher.Version()
+	st.VersionAge = s.age(savoryloft.TopicConfiguration)
+	st.RegistryOffset = s.watcher.RegistryOffset()
+	st.RegistryAge = s.age(savoryloft.TopicRegistry)
+	st.Leaving = s.stopping.Load()
+}
+
+// age returns the age of a topic in whole milliseconds, rounded up; -1 when it
+// is not known.
+func (s source) age(t savoryloft.Topic) int {
+	age, ok := s.watcher.Age(t)
+	if !ok {
+		return -1
+	}
+	return int(age/time.Millisecond) + 1
+}
+
+// Loads implements linker.Source.
+func (s source) Loads() []savoryloft.LinkLoad { return s.placer.Loads() }
+
+// UsageSince implements linker.Source.
+func (s source) UsageSince(sent map[savoryloft.UsageCount]int, all bool) []savoryloft.UsageCount {
+	return s.counter.Since(sent, all)
+}
+
+// Records implements linker.Source.
+func (s source) Records() []savoryloft.ControlRecord { return s.watcher.Records() }
+
+// TakeRecords implements linker.Source.
+func (s source) TakeRecords(records []savoryloft.ControlRecord) { s.watcher.Take(records) }
+
+// TakeUsage implements linker.Source.
+func (s source) TakeUsage(counts []savoryloft.UsageCount) { s.counter.Merge(counts) }
+
+// TakeStatus implements linker.Source. What a peer knew when it answered, this
+// instance knows too, if it has all that the peer had.
+func (s source) TakeStatus(_ string, st *savoryloft.LinkStatus, asOf time.Duration) {
+	if asOf == 0 {
+		return
+	}
+	if st.VersionAge >= 0 && s.watcher.Version() >= st.Version {
+		s.watcher.Confirm(savoryloft.TopicConfiguration, asOf-time.Duration(st.VersionAge)*time.Millisecond)
+	}
+	if st.RegistryAge >= 0 && s.watcher.RegistryOffset() >= st.RegistryOffset {
+		s.watcher.Confirm(savoryloft.TopicRegistry, asOf-time.Duration(st.RegistryAge)*time.Millisecond)
+	}
+}
--- /dev/null
+++ b/linker/linker.go
@@ -0,0 +1,450 @@
+// Package linker keeps links between the instances of a deployment. Over them
+// instances exchange control records, the age of what they know, loads on
+// upstreams and usage counts.
+//
+// In a small deployment each instance links to each other one. In a larger one
+// two instances of each failure domain are hubs: hubs link to all hubs, and the
+// other instances to the hubs of their failure domain, so that links and bytes
+// at one instance do not grow with the deployment. Hubs are chosen by hash from
+// the live members and need no agreement: a link that only one side wants is
+// kept all the same.
+//
+// # Usage
+//
+//	l := &linker.Linker{Instance: "entry-1", Incarnation: boot, FailureDomain: "a",
+//		Address: "10.0.0.1:7100", Seeds: seeds, Dial: dial, Logger: log, Source: parts}
+//	go l.Serve(ctx, listener)
+//	go l.Run(ctx)
+//	if l.IsReader() {
+//		// This instance reads the platform's log for the others.
+//	}
+//
+// A status echoes the sequence of the last one that came from the peer. So an
+// age that a peer states is counted from when this instance sent that last
+// one, and neither delay on the way nor a suspended peer can make it seem
+// younger than it is.
+package linker
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"savoryloft.example/savoryloft"
+)
+
+const (
+	defaultInterval = 250 * time.Millisecond  // Between statuses on a link; bounds the age of relayed knowledge.
+	silenceLimit    = 1500 * time.Millisecond // Six statuses; a link without a frame for so long is dropped.
+	liveLimit       = 1200 * time.Millisecond // A member without a status for so long is not counted on.
+	forgetAfter     = 30 * time.Second        // A member that can not be reached for so long is forgotten.
+	maintainEvery   = 100 * time.Millisecond
+	leastRedial     = 200 * time.Millisecond
+	mostRedial      = 3 * time.Second
+	dialTimeout     = time.Second
+	meshLimit       = 16 // Most members that all link to each other.
+	hubsPerDomain   = 2
+	readers         = 2 // Instances that read the log for all.
+)
+
+// Source provides what statuses tell and takes what they told.
+type Source interface {
+	// FillStatus sets all fields of a status but Sequence, Echo, Child, Loads and Usage.
+	FillStatus(s *savoryloft.LinkStatus)
+	// Loads returns this instance's own loads.
+	Loads() []savoryloft.LinkLoad
+	// UsageSince returns the counts that exceed those in sent, and adds them to it.
+	// Unless all is set, only this instance's own counts are wanted.
+	UsageSince(sent map[savoryloft.UsageCount]int, all bool) []savoryloft.UsageCount
+	// Records returns all control records.
+	Records() []savoryloft.ControlRecord
+	// TakeRecords, TakeUsage and TakeStatus take in what a peer sent. asOf is the
+	// uptime at which this instance sent what the peer's status answers; it is 0
+	// when the status answers nothing yet.
+	TakeRecords(records []savoryloft.ControlRecord)
+	TakeUsage(counts []savoryloft.UsageCount)
+	TakeStatus(peer string, s *savoryloft.LinkStatus, asOf time.Duration)
+}
+
+// Linker links this instance to the others. Set the exported fields before
+// Serve and Run.
+type Linker struct {
+	Instance      string
+	Incarnation   int
+	FailureDomain string
+	Address       string
+	Seeds         []string
+	Interval      time.Duration // Between statuses; 250 ms when zero.
+	Dial          func(ctx context.Context, address string) (net.Conn, error)
+	Logger        logr.Logger
+	Source        Source
+
+	sent     atomic.Int64
+	received atomic.Int64
+
+	mu      sync.Mutex
+	members map[string]*member
+	seeds   map[string]*dialling // By address.
+	links   map[string]*link     // By instance.
+	group   sync.WaitGroup
+	once    sync.Once
+}
+
+// member is another instance that this one has heard of.
+type member struct {
+	greeting savoryloft.LinkGreeting
+	heard    time.Duration // Uptime of the last status; 0 before the first.
+	known    time.Duration // Uptime at which it was heard of.
+	leaving  bool
+	leading  bool
+	dialling
+}
+
+// dialling is the state of attempts to reach an address.
+type dialling struct {
+	busy    bool
+	next    time.Duration // Uptime of the next attempt.
+	backoff time.Duration
+}
+
+// Member describes another instance.
+type Member struct {
+	savoryloft.LinkGreeting
+	Live    bool
+	Leaving bool
+	Leading bool
+}
+
+func (l *Linker) init() {
+	l.once.Do(func() {
+		l.members = map[string]*member{}
+		l.links = map[string]*link{}
+		l.seeds = map[string]*dialling{}
+		for _, s := range l.Seeds {
+			if s != l.Address {
+				l.seeds[s] = &dialling{}
+			}
+		}
+		if l.Interval == 0 {
+			l.Interval = defaultInterval
+		}
+	})
+}
+
+// greeting returns what this instance says of itself.
+func (l *Linker) greeting() savoryloft.LinkGreeting {
+	return savoryloft.LinkGreeting{
+		Instance: l.Instance, Incarnation: l.Incarnation, FailureDomain: l.FailureDomain, Address: l.Address,
+	}
+}
+
+// Bytes returns the bytes sent and received on links so far.
+func (l *Linker) Bytes() (sent, received int64) { return l.sent.Load(), l.received.Load() }
+
+// Serve accepts links until ctx ends.
+func (l *Linker) Serve(ctx context.Context, listener net.Listener) error {
+	l.init()
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		l.group.Go(func() { l.keep(ctx, conn, false) })
+	}
+}
+
+// Run dials the members that this instance wants links to, until ctx ends.
+func (l *Linker) Run(ctx context.Context) error {
+	l.init()
+	t := time.NewTicker(maintainEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.group.Wait()
+			return nil
+		case <-t.C:
+			l.maintain(ctx)
+		}
+	}
+}
+
+// maintain dials what is due and forgets members that are gone for long.
+func (l *Linker) maintain(ctx context.Context) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := savoryloft.Uptime()
+	if len(l.links) == 0 || len(l.members) == 0 {
+		for address, d := range l.seeds {
+			l.dialIfDue(ctx, address, d, now)
+		}
+	}
+	for name, m := range l.members {
+		if now-max(m.heard, m.known) > forgetAfter {
+			delete(l.members, name)
+			continue
+		}
+		if l.links[name] == nil && l.wants(name, now) {
+			l.dialIfDue(ctx, m.greeting.Address, &m.dialling, now)
+		}
+	}
+}
+
+// wants tells whether this instance should dial a member. When both want the
+// link, the one with the smaller name dials.
+func (l *Linker) wants(name string, now time.Duration) bool {
+	m := l.members[name]
+	mine := l.linksTo(l.FailureDomain, l.isHub(l.Instance, l.FailureDomain, now), m, now)
+	theirs := l.linksTo(m.greeting.FailureDomain, l.isHub(name, m.greeting.FailureDomain, now),
+		&member{greeting: l.greeting()}, now)
+	return mine && (!theirs || l.Instance < name || now-m.known > silenceLimit)
+}
+
+// linksTo tells whether an instance of a failure domain wants a link to m.
+func (l *Linker) linksTo(domain string, hub bool, m *member, now time.Duration) bool {
+	if len(l.members) < meshLimit {
+		return true
+	}
+	if !l.isHub(m.greeting.Instance, m.greeting.FailureDomain, now) {
+		return false
+	}
+	return hub || m.greeting.FailureDomain == domain
+}
+
+func (l *Linker) dialIfDue(ctx context.Context, address string, d *dialling, now time.Duration) {
+	if d.busy || now < d.next {
+		return
+	}
+	d.busy = true
+	l.group.Go(func() {
+		dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+		conn, err := l.Dial(dialCtx, address)
+		cancel()
+		if err == nil {
+			l.finishDial(d, true)
+			l.keep(ctx, conn, true)
+			return
+		}
+		l.finishDial(d, false)
+	})
+}
+
+func (l *Linker) finishDial(d *dialling, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d.busy = false
+	d.backoff = min(max(2*d.backoff, leastRedial), mostRedial)
+	if ok {
+		d.backoff = leastRedial
+	}
+	d.next = savoryloft.Uptime() + d.backoff
+}
+
+// AddMembers takes in instances that were heard of elsewhere.
+func (l *Linker) AddMembers(greetings []savoryloft.LinkGreeting) {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addMembers(greetings, nil)
+}
+
+// addMembers passes on what is new. The caller holds the lock.
+func (l *Linker) addMembers(greetings []savoryloft.LinkGreeting, from *link) {
+	var fresh []savoryloft.LinkGreeting
+	for _, g := range greetings {
+		if g.Instance == l.Instance {
+			continue
+		}
+		m := l.members[g.Instance]
+		if m != nil && m.greeting.Incarnation >= g.Incarnation {
+			continue
+		}
+		l.members[g.Instance] = &member{greeting: g, known: savoryloft.Uptime()}
+		fresh = append(fresh, g)
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	for _, k := range l.links {
+		if k != from {
+			k.send(savoryloft.LinkFrame{Members: fresh})
+		}
+	}
+}
+
+// live tells whether a member has been heard from lately.
+func (m *member) live(now time.Duration) bool { return m.heard > 0 && now-m.heard < liveLimit }
+
+// present tells whether a member counts for the choice of hubs. One that was
+// just heard of counts before its first status.
+func (m *member) present(now time.Duration) bool {
+	return !m.leaving && now-max(m.heard, m.known) < 2*liveLimit
+}
+
+// isHub tells whether an instance is one of the hubs of its failure domain.
+// The caller holds the lock.
+func (l *Linker) isHub(name, domain string, now time.Duration) bool {
+	if len(l.members) < meshLimit {
+		return true
+	}
+	ahead := 0
+	if name != l.Instance && domain == l.FailureDomain && before(l.Instance, name) {
+		ahead++
+	}
+	for n, m := range l.members {
+		if n != name && m.greeting.FailureDomain == domain && m.present(now) && before(n, name) {
+			ahead++
+		}
+	}
+	return ahead < hubsPerDomain
+}
+
+// IsHub tells whether this instance is a hub now.
+func (l *Linker) IsHub() bool {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isHub(l.Instance, l.FailureDomain, savoryloft.Uptime())
+}
+
+// IsReader tells whether this instance reads the log for all. Readers are the
+// first of the live hubs by hash.
+func (l *Linker) IsReader() bool { return l.position() < readers }
+
+// position returns how many live hubs precede this instance by hash.
+func (l *Linker) position() int {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := savoryloft.Uptime()
+	if !l.isHub(l.Instance, l.FailureDomain, now) {
+		return readers
+	}
+	ahead := 0
+	for n, m := range l.members {
+		if m.live(now) && !m.leaving && before(n, l.Instance) && l.isHub(n, m.greeting.FailureDomain, now) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// Position returns how many live hubs precede this instance by hash; 0 is
+// first.
+func (l *Linker) Position() int { return l.position() }
+
+// before orders instances by the hash of their names.
+func before(a, b string) bool {
+	ha, hb := hash(a), hash(b)
+	return ha < hb || ha == hb && a < b
+}
+
+func hash(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	// FNV's last bytes hardly reach the high bits; multiply once more.
+	return h.Sum32() * 0x9E3779B1
+}
+
+// Members returns the other instances, in order of their names.
+func (l *Linker) Members() []Member {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := savoryloft.Uptime()
+	list := make([]Member, 0, len(l.members))
+	for _, m := range l.members {
+		list = append(list, Member{LinkGreeting: m.greeting, Live: m.live(now), Leaving: m.leaving, Leading: m.leading && m.live(now)})
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	return list
+}
+
+// Send passes records on to all peers.
+func (l *Linker) Send(records []savoryloft.ControlRecord) {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.links {
+		k.send(savoryloft.LinkFrame{Records: records})
+	}
+}
+
+// InMesh tells whether all instances link to each other, so that only the one
+// that read a record has to pass it on.
+func (l *Linker) InMesh() bool {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.members) < meshLimit
+}
+
+// Flush sends a status on all links at once.
+func (l *Linker) Flush() {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.links {
+		k.wake()
+	}
+}
+
+// PeerLoads returns the loads of all other instances together, by upstream.
+func (l *Linker) PeerLoads() map[string]savoryloft.LinkLoad {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sumLoads(nil)
+}
+
+// sumLoads adds up what peers sent, but for one of them. The caller holds the lock.
+func (l *Linker) sumLoads(except *link) map[string]savoryloft.LinkLoad {
+	sum := map[string]savoryloft.LinkLoad{}
+	for _, k := range l.links {
+		if k == except {
+			continue
+		}
+		for _, load := range k.loads {
+			addLoad(sum, load)
+		}
+	}
+	return sum
+}
+
+func addLoad(sum map[string]savoryloft.LinkLoad, load savoryloft.LinkLoad) {
+	s := sum[load.Upstream]
+	s.Upstream = load.Upstream
+	s.Running += load.Running
+	s.Prefill += load.Prefill
+	s.Tokens += load.Tokens
+	sum[load.Upstream] = s
+}
+
+// ClockOffset returns by how much the time of day of the median instance is
+// ahead of this one's. Clocks may be stepped at a minority of the instances.
+func (l *Linker) ClockOffset() time.Duration {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := savoryloft.Uptime()
+	offsets := []time.Duration{0}
+	for name, k := range l.links {
+		if m := l.members[name]; m != nil && m.live(now) && k.hasOffset {
+			offsets = append(offsets, k.offset+k.wallShift())
+		}
+	}
+	slices.Sort(offsets)
+	return offsets[len(offsets)/2]
+}
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -82,7 +82,7 @@
 		ctx.SetBodyString("ok\n")
 	case path == "/metrics":
 		ctx.SetContentType("text/plain; version=0.0.4")
-		ctx.SetBodyString(Exposition(m.Metrics) + strings.Join(processLines(), "\n") + "\n")
+		ctx.SetBodyString(Exposition(m.Metrics) + strings.Join(ProcessLines(), "\n") + "\n")
 	case path == "/status":
 		writeJSON(ctx, m.Status())
 	case strings.HasPrefix(path, "/notes/"):
@@ -107,7 +107,20 @@
 	ctx.SetBody(append(data, '\n'))
 }
 
-// Exposition returns a registry's counters and gauges in the text form that
+// quantiles of histograms that are exposed.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// histogramLines returns a histogram as a summary.
+func histogramLines(metric, label string, h metrics.Histogram) []string {
+	snapshot := h.Snapshot()
+	lines := []string{fmt.Sprintf("%s_count{name=%q} %d", metric, label, snapshot.Count())}
+	for i, v := range snapshot.Percentiles(quantiles) {
+		lines = append(lines, fmt.Sprintf("%s{name=%q,quantile=%q} %.1f", metric, label, fmt.Sprint(quantiles[i]), v))
+	}
+	return lines
+}
+
+// Exposition returns a registry's counters, gauges and histograms in the text form that
 // Prometheus reads. What follows the first dot of a metric's name becomes its
 // label.
 func Exposition(r metrics.Registry) string {
@@ -123,6 +136,8 @@
 			lines = append(lines, fmt.Sprintf("%s %d", metric, x.Count()))
 		case metrics.Gauge:
 			lines = append(lines, fmt.Sprintf("%s %d", metric, x.Value()))
+		case metrics.Histogram:
+			lines = append(lines, histogramLines("savoryloft_"+base, label, x)...)
 		}
 	})
 	sort.Strings(lines)
--- a/monitor/process.go
+++ b/monitor/process.go
@@ -6,9 +6,9 @@
 	"syscall"
 )
 
-// processLines returns what this process has used: processor time, memory and
+// ProcessLines returns what this process has used: processor time, memory and
 // allocations.
-func processLines() []string {
+func ProcessLines() []string {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	var u syscall.Rusage
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,441 @@
+// Package placer chooses the upstream for a request. It keeps a model of each
+// engine: what runs there, what prompts are still to be read, which prompt
+// parts it holds, how fast it reads and how often it fails. A request goes
+// where it costs least: its own wait, the prompt tokens that have to be read
+// again and the delay of what runs beside it.
+//
+// The model is fed by this instance's own requests and by the loads that peers
+// tell. Prompt parts that no instance is known to have sent anywhere go to the
+// first upstream by rendezvous hash, so that instances agree without talk.
+//
+// # Usage
+//
+//	p := &placer.Placer{FailureDomain: "a"}
+//	p.SetPeers(links.PeerLoads(), members)
+//	choice, ok := p.Choose(now, request, upstreams)
+//	run := p.Start(now, choice, request)
+//	run.FirstToken(now)
+//	run.End(now, placer.Succeeded)
+package placer
+
+import (
+	"hash/fnv"
+	"math"
+	"sync"
+	"time"
+
+	"savoryloft.example/savoryloft"
+)
+
+const (
+	initialReadRate   = 60.0                   // Prompt tokens per ms of an engine before any was observed.
+	leastReadRate     = 5.0                    // Bounds what one odd sample can do.
+	partKept          = 60 * time.Second       // Age at which a part counts as evicted.
+	partMemoryShare   = 0.6                    // Part of an engine's memory that shared parts are taken to have.
+	hashedHolderTrust = 0.6                    // Probability that the first upstream by hash holds a part not seen there.
+	runningCost       = 3.0                    // ms of wait for each request that runs there.
+	delayShare        = 0.04                   // Cost of a ms of reading to each request that runs beside it.
+	rereadShare       = 0.5                    // Cost of reading a shared part again, beyond the own wait.
+	fullCost          = 4000.0                 // ms for a place that is not free.
+	remoteCost        = 1.5                    // ms for an upstream in another failure domain.
+	failureCost       = 400.0                  // ms for each recent failure.
+	failureDecay      = 3 * time.Second        // Time in which the memory of failures halves.
+	suspendAfter      = 2.5                    // Recent failures from which an upstream is set aside.
+	probeEvery        = time.Second            // Between requests to an upstream that is set aside.
+	slowAge           = 700 * time.Millisecond // Wait for a first token beyond the prediction that counts against an upstream.
+	warmCost          = 30.0                   // ms while an upstream says that it is still slow.
+)
+
+// Outcome tells how a request at an upstream ended.
+type Outcome int
+
+// Outcomes.
+const (
+	Succeeded Outcome = iota
+	Refused           // The upstream refused it without running it.
+	Failed            // The upstream failed or fell silent.
+	Cancelled         // The caller left, or its time was up.
+)
+
+// Request is what the choice of an upstream depends on.
+type Request struct {
+	Service      string
+	Parts        []savoryloft.PromptPart
+	PromptTokens int
+	OutputTokens int // Expected.
+	Sticky       bool
+	Engine       *savoryloft.EngineTraits // nil for a plain service.
+	// Connections is the most requests of this instance at one upstream.
+	Connections int
+	Exclude     map[string]bool // Upstreams that were tried.
+}
+
+// Choice is a chosen upstream with what decided it.
+type Choice struct {
+	Upstream savoryloft.RegisteredUpstream
+	Cost     float64 // ms.
+	Uncached int     // Prompt tokens that it is expected to read.
+	Running  int     // Requests that run there, of all instances.
+	Waiting  int     // Prompt tokens that wait to be read there, of all instances.
+}
+
+// Placer chooses upstreams. Set the exported fields before the first call.
+type Placer struct {
+	FailureDomain string
+
+	mu      sync.Mutex
+	engines map[string]*engine
+	peers   map[string]savoryloft.LinkLoad
+}
+
+// engine is the model of one upstream.
+type engine struct {
+	upstream savoryloft.RegisteredUpstream
+	running  int // Own requests.
+	prefill  int // Prompt tokens of own requests without a first token.
+	tokens   int // Memory of own requests.
+	parts    map[string]partUse
+	partSum  int
+	readRate float64 // Prompt tokens per ms.
+	failures float64
+	failedAt time.Time
+	probedAt time.Time
+	seenAt   time.Time
+	oldest   map[*Run]struct{} // Runs without a first token.
+}
+
+type partUse struct {
+	tokens int
+	at     time.Time
+}
+
+// Run is one request at an upstream.
+type Run struct {
+	placer   *Placer
+	engine   *engine
+	uncached int
+	tokens   int
+	started  time.Time
+	waited   int     // Prompt tokens that waited before it.
+	expected float64 // Predicted ms to the first token.
+	prefill  bool    // No first token yet.
+	ended    bool
+}
+
+func (p *Placer) engine(u savoryloft.RegisteredUpstream) *engine {
+	if p.engines == nil {
+		p.engines = map[string]*engine{}
+	}
+	e := p.engines[u.ID]
+	if e == nil || e.upstream.Born != u.Born {
+		e = &engine{parts: map[string]partUse{}, readRate: initialReadRate, oldest: map[*Run]struct{}{}}
+		p.engines[u.ID] = e
+	}
+	e.upstream = u
+	return e
+}
+
+// SetPeers takes in the loads of the other instances.
+func (p *Placer) SetPeers(loads map[string]savoryloft.LinkLoad) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers = loads
+}
+
+// Loads returns this instance's own loads.
+func (p *Placer) Loads() []savoryloft.LinkLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var loads []savoryloft.LinkLoad
+	for id, e := range p.engines {
+		if e.running > 0 {
+			loads = append(loads, savoryloft.LinkLoad{Upstream: id, Running: e.running, Prefill: e.prefill, Tokens: e.tokens})
+		}
+	}
+	return loads
+}
+
+// Forget drops the models of upstreams that are gone and idle.
+func (p *Placer) Forget(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, e := range p.engines {
+		if e.running == 0 && now.Sub(e.seenAt) > partKept {
+			delete(p.engines, id)
+		}
+		for part, use := range e.parts {
+			if now.Sub(use.at) > partKept {
+				delete(e.parts, part)
+				e.partSum -= use.tokens
+			}
+		}
+	}
+}
+
+// Choose returns the upstream where a request costs least. ok is false when
+// there is none.
+func (p *Placer) Choose(now time.Time, r Request, upstreams []savoryloft.RegisteredUpstream) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := hashedFirst(r, upstreams)
+	best := Choice{Cost: math.Inf(1)}
+	suspended := Choice{Cost: math.Inf(1)}
+	for _, u := range upstreams {
+		if u.Draining || r.Exclude[u.ID] {
+			continue
+		}
+		e := p.engine(u)
+		e.seenAt = now
+		if r.Connections > 0 && e.running >= r.Connections {
+			continue
+		}
+		c := p.cost(now, e, r, u.ID == first)
+		if e.suspended(now) && now.Sub(e.probedAt) < probeEvery {
+			if c.Cost < suspended.Cost {
+				suspended = c
+			}
+			continue
+		}
+		if c.Cost < best.Cost {
+			best = c
+		}
+	}
+	if math.IsInf(best.Cost, 1) {
+		best = suspended
+	}
+	return best, !math.IsInf(best.Cost, 1)
+}
+
+// cost returns what a request would cost at an engine.
+func (p *Placer) cost(now time.Time, e *engine, r Request, hashed bool) Choice {
+	peer := p.peers[e.upstream.ID]
+	c := Choice{Upstream: e.upstream, Running: e.running + peer.Running, Waiting: e.prefill + peer.Prefill}
+	c.Uncached = e.uncached(now, r, hashed)
+	read := float64(c.Uncached) / e.readRate
+	c.Cost = float64(c.Waiting)/e.readRate + read + float64(c.Running)*(runningCost+read*delayShare)
+	if r.Engine != nil {
+		// The last part is the request's own and is read anywhere.
+		shared := max(c.Uncached-r.ownTokens(), 0)
+		c.Cost += float64(shared) / e.readRate * rereadShare
+		if r.Engine.MemoryTokens > 0 && e.tokens+peer.Tokens+r.PromptTokens+r.OutputTokens > r.Engine.MemoryTokens {
+			c.Cost += fullCost
+		}
+	}
+	if slots := e.slots(r); slots > 0 && c.Running >= slots {
+		c.Cost += fullCost * float64(c.Running-slots+1) / float64(slots)
+	}
+	if e.upstream.FailureDomain != p.FailureDomain {
+		c.Cost += remoteCost
+	}
+	if e.upstream.WarmIn > 0 {
+		c.Cost += warmCost
+	}
+	c.Cost += e.recentFailures(now)*failureCost + e.overdue(now)
+	return c
+}
+
+func (e *engine) slots(r Request) int {
+	if e.upstream.Slots > 0 {
+		return e.upstream.Slots
+	}
+	if r.Engine != nil {
+		return r.Engine.Slots
+	}
+	return 0
+}
+
+// ownTokens returns the tokens that no other request shares.
+func (r Request) ownTokens() int {
+	shared := 0
+	for _, part := range r.shared() {
+		shared += part.Tokens
+	}
+	return max(r.PromptTokens-shared, 0)
+}
+
+// shared returns the parts that other requests may share: all but the last.
+func (r Request) shared() []savoryloft.PromptPart {
+	if len(r.Parts) == 0 {
+		return nil
+	}
+	return r.Parts[:len(r.Parts)-1]
+}
+
+// uncached returns the prompt tokens that an engine would read. A part counts
+// as held only if all before it are.
+func (e *engine) uncached(now time.Time, r Request, hashed bool) int {
+	tokens := r.PromptTokens
+	for _, part := range r.Parts {
+		use, ok := e.parts[part.ID]
+		if !ok || now.Sub(use.at) > partKept {
+			break
+		}
+		tokens -= part.Tokens
+	}
+	if hashed {
+		held := r.PromptTokens - tokens
+		missing := max(r.PromptTokens-r.ownTokens()-held, 0)
+		tokens -= int(float64(missing) * hashedHolderTrust)
+	}
+	return max(tokens, 0)
+}
+
+// recentFailures returns the failures of an engine, of which half are
+// forgotten in each failureDecay.
+func (e *engine) recentFailures(now time.Time) float64 {
+	if e.failures == 0 {
+		return 0
+	}
+	return e.failures * math.Exp2(-float64(now.Sub(e.failedAt))/float64(failureDecay))
+}
+
+func (e *engine) suspended(now time.Time) bool { return e.recentFailures(now) >= suspendAfter }
+
+// overdue returns the ms by which the run that waits longest for its first
+// token is beyond its prediction. An engine that hangs shows so.
+func (e *engine) overdue(now time.Time) float64 {
+	worst := 0.0
+	for r := range e.oldest {
+		late := float64(now.Sub(r.started)-slowAge)/float64(time.Millisecond) - r.expected
+		worst = max(worst, late)
+	}
+	return worst
+}
+
+// hashedFirst returns the upstream that rendezvous hashing puts first for the
+// last shared part of a request.
+func hashedFirst(r Request, upstreams []savoryloft.RegisteredUpstream) string {
+	shared := r.shared()
+	if len(shared) == 0 {
+		return ""
+	}
+	key := shared[len(shared)-1].ID
+	var best uint64
+	var id string
+	for _, u := range upstreams {
+		if u.Draining {
+			continue
+		}
+		if h := rendezvous(key, u.ID); id == "" || h > best {
+			best, id = h, u.ID
+		}
+	}
+	return id
+}
+
+func rendezvous(key, id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(id))
+	x := h.Sum64()
+	// FNV alone mixes the last bytes badly.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// Start notes that a request is sent to the chosen upstream.
+func (p *Placer) Start(now time.Time, c Choice, r Request) *Run {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engine(c.Upstream)
+	run := &Run{
+		placer: p, engine: e, uncached: c.Uncached, tokens: r.PromptTokens + r.OutputTokens, started: now,
+		waited: c.Waiting, expected: float64(c.Waiting+c.Uncached) / e.readRate, prefill: true,
+	}
+	e.running++
+	e.prefill += run.uncached
+	e.tokens += run.tokens
+	e.oldest[run] = struct{}{}
+	if e.suspended(now) {
+		e.probedAt = now
+	}
+	for _, part := range r.Parts {
+		e.hold(now, part, r.Engine)
+	}
+	return run
+}
+
+// hold notes that an engine has or will have read a part. The parts used
+// longest ago yield when the memory taken for parts is full.
+func (e *engine) hold(now time.Time, part savoryloft.PromptPart, traits *savoryloft.EngineTraits) {
+	if old, ok := e.parts[part.ID]; ok {
+		e.partSum -= old.tokens
+	}
+	e.parts[part.ID] = partUse{tokens: part.Tokens, at: now}
+	e.partSum += part.Tokens
+	if traits == nil || traits.MemoryTokens == 0 {
+		return
+	}
+	for limit := int(float64(traits.MemoryTokens) * partMemoryShare); e.partSum > limit && len(e.parts) > 1; {
+		oldest, at := "", now
+		for id, use := range e.parts {
+			if oldest == "" || use.at.Before(at) {
+				oldest, at = id, use.at
+			}
+		}
+		e.partSum -= e.parts[oldest].tokens
+		delete(e.parts, oldest)
+	}
+}
+
+// FirstToken notes that a run has produced its first token.
+func (r *Run) FirstToken(now time.Time) {
+	r.placer.mu.Lock()
+	defer r.placer.mu.Unlock()
+	if !r.prefill {
+		return
+	}
+	r.endPrefill()
+	ms := float64(now.Sub(r.started)) / float64(time.Millisecond)
+	if tokens := float64(r.uncached + r.waited); tokens > minSampleTokens && ms > 0 {
+		sample := max(tokens/ms, leastReadRate)
+		r.engine.readRate += (min(sample, 2*initialReadRate) - r.engine.readRate) * sampleWeight
+	}
+}
+
+const (
+	minSampleTokens = 1500 // Shorter prompts tell of the engine's step time, not of its reading.
+	sampleWeight    = 0.1
+)
+
+func (r *Run) endPrefill() {
+	r.prefill = false
+	r.engine.prefill -= r.uncached
+	delete(r.engine.oldest, r)
+}
+
+// End notes that a run has ended.
+func (r *Run) End(now time.Time, o Outcome) {
+	r.placer.mu.Lock()
+	defer r.placer.mu.Unlock()
+	if r.ended {
+		return
+	}
+	r.ended = true
+	if r.prefill {
+		r.endPrefill()
+	}
+	e := r.engine
+	e.running--
+	e.tokens -= r.tokens
+	switch o {
+	case Failed:
+		e.failures = e.recentFailures(now) + 1
+		e.failedAt = now
+	case Refused:
+		e.failures = e.recentFailures(now) + refusalWeight
+		e.failedAt = now
+	case Succeeded:
+		e.failures = e.recentFailures(now) * successForgives
+		e.failedAt = now
+	case Cancelled:
+	}
+}
+
+const (
+	refusalWeight   = 0.3 // A refusal as a part of a failure: the engine works but is full.
+	successForgives = 0.9 // Part of the memory of failures that is left after a success.
+)
