Tell peers at once of long prompts and of parts that engines hold

Change: an update frame with loads and new parts follows each prompt of 1,500 tokens or more; the model lets a backlog drain at the engine's reading rate.

--- a/check.go
+++ b/check.go
@@ -65,6 +65,11 @@
 			return errors.Errorf("record of %q has a negative offset", r.Key)
 		}
 	}
+	if f.Update != nil {
+		if err := f.Update.Check(); err != nil {
+			return err
+		}
+	}
 	if f.Status != nil {
 		return f.Status.Check()
 	}
@@ -81,7 +86,21 @@
 			return errors.Errorf("usage of account %q is negative", u.Account)
 		}
 	}
-	for _, l := range s.Loads {
+	return checkLoads(s.Loads)
+}
+
+// Check returns an error when an update breaks its schema.
+func (u LoadUpdate) Check() error {
+	for _, p := range u.Parts {
+		if p.Upstream == "" || p.Part == "" || p.Tokens < 0 {
+			return errors.Errorf("part %q of upstream %q is malformed", p.Part, p.Upstream)
+		}
+	}
+	return checkLoads(u.Loads)
+}
+
+func checkLoads(loads []LinkLoad) error {
+	for _, l := range loads {
 		if l.Upstream == "" || l.Running < 0 || l.Prefill < 0 || l.Tokens < 0 {
 			return errors.Errorf("load of upstream %q is negative", l.Upstream)
 		}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -41,7 +41,8 @@
 	defaultBody     = 4 << 20  // Largest body before a configuration tells.
 	headTimeout     = 5 * time.Second
 	idleTimeout     = 60 * time.Second        // Beyond what configurations allow callers.
-	refreshInterval = 250 * time.Millisecond  // Of peers' loads in the placer; a status's interval.
+	refreshInterval = time.Second             // Between clean-ups of the placer.
+	tellTokens      = 1500                    // Prompt tokens whose start or end peers are told of at once.
 	readyPart       = 0.5                     // Part of the bound on withdrawn keys up to which an instance counts as ready.
 	stopNotice      = 2500 * time.Millisecond // The balancer asks each second and takes two misses.
 	stopReserve     = 700 * time.Millisecond  // Left of the grace time for the end of the process.
@@ -160,7 +161,7 @@
 	l.relayer = &relayer.Relayer{
 		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
 		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, Instances: l.instances,
-		Count: l.countRequest,
+		Count: l.countRequest, Placed: l.tellPlaced,
 		Limiter: &limiter.Limiter{
 			Ratio: d.Bounds.RetryRatio, Slack: d.Bounds.RetrySlack, Window: d.Bounds.RetryWindow, Instances: l.instances,
 		},
@@ -175,6 +176,14 @@
 	}
 }
 
+// tellPlaced tells the peers at once of a prompt that keeps an engine busy, and
+// of parts that it got.
+func (l *Launcher) tellPlaced(uncached int) {
+	if parts := l.placer.FreshParts(); len(parts) > 0 || uncached >= tellTokens {
+		l.linker.Update(parts)
+	}
+}
+
 func (l *Launcher) otherLeads() bool {
 	for _, m := range l.linker.Members() {
 		if m.Leading {
@@ -211,11 +220,10 @@
 	return list
 }
 
-// refresh feeds the placer with the peers' loads.
+// refresh drops what the placer no longer needs.
 func (l *Launcher) refresh(ctx context.Context) error {
 	for ctx.Err() == nil {
 		savoryloft.Sleep(ctx, refreshInterval)
-		l.placer.SetPeers(l.linker.PeerLoads())
 		l.placer.Forget(time.Now())
 	}
 	return nil
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -31,7 +31,7 @@
 }
 
 // Loads implements linker.Source.
-func (s source) Loads() []savoryloft.LinkLoad { return s.placer.Loads() }
+func (s source) Loads() []savoryloft.LinkLoad { return s.placer.Loads(time.Now()) }
 
 // UsageSince implements linker.Source.
 func (s source) UsageSince(sent map[savoryloft.UsageCount]int, all bool) []savoryloft.UsageCount {
@@ -60,3 +60,11 @@
 		s.watcher.Confirm(savoryloft.TopicRegistry, asOf-time.Duration(st.RegistryAge)*time.Millisecond)
 	}
 }
+
+// TakeParts implements linker.Source.
+func (s source) TakeParts(parts []savoryloft.HeldPart) []savoryloft.HeldPart {
+	return s.placer.TakeParts(time.Now(), parts)
+}
+
+// LoadsChanged implements linker.Source.
+func (s source) LoadsChanged() { s.placer.SetPeers(time.Now(), s.linker.PeerLoads()) }
--- a/linker/link.go
+++ b/linker/link.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	maxQueued   = 256 // Frames waiting on one link; a peer that lags further is dropped.
-	keptSending = 64  // Times of sent statuses that are kept; echoes are far younger.
-	resendAfter = 3   // Statuses in a row that show a peer behind before all records are sent again.
+	maxQueued   = 256                  // Frames waiting on one link; a peer that lags further is dropped.
+	keptSending = 64                   // Times of sent statuses that are kept; echoes are far younger.
+	updatePause = 5 * time.Millisecond // Before an update, to take several changes together.
+	resendAfter = 3                    // Statuses in a row that show a peer behind before all records are sent again.
 )
 
 // link is one connection to a peer.
@@ -29,6 +30,7 @@
 	dialer bool // This instance dialled.
 	out    chan savoryloft.LinkFrame
 	nudge  chan struct{}
+	urged  chan struct{}
 	cancel context.CancelFunc
 
 	mu       sync.Mutex
@@ -43,6 +45,7 @@
 	offset    time.Duration // Peer's time of day less this instance's.
 	wallAt    time.Time     // When offset was taken, with its monotonic reading.
 	behind    int
+	parts     []savoryloft.HeldPart // Not told to the peer yet.
 
 	usageSent map[savoryloft.UsageCount]int // Only the writer uses it.
 }
@@ -57,6 +60,7 @@
 	k := &link{
 		linker: l, conn: conn, reader: bufio.NewReader(conn), dialer: dialer, cancel: cancel,
 		out: make(chan savoryloft.LinkFrame, maxQueued), nudge: make(chan struct{}, 1),
+		urged:  make(chan struct{}, 1),
 		sentAt: map[int]time.Duration{}, usageSent: map[savoryloft.UsageCount]int{},
 	}
 	if err := k.greet(); err != nil {
@@ -160,7 +164,31 @@
 	}
 }
 
-// write sends queued frames, and a status at each interval.
+// urge makes the writer send an update soon.
+func (k *link) urge() {
+	select {
+	case k.urged <- struct{}{}:
+	default:
+	}
+}
+
+// update returns what changed since the last frame with loads. Updates that
+// follow each other closely are taken together.
+func (k *link) update() *savoryloft.LoadUpdate {
+	time.Sleep(updatePause)
+	loads, _ := k.linker.loadsFor(k)
+	return &savoryloft.LoadUpdate{Loads: loads, Parts: k.takeParts()}
+}
+
+func (k *link) takeParts() []savoryloft.HeldPart {
+	k.linker.mu.Lock()
+	defer k.linker.mu.Unlock()
+	parts := k.parts
+	k.parts = nil
+	return parts
+}
+
+// write sends queued frames, updates, and a status at each interval.
 func (k *link) write(ctx context.Context) {
 	t := time.NewTicker(k.linker.Interval)
 	defer t.Stop()
@@ -170,6 +198,8 @@
 		case <-ctx.Done():
 			return
 		case f = <-k.out:
+		case <-k.urged:
+			f = savoryloft.LinkFrame{Update: k.update()}
 		case <-k.nudge:
 			f = savoryloft.LinkFrame{Status: k.status()}
 		case <-t.C:
@@ -305,11 +335,37 @@
 	if len(f.Records) > 0 {
 		l.Source.TakeRecords(f.Records)
 	}
+	if f.Update != nil {
+		k.takeUpdate(f.Update)
+	}
 	if f.Status != nil {
 		k.takeStatus(f.Status)
 	}
 }
 
+func (k *link) takeUpdate(u *savoryloft.LoadUpdate) {
+	l := k.linker
+	l.mu.Lock()
+	k.loads = u.Loads
+	l.mu.Unlock()
+	l.Source.LoadsChanged()
+	fresh := l.Source.TakeParts(u.Parts)
+	if len(fresh) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.members) < meshLimit {
+		return // Each peer has told all others.
+	}
+	l.spreadParts(fresh, k)
+	for _, other := range l.links {
+		if other != k {
+			other.urge()
+		}
+	}
+}
+
 func (k *link) takeStatus(s *savoryloft.LinkStatus) {
 	k.mu.Lock()
 	k.echo = s.Sequence
@@ -327,6 +383,7 @@
 	if len(s.Usage) > 0 {
 		l.Source.TakeUsage(s.Usage)
 	}
+	l.Source.LoadsChanged()
 	l.Source.TakeStatus(k.peer.Instance, s, asOf)
 	k.resendIfBehind(s)
 }
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -71,6 +71,11 @@
 	TakeRecords(records []savoryloft.ControlRecord)
 	TakeUsage(counts []savoryloft.UsageCount)
 	TakeStatus(peer string, s *savoryloft.LinkStatus, asOf time.Duration)
+	// TakeParts takes in prompt parts that upstreams hold, and returns those that
+	// were not known.
+	TakeParts(parts []savoryloft.HeldPart) []savoryloft.HeldPart
+	// LoadsChanged says that PeerLoads has changed.
+	LoadsChanged()
 }
 
 // Linker links this instance to the others. Set the exported fields before
@@ -401,6 +406,30 @@
 	}
 }
 
+// Update tells the peers of loads that have changed much, and of prompt parts
+// that an upstream has got.
+func (l *Linker) Update(parts []savoryloft.HeldPart) {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spreadParts(parts, nil)
+	for _, k := range l.links {
+		k.urge()
+	}
+}
+
+// spreadParts queues parts for all links but one. The caller holds the lock.
+func (l *Linker) spreadParts(parts []savoryloft.HeldPart, except *link) {
+	if len(parts) == 0 {
+		return
+	}
+	for _, k := range l.links {
+		if k != except {
+			k.parts = append(k.parts, parts...)
+		}
+	}
+}
+
 // PeerLoads returns the loads of all other instances together, by upstream.
 func (l *Linker) PeerLoads() map[string]savoryloft.LinkLoad {
 	l.init()
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -50,6 +50,42 @@
 	return nil
 }
 
+// A prompt part that an upstream holds or is about to hold.
+type HeldPart struct {
+	// Part corresponds to the JSON schema field "Part".
+	Part string `json:"Part" msgpack:"Part"`
+
+	// Tokens corresponds to the JSON schema field "Tokens".
+	Tokens int `json:"Tokens" msgpack:"Tokens"`
+
+	// Upstream corresponds to the JSON schema field "Upstream".
+	Upstream string `json:"Upstream" msgpack:"Upstream"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HeldPart) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Part"]; raw != nil && !ok {
+		return fmt.Errorf("field Part in HeldPart: required")
+	}
+	if _, ok := raw["Tokens"]; raw != nil && !ok {
+		return fmt.Errorf("field Tokens in HeldPart: required")
+	}
+	if _, ok := raw["Upstream"]; raw != nil && !ok {
+		return fmt.Errorf("field Upstream in HeldPart: required")
+	}
+	type Plain HeldPart
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = HeldPart(plain)
+	return nil
+}
+
 // One frame on a link between instances of a deployment. Exactly one of the fields
 // is set.
 type LinkFrame struct {
@@ -64,6 +100,9 @@
 
 	// Status corresponds to the JSON schema field "Status".
 	Status *LinkStatus `json:"Status,omitempty,omitzero" msgpack:"Status,omitempty"`
+
+	// Update corresponds to the JSON schema field "Update".
+	Update *LoadUpdate `json:"Update,omitempty,omitzero" msgpack:"Update,omitempty"`
 }
 
 // Names an instance; first frame in each direction.
@@ -239,6 +278,16 @@
 	return nil
 }
 
+// Loads that changed much since the last status, and prompt parts that an upstream
+// has got.
+type LoadUpdate struct {
+	// All loads that the sender answers for; they replace those of its last status.
+	Loads []LinkLoad `json:"Loads,omitempty,omitzero" msgpack:"Loads,omitempty"`
+
+	// Parts corresponds to the JSON schema field "Parts".
+	Parts []HeldPart `json:"Parts,omitempty,omitzero" msgpack:"Parts,omitempty"`
+}
+
 // Requests of one account that began to run in one window, counted by one
 // incarnation of an instance.
 type UsageCount struct {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -30,6 +30,7 @@
 const (
 	initialReadRate   = 60.0                   // Prompt tokens per ms of an engine before any was observed.
 	leastReadRate     = 5.0                    // Bounds what one odd sample can do.
+	partTellEvery     = 10 * time.Second       // Before peers are told again that an engine uses a part.
 	partKept          = 60 * time.Second       // Age at which a part counts as evicted.
 	partMemoryShare   = 0.6                    // Part of an engine's memory that shared parts are taken to have.
 	hashedHolderTrust = 0.6                    // Probability that the first upstream by hash holds a part not seen there.
@@ -86,6 +87,8 @@
 	mu      sync.Mutex
 	engines map[string]*engine
 	peers   map[string]savoryloft.LinkLoad
+	peersAt time.Time
+	fresh   []savoryloft.HeldPart // Parts that engines got and peers were not told of.
 }
 
 // engine is the model of one upstream.
@@ -136,25 +139,77 @@
 }
 
 // SetPeers takes in the loads of the other instances.
-func (p *Placer) SetPeers(loads map[string]savoryloft.LinkLoad) {
+func (p *Placer) SetPeers(now time.Time, loads map[string]savoryloft.LinkLoad) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peers = loads
+	p.peers, p.peersAt = loads, now
 }
 
 // Loads returns this instance's own loads.
-func (p *Placer) Loads() []savoryloft.LinkLoad {
+func (p *Placer) Loads(now time.Time) []savoryloft.LinkLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var loads []savoryloft.LinkLoad
 	for id, e := range p.engines {
 		if e.running > 0 {
-			loads = append(loads, savoryloft.LinkLoad{Upstream: id, Running: e.running, Prefill: e.prefill, Tokens: e.tokens})
+			loads = append(loads, savoryloft.LinkLoad{Upstream: id, Running: e.running, Prefill: e.unread(now), Tokens: e.tokens})
 		}
 	}
 	return loads
 }
 
+// unread returns the prompt tokens of own requests that are still to be read:
+// the engine reads at its rate from the start of the oldest one.
+func (e *engine) unread(now time.Time) int {
+	if e.prefill == 0 {
+		return 0
+	}
+	var oldest time.Time
+	for r := range e.oldest {
+		if oldest.IsZero() || r.started.Before(oldest) {
+			oldest = r.started
+		}
+	}
+	return drained(e.prefill, now.Sub(oldest), e.readRate)
+}
+
+// drained returns what is left of some prompt tokens after a time of reading.
+// Some are always left: a reading that takes longer than predicted is not over.
+func drained(tokens int, d time.Duration, rate float64) int {
+	left := float64(tokens) - rate*float64(d)/float64(time.Millisecond)
+	return int(max(left, float64(tokens)*leastLeft))
+}
+
+const leastLeft = 0.15 // Part of the unread tokens that counts until the first token tells otherwise.
+
+// TakeParts notes parts that engines hold according to peers, and returns
+// those that were not known.
+func (p *Placer) TakeParts(now time.Time, parts []savoryloft.HeldPart) []savoryloft.HeldPart {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var fresh []savoryloft.HeldPart
+	for _, part := range parts {
+		e := p.engines[part.Upstream]
+		if e == nil {
+			continue
+		}
+		if use, ok := e.parts[part.Part]; !ok || now.Sub(use.at) > partTellEvery {
+			fresh = append(fresh, part)
+		}
+		e.hold(now, savoryloft.PromptPart{ID: part.Part, Tokens: part.Tokens}, nil)
+	}
+	return fresh
+}
+
+// FreshParts returns the parts that engines got since the last call.
+func (p *Placer) FreshParts() []savoryloft.HeldPart {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fresh := p.fresh
+	p.fresh = nil
+	return fresh
+}
+
 // Forget drops the models of upstreams that are gone and idle.
 func (p *Placer) Forget(now time.Time) {
 	p.mu.Lock()
@@ -209,7 +264,8 @@
 // cost returns what a request would cost at an engine.
 func (p *Placer) cost(now time.Time, e *engine, r Request, hashed bool) Choice {
 	peer := p.peers[e.upstream.ID]
-	c := Choice{Upstream: e.upstream, Running: e.running + peer.Running, Waiting: e.prefill + peer.Prefill}
+	c := Choice{Upstream: e.upstream, Running: e.running + peer.Running, Waiting: e.unread(now)}
+	c.Waiting += drained(peer.Prefill, now.Sub(p.peersAt), e.readRate)
 	c.Uncached = e.uncached(now, r, hashed)
 	read := float64(c.Uncached) / e.readRate
 	c.Cost = float64(c.Waiting)/e.readRate + read + float64(c.Running)*(runningCost+read*delayShare)
@@ -353,8 +409,14 @@
 		e.probedAt = now
 	}
 	for _, part := range r.Parts {
+		if use, ok := e.parts[part.ID]; len(r.Parts) > 1 && (!ok || now.Sub(use.at) > partTellEvery) {
+			p.fresh = append(p.fresh, savoryloft.HeldPart{Upstream: c.Upstream.ID, Part: part.ID, Tokens: part.Tokens})
+		}
 		e.hold(now, part, r.Engine)
 	}
+	if n := len(r.Parts); n > 1 && len(p.fresh) > 0 && p.fresh[len(p.fresh)-1].Part == r.Parts[n-1].ID {
+		p.fresh = p.fresh[:len(p.fresh)-1] // The last part is the request's own.
+	}
 	return run
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -99,6 +99,7 @@
 		Upstream: choice.Upstream.ID, Account: x.identity.Account, Remaining: time.Until(x.deadline),
 		Rank: min(max(x.identity.Rank, 0), maxRank), HasRank: req.Engine != nil, LastEventID: lastEventID,
 	}
+	a.placed()
 	head := r.Wire.AppendCall(nil, &x.call, d)
 	x.sends++
 	if err := a.conn.Send(a.ctx, head, x.call.Body, headSilence); err != nil {
@@ -117,6 +118,13 @@
 	return a, nil
 }
 
+// placed tells that the upstream's load has changed by a prompt.
+func (a *attempt) placed() {
+	if len(a.exchange.call.Parts) > 0 {
+		a.exchange.relayer.Placed(a.choice.Uncached)
+	}
+}
+
 const maxRank = 9 // Least urgent rank that upstreams know.
 
 // connect gets a connection to the chosen upstream.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -64,6 +64,7 @@
 	Limiter    *limiter.Limiter
 	Pool       *exchanger.Pool
 	Count      func(account string) // Counts a request that has begun to run.
+	Placed     func(uncached int)   // Called when a prompt was sent to an engine or has been read there.
 	Instances  func() int           // Instances that share the upstreams' connections.
 	Revocation time.Duration        // Bound on the use of withdrawn keys.
 	Stopping   func() bool
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -83,6 +83,7 @@
 		return a.fail(err)
 	}
 	a.run.FirstToken(time.Now())
+	a.placed()
 	x.count()
 	return nil
 }
