Registry completeness by read offset; a relayed drop holds at once

Ruled out: the link (other records of the same second arrived). Orders: what is found at first and 1.5 for each failure domain, all reclaimable.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -133,7 +133,8 @@
 	}
 	if d.Duties.Orders {
 		p := &provisioner.Provisioner{
-			Holder: l.claimer, Target: l.Target, Services: l.services, Upstreams: l.watcher.Upstreams, Logger: l.Logger,
+			Holder: l.claimer, Target: l.Target, Services: l.services, Upstreams: l.watcher.Upstreams, Running: l.running,
+			Heartbeat: d.Heartbeat, Logger: l.Logger,
 		}
 		list = append(list, p.Run)
 	}
@@ -220,6 +221,16 @@
 	return list
 }
 
+// running returns how many requests of a service run, of all instances.
+func (l *Launcher) running(service string) int {
+	loads := l.placer.TotalLoads(time.Now())
+	n := 0
+	for _, u := range l.watcher.Upstreams(service) {
+		n += loads[u.ID].Running
+	}
+	return n
+}
+
 // refresh drops what the placer no longer needs.
 func (l *Launcher) refresh(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -15,7 +15,7 @@
 	st.Wall = int(time.Now().UnixMilli())
 	st.Version = s.watcher.Version()
 	st.VersionAge = s.age(savoryloft.TopicConfiguration)
-	st.RegistryOffset = s.watcher.RegistryOffset()
+	st.RegistryOffset, st.RegistryRead = s.watcher.RegistryOffsets()
 	st.RegistryAge = s.age(savoryloft.TopicRegistry)
 	st.Leaving = s.stopping.Load()
 }
@@ -56,7 +56,7 @@
 	if st.VersionAge >= 0 && s.watcher.Version() >= st.Version {
 		s.watcher.Confirm(savoryloft.TopicConfiguration, asOf-time.Duration(st.VersionAge)*time.Millisecond)
 	}
-	if st.RegistryAge >= 0 && s.watcher.RegistryOffset() >= st.RegistryOffset {
+	if _, read := s.watcher.RegistryOffsets(); st.RegistryAge >= 0 && read >= st.RegistryOffset {
 		s.watcher.Confirm(savoryloft.TopicRegistry, asOf-time.Duration(st.RegistryAge)*time.Millisecond)
 	}
 }
--- a/linker/link.go
+++ b/linker/link.go
@@ -392,7 +392,7 @@
 func (k *link) resendIfBehind(s *savoryloft.LinkStatus) {
 	var mine savoryloft.LinkStatus
 	k.linker.Source.FillStatus(&mine)
-	if s.Version >= mine.Version && s.RegistryOffset >= mine.RegistryOffset {
+	if s.Version >= mine.Version && s.RegistryRead >= mine.RegistryOffset {
 		k.behind = 0
 		return
 	}
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -213,9 +213,12 @@
 	// that was never known.
 	RegistryAge int `json:"RegistryAge" msgpack:"RegistryAge"`
 
-	// Highest offset of a registry record applied.
+	// Highest offset of a registry record that changed something.
 	RegistryOffset int `json:"RegistryOffset" msgpack:"RegistryOffset"`
 
+	// Offset up to which the sender has all registry records that changed something.
+	RegistryRead int `json:"RegistryRead" msgpack:"RegistryRead"`
+
 	// Sequence corresponds to the JSON schema field "Sequence".
 	Sequence int `json:"Sequence" msgpack:"Sequence"`
 
@@ -257,6 +260,9 @@
 	if _, ok := raw["RegistryOffset"]; raw != nil && !ok {
 		return fmt.Errorf("field RegistryOffset in LinkStatus: required")
 	}
+	if _, ok := raw["RegistryRead"]; raw != nil && !ok {
+		return fmt.Errorf("field RegistryRead in LinkStatus: required")
+	}
 	if _, ok := raw["Sequence"]; raw != nil && !ok {
 		return fmt.Errorf("field Sequence in LinkStatus: required")
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -158,6 +158,25 @@
 	return loads
 }
 
+// TotalLoads returns the loads of all instances by upstream.
+func (p *Placer) TotalLoads(now time.Time) map[string]savoryloft.LinkLoad {
+	total := map[string]savoryloft.LinkLoad{}
+	for _, own := range p.Loads(now) {
+		total[own.Upstream] = own
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, peer := range p.peers {
+		sum := total[id]
+		sum.Upstream = id
+		sum.Running += peer.Running
+		sum.Prefill += peer.Prefill
+		sum.Tokens += peer.Tokens
+		total[id] = sum
+	}
+	return total
+}
+
 // unread returns the prompt tokens of own requests that are still to be read:
 // the engine reads at its rate from the start of the oldest one.
 func (e *engine) unread(now time.Time) int {
--- a/provisioner/plan.go
+++ b/provisioner/plan.go
@@ -1,10 +1,26 @@
 package provisioner
 
-import "savoryloft.example/savoryloft"
+import (
+	"math"
+	"slices"
+	"time"
+
+	"savoryloft.example/savoryloft"
+)
 
 const (
-	firmPerDomain        = 1 // Keeps a failure domain serving while its reclaimable upstreams are gone.
-	reclaimablePerDomain = 4
+	// spareOfDomain is the number of upstreams in each failure domain beyond those
+	// found at first, so that a domain's loss and a burst find room.
+	spareOfDomain = 1.5
+	// crowded is the number of running requests for each upstream from which more
+	// are ordered, and sparse the number below which fewer are. Engines take many
+	// more at once, but then a prompt waits for the prompts before it; between the
+	// two nothing is ordered, since a change costs caches.
+	crowded    = 10.0
+	sparse     = 2.0
+	riseTime   = 2 * time.Second  // Smoothing of a load that grows; a burst lasts some seconds.
+	fallTime   = 25 * time.Second // Smoothing of a load that falls; longer than the waves of a day's traffic.
+	leastSpare = 2                // Upstreams of each failure domain that are kept however small the load is.
 )
 
 // Numbers counts upstreams of a service in a failure domain by kind.
@@ -13,6 +29,15 @@
 	Reclaimable int
 }
 
+func (n Numbers) sum() int { return n.Firm + n.Reclaimable }
+
+// Domain is what a plan depends on in one failure domain.
+type Domain struct {
+	Name    string
+	Have    Numbers // Registered and not leaving.
+	Refused bool    // Reclaimable upstreams are not to be had at the moment.
+}
+
 func countUpstreams(upstreams []savoryloft.RegisteredUpstream, domain string) Numbers {
 	var n Numbers
 	for _, u := range upstreams {
@@ -27,20 +52,98 @@
 	return n
 }
 
-// Plan returns how many upstreams a failure domain should have, given what it
-// has and whether reclaimable ones are refused at the moment.
-func Plan(s savoryloft.ScalingTraits, have Numbers, refused bool) Numbers {
-	if s.ReclaimablePart <= 0 {
-		return Numbers{Firm: clamp(firmPerDomain+reclaimablePerDomain, s.Min, s.Max)}
+// Plan returns how many upstreams each failure domain should have for total
+// upstreams together. Reclaimable ones serve as long as they are to be had in
+// most failure domains; the loss of one is what the spare ones are for.
+func Plan(s savoryloft.ScalingTraits, total int, domains []Domain) []Numbers {
+	plan := make([]Numbers, len(domains))
+	refusing := 0
+	for _, d := range domains {
+		if d.Refused {
+			refusing++
+		}
 	}
-	firm := clamp(firmPerDomain, 0, s.Max)
-	reclaimable := clamp(reclaimablePerDomain, s.Min-firm, s.Max-firm)
-	if have.Reclaimable < reclaimable && !refused {
-		// The others stay until the cheaper ones serve.
-		room := s.Max - reclaimable
-		firm = clamp(have.Firm, firm, max(room, firm))
+	for i, d := range domains {
+		share := clamp(ceilDiv(total, len(domains)), s.Min, s.Max)
+		switch {
+		case s.ReclaimablePart <= 0:
+			plan[i].Firm = share
+		case d.Refused && 2*refusing > len(domains):
+			plan[i] = Numbers{Reclaimable: share, Firm: ceilDiv(share, 2)}
+		default:
+			// The others stay until the cheaper ones serve, as far as there is room.
+			missing := clamp(share-d.Have.Reclaimable, 0, s.Max-share)
+			plan[i] = Numbers{Reclaimable: share, Firm: min(d.Have.Firm, missing)}
+		}
 	}
-	return Numbers{Firm: firm, Reclaimable: reclaimable}
+	return plan
 }
 
 func clamp(n, least, most int) int { return max(min(n, most), least) }
+
+func ceilDiv(a, b int) int { return (a + b - 1) / b }
+
+// sizer works out how many upstreams a service should have from how many
+// requests run.
+type sizer struct {
+	running  float64 // Smoothed; it grows fast and falls slowly.
+	at       time.Duration
+	since    time.Duration // Uptime of the first observation.
+	seen     bool          // Requests have run.
+	shrunkAt time.Duration
+	total    int           // Upstreams wanted; 0 before the first decision.
+	settle   time.Duration // Time for upstreams to register before the first decision.
+}
+
+// observe takes in the number of running requests.
+func (z *sizer) observe(now time.Duration, running int) {
+	if z.at == 0 {
+		z.at, z.since, z.shrunkAt, z.running = now, now, now, float64(running)
+	}
+	elapsed := now - z.at
+	z.at = now
+	if running > 0 {
+		z.seen = true
+	}
+	tau := fallTime
+	if float64(running) > z.running {
+		tau = riseTime
+	}
+	z.running += (float64(running) - z.running) * (1 - math.Exp(-float64(elapsed)/float64(tau)))
+}
+
+// want returns the number of upstreams for the load seen; 0 while there is
+// nothing to go by. It is a multiple of the number of failure domains.
+func (z *sizer) want(have Numbers, domains int) int {
+	if z.total == 0 {
+		if z.at-z.since < z.settle || have.sum() == 0 {
+			return 0
+		}
+		z.total = have.sum()
+		if have.Reclaimable == 0 {
+			// Nobody has ordered yet: this is what the deployment starts with.
+			z.total += int(math.Ceil(spareOfDomain * float64(domains)))
+		}
+		z.total = roundUp(z.total, domains)
+	}
+	switch perUpstream := z.running / float64(z.total); {
+	case perUpstream > crowded:
+		z.total = roundUp(int(math.Ceil(z.running/crowded)), domains)
+	case z.seen && perUpstream < sparse && z.total > leastSpare*domains && z.at-z.shrunkAt > fallTime:
+		z.total -= domains
+		z.shrunkAt = z.at
+	}
+	return z.total
+}
+
+func roundUp(n, step int) int { return ceilDiv(n, step) * step }
+
+// sortedDomains returns the failure domains of a service in order.
+func sortedDomains(s savoryloft.ScalingTraits) []string {
+	names := make([]string, 0, len(s.Prices))
+	for n := range s.Prices {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -21,11 +21,12 @@
 )
 
 const (
-	stepInterval = 250 * time.Millisecond
-	callTimeout  = 800 * time.Millisecond // A call must end while the lease is held.
-	repeatAfter  = 3 * time.Second        // Beyond the boot time, before an order that shows no effect is sent again.
-	refusedPause = 2 * time.Second        // After a refusal for want of capacity.
-	failedPause  = 700 * time.Millisecond // After a call that failed.
+	stepInterval     = 250 * time.Millisecond
+	callTimeout      = 800 * time.Millisecond // A call must end while the lease is held.
+	repeatAfter      = 3 * time.Second        // Beyond the boot time, before an order that shows no effect is sent again.
+	refusedPause     = 2 * time.Second        // After a refusal for want of capacity.
+	failedPause      = 700 * time.Millisecond // After a call that failed.
+	settleHeartbeats = 2                      // After which each upstream that lives has registered.
 )
 
 // Provisioner sends orders. Set the exported fields before Run.
@@ -36,8 +37,13 @@
 	Services func() []savoryloft.UpstreamService
 	// Upstreams returns the registered upstreams of a service.
 	Upstreams func(service string) []savoryloft.RegisteredUpstream
+	// Running returns how many requests of a service run, of all instances.
+	Running func(service string) int
+	// Heartbeat is the interval at which upstreams renew their registration.
+	Heartbeat time.Duration
 	Logger    logr.Logger
 
+	sizers map[string]*sizer
 	fence  int // Lease under which the states below were learnt.
 	orders map[subject]*orderState
 }
@@ -60,6 +66,7 @@
 // Run orders until ctx ends.
 func (p *Provisioner) Run(ctx context.Context) error {
 	p.orders = map[subject]*orderState{}
+	p.sizers = map[string]*sizer{}
 	for ctx.Err() == nil {
 		if fence, left, ok := p.Holder.Held(); ok && left > callTimeout {
 			p.step(ctx, fence)
@@ -74,27 +81,48 @@
 	if fence != p.fence {
 		p.fence = fence
 		p.orders = map[subject]*orderState{}
+		p.sizers = map[string]*sizer{}
 	}
 	for _, s := range p.Services() {
-		if s.Scaling == nil {
-			continue
-		}
-		for domain := range s.Scaling.Prices {
-			if !p.orderDomain(ctx, s, domain) {
-				return
-			}
+		if s.Scaling != nil && !p.orderService(ctx, s) {
+			return
 		}
 	}
 }
 
-// orderDomain sends the orders that are due for one failure domain. It returns
-// false when no more should be sent under this lease.
-func (p *Provisioner) orderDomain(ctx context.Context, s savoryloft.UpstreamService, domain string) bool {
-	have := countUpstreams(p.Upstreams(s.Name), domain)
-	want := Plan(*s.Scaling, have, p.state(subject{s.Name, domain, true}).refused)
-	// Reclaimable upstreams first: others are given up only once these serve.
-	return p.order(ctx, s, subject{s.Name, domain, true}, want.Reclaimable, have.Reclaimable) &&
-		p.order(ctx, s, subject{s.Name, domain, false}, want.Firm, have.Firm)
+// orderService sends the orders that are due for one service. It returns false
+// when no more should be sent under this lease.
+func (p *Provisioner) orderService(ctx context.Context, s savoryloft.UpstreamService) bool {
+	upstreams := p.Upstreams(s.Name)
+	names := sortedDomains(*s.Scaling)
+	domains := make([]Domain, len(names))
+	var have Numbers
+	for i, name := range names {
+		domains[i] = Domain{
+			Name: name, Have: countUpstreams(upstreams, name), Refused: p.state(subject{s.Name, name, true}).refused,
+		}
+		have.Firm += domains[i].Have.Firm
+		have.Reclaimable += domains[i].Have.Reclaimable
+	}
+	z := p.sizers[s.Name]
+	if z == nil {
+		z = &sizer{settle: settleHeartbeats * p.Heartbeat}
+		p.sizers[s.Name] = z
+	}
+	z.observe(savoryloft.Uptime(), p.Running(s.Name))
+	total := z.want(have, len(domains))
+	if total == 0 {
+		return true
+	}
+	plan := Plan(*s.Scaling, total, domains)
+	for i, d := range domains {
+		// Reclaimable upstreams first: others are given up only once these serve.
+		if !p.order(ctx, s, subject{s.Name, d.Name, true}, plan[i].Reclaimable, d.Have.Reclaimable) ||
+			!p.order(ctx, s, subject{s.Name, d.Name, false}, plan[i].Firm, d.Have.Firm) {
+			return false
+		}
+	}
+	return true
 }
 
 func (p *Provisioner) state(sub subject) *orderState {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -41,6 +41,7 @@
 	idlePause         = 100 * time.Millisecond  // Between checks of whether to read.
 	leastBackoff      = 100 * time.Millisecond  // After a failed read.
 	mostBackoff       = 800 * time.Millisecond  // Keeps calls few while the log is down and its return noticed soon.
+	sweepInterval     = 200 * time.Millisecond  // Between looks for entries that stay missing.
 	returnGrace       = 2 * time.Second         // Entries that lapsed in an outage are back within this time after it.
 	outageAfter       = 1500 * time.Millisecond // Age of the registry from which a read counts as a return.
 )
@@ -65,6 +66,9 @@
 	entries       map[string]*entry
 	knownAt       [2]time.Duration // Uptime at which a topic is known to have been complete; 0 when never.
 	registryTop   int              // Highest offset of a registry record that changed something.
+	registryRead  int              // Offset up to which all such records are known.
+	registryLost  bool             // A read of the registry failed since the last one that did not.
+	returnedAt    time.Duration    // Uptime of the last return of the log; 0 when it was never away.
 	malformed     map[string]int   // Offset of a malformed record by key, to log it once.
 	once          sync.Once
 }
@@ -82,7 +86,7 @@
 	w.once.Do(func() {
 		w.entries = map[string]*entry{}
 		w.malformed = map[string]int{}
-		w.registryTop = -1
+		w.registryTop, w.registryRead = -1, -1
 		w.configuration.Offset = -1
 	})
 }
@@ -127,13 +131,14 @@
 	return 0
 }
 
-// RegistryOffset returns the highest offset of a registry record that changed
-// something; -1 before the first.
-func (w *Watcher) RegistryOffset() int {
+// RegistryOffsets returns the highest offset of a registry record that changed
+// something, and the offset up to which all such records are known here; -1
+// before the first.
+func (w *Watcher) RegistryOffsets() (changed, read int) {
 	w.init()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.registryTop
+	return w.registryTop, w.registryRead
 }
 
 // Records returns all records that a new peer may lack.
@@ -165,9 +170,23 @@
 		w.follow(ctx, savoryloft.TopicRegistry, registryWait, registryPause)
 		return nil
 	})
+	group.Go(func() error {
+		w.sweep(ctx)
+		return nil
+	})
 	return group.Wait()
 }
 
+// sweep drops entries that are still missing a while after the log's return.
+func (w *Watcher) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		savoryloft.Sleep(ctx, sweepInterval)
+		if changed := w.dropAbsent(); len(changed) > 0 && w.Changed != nil {
+			w.Changed(changed, true)
+		}
+	}
+}
+
 // follow reads one topic. It starts from the newest records whenever it has
 // not read for a while, and goes on from offset to offset then.
 func (w *Watcher) follow(ctx context.Context, t savoryloft.Topic, wait, pause time.Duration) {
@@ -196,6 +215,7 @@
 		default:
 			if !lost && ctx.Err() == nil {
 				lost = true
+				w.noteFailure(t)
 				w.Logger.Info("log is not reachable", "step", savoryloft.StepFollow, "topic", t.String(), "error", err.Error())
 			}
 			savoryloft.Sleep(ctx, backoff)
@@ -204,6 +224,30 @@
 	}
 }
 
+// noteFailure notes that a topic could not be read.
+func (w *Watcher) noteFailure(t savoryloft.Topic) {
+	if t != savoryloft.TopicRegistry {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.registryLost = true
+}
+
+// noteReturn notes a return of the log before what was read is applied.
+func (w *Watcher) noteReturn(t savoryloft.Topic) {
+	if t != savoryloft.TopicRegistry {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known := w.knownAt[savoryloft.TopicRegistry]
+	if now := savoryloft.Uptime(); w.registryLost || known > 0 && now-known > outageAfter {
+		w.registryLost = false
+		w.returnedAt = now
+	}
+}
+
 func (w *Watcher) mustRead(t savoryloft.Topic) bool {
 	if w.Reader == nil || w.Reader() {
 		return true
@@ -227,7 +271,8 @@
 	if err != nil {
 		return page, err
 	}
-	w.apply(t, page.Records, all, page.End)
+	w.noteReturn(t)
+	w.apply(t, page, all)
 	if all || page.Next >= page.End {
 		w.Confirm(t, sent)
 	}
@@ -236,20 +281,21 @@
 
 // apply takes in records that were read from the log. When all is set they
 // are all that the topic holds.
-func (w *Watcher) apply(t savoryloft.Topic, records []savoryloft.KeyedRecord, all bool, end int) {
+func (w *Watcher) apply(t savoryloft.Topic, page savoryloft.RecordPage, all bool) {
 	var changed []savoryloft.ControlRecord
-	for _, r := range records {
+	for _, r := range page.Records {
 		c := savoryloft.ControlRecord{Topic: int(t), Key: r.Key, Value: string(r.Value), Offset: r.Offset}
-		if w.applyOne(c) {
+		if w.applyOne(c, true) {
 			changed = append(changed, c)
 		}
 	}
 	if t == savoryloft.TopicRegistry {
 		if all {
-			changed = append(changed, w.dropMissing(records, end)...)
-		} else {
-			changed = append(changed, w.dropAbsent(end)...)
+			changed = append(changed, w.dropMissing(page)...)
 		}
+		w.mu.Lock()
+		w.registryRead = max(w.registryRead, page.Next-1)
+		w.mu.Unlock()
 	}
 	if len(changed) > 0 && w.Changed != nil {
 		w.Changed(changed, true)
@@ -261,7 +307,7 @@
 	w.init()
 	var changed []savoryloft.ControlRecord
 	for _, r := range records {
-		if w.applyOne(r) {
+		if w.applyOne(r, false) {
 			changed = append(changed, r)
 		}
 	}
@@ -270,13 +316,14 @@
 	}
 }
 
-// applyOne applies one record and tells whether it changed anything.
-func (w *Watcher) applyOne(r savoryloft.ControlRecord) bool {
+// applyOne applies one record and tells whether it changed anything. own tells
+// whether this instance has read it from the log itself.
+func (w *Watcher) applyOne(r savoryloft.ControlRecord, own bool) bool {
 	switch savoryloft.Topic(r.Topic) {
 	case savoryloft.TopicConfiguration:
 		return r.Key == w.Decoder.ConfigurationKey() && r.Value != "" && w.applyConfiguration(r)
 	case savoryloft.TopicRegistry:
-		return r.Key != "" && w.applyEntry(r)
+		return r.Key != "" && w.applyEntry(r, own)
 	}
 	return false
 }
@@ -312,9 +359,12 @@
 		"key", r.Key, "offset", r.Offset, "error", err.Error())
 }
 
-func (w *Watcher) applyEntry(r savoryloft.ControlRecord) bool {
+func (w *Watcher) applyEntry(r savoryloft.ControlRecord, own bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !own {
+		w.registryRead = max(w.registryRead, r.Offset)
+	}
 	e := w.entries[r.Key]
 	if e != nil && r.Offset <= e.offset {
 		return false
@@ -329,7 +379,7 @@
 	before := *e
 	e.offset = r.Offset
 	if r.Value == "" {
-		return w.dropEntry(r.Key, e)
+		return w.dropEntry(r.Key, e, own)
 	}
 	e.value, e.absentAt = []byte(r.Value), 0
 	u, err := w.Decoder.Upstream(r.Key, e.value)
@@ -348,48 +398,67 @@
 }
 
 // dropEntry takes in that a key was dropped. Entries lapse while the log is
-// away, so shortly after its return a dropped one is kept for a while.
-func (w *Watcher) dropEntry(key string, e *entry) bool {
-	if known := w.knownAt[savoryloft.TopicRegistry]; e.value != nil && savoryloft.Uptime()-known > outageAfter {
-		e.absentAt = savoryloft.Uptime()
+// away, so shortly after its return one that this instance reads as dropped is
+// kept for a while. A peer that passes a drop on has waited already.
+func (w *Watcher) dropEntry(key string, e *entry, own bool) bool {
+	if e.value == nil {
 		return false
 	}
-	if e.value == nil {
+	if own && w.justReturned() {
+		e.absentAt = w.returnedAt
 		return false
 	}
-	e.value, e.usable = nil, false
+	w.remove(key, e, e.offset)
+	return true
+}
+
+// justReturned tells whether lapsed entries may still come back. The caller
+// holds the lock.
+func (w *Watcher) justReturned() bool {
+	return w.returnedAt > 0 && savoryloft.Uptime()-w.returnedAt < returnGrace
+}
+
+// remove makes an entry one that is gone. The caller holds the lock.
+func (w *Watcher) remove(key string, e *entry, offset int) {
+	e.value, e.usable, e.absentAt = nil, false, 0
+	e.offset = max(e.offset, offset)
 	w.registryTop = max(w.registryTop, e.offset)
 	w.logEntry(key, e)
 	w.publish()
-	return true
 }
 
-// dropMissing notes entries that the topic no longer holds.
-func (w *Watcher) dropMissing(records []savoryloft.KeyedRecord, end int) []savoryloft.ControlRecord {
+// dropMissing takes in that the topic no longer holds some entries.
+func (w *Watcher) dropMissing(page savoryloft.RecordPage) []savoryloft.ControlRecord {
 	present := map[string]bool{}
-	for _, r := range records {
+	for _, r := range page.Records {
 		if len(r.Value) > 0 {
 			present[r.Key] = true
 		}
 	}
 	w.mu.Lock()
-	now := savoryloft.Uptime()
-	outage := now-w.knownAt[savoryloft.TopicRegistry] > outageAfter
+	defer w.mu.Unlock()
+	var changed []savoryloft.ControlRecord
 	for key, e := range w.entries {
-		if e.value == nil || present[key] || e.offset >= end || e.absentAt != 0 {
+		if e.value == nil || present[key] || e.offset >= page.End || e.absentAt != 0 {
 			continue
 		}
-		e.absentAt = now
-		if !outage {
-			e.absentAt = now - returnGrace
+		if w.justReturned() {
+			e.absentAt = w.returnedAt
+			continue
 		}
+		w.remove(key, e, page.End-1)
+		changed = append(changed, goneRecord(key, e))
 	}
-	w.mu.Unlock()
-	return w.dropAbsent(end)
+	return changed
+}
+
+func goneRecord(key string, e *entry) savoryloft.ControlRecord {
+	return savoryloft.ControlRecord{Topic: int(savoryloft.TopicRegistry), Key: key, Offset: e.offset}
 }
 
-// dropAbsent drops entries that are still missing a while after the log's return.
-func (w *Watcher) dropAbsent(end int) []savoryloft.ControlRecord {
+// dropAbsent drops entries that are still missing a while after the log's
+// return.
+func (w *Watcher) dropAbsent() []savoryloft.ControlRecord {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var changed []savoryloft.ControlRecord
@@ -398,14 +467,8 @@
 		if e.absentAt == 0 || now-e.absentAt < returnGrace {
 			continue
 		}
-		e.value, e.usable, e.absentAt = nil, false, 0
-		e.offset = max(e.offset, end-1)
-		w.registryTop = max(w.registryTop, e.offset)
-		w.logEntry(key, e)
-		changed = append(changed, savoryloft.ControlRecord{Topic: int(savoryloft.TopicRegistry), Key: key, Offset: e.offset})
-	}
-	if len(changed) > 0 {
-		w.publish()
+		w.remove(key, e, e.offset)
+		changed = append(changed, goneRecord(key, e))
 	}
 	return changed
 }
