--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -54,7 +54,10 @@
 	Position func() int
 	// OtherLeads tells whether a live peer says that it holds the lease.
 	OtherLeads func() bool
-	Logger     logr.Logger
+	// Yielded tells whether an incarnation of an instance is a live peer that says
+	// that it does not hold the lease.
+	Yielded func(instance string, incarnation int) bool
+	Logger  logr.Logger
 
 	call sync.Mutex // Held during a call to the log.
 	mu   sync.Mutex
@@ -134,7 +137,11 @@
 	}
 	delay := time.Duration(min(c.Position(), maxPosition)) * positionDelay
 	c.mu.Lock()
-	due := c.term.claimable(savoryloft.Uptime(), c.TTL+drift, delay)
+	h := c.term.holder
+	c.mu.Unlock()
+	yielded := h.instance != c.Instance && c.Yielded(h.instance, h.incarnation)
+	c.mu.Lock()
+	due := c.term.claimable(savoryloft.Uptime(), c.TTL+drift, delay, yielded)
 	c.mu.Unlock()
 	if !due || c.OtherLeads() {
 		return nil
@@ -197,6 +204,23 @@
 	})
 }
 
+// Size returns how many upstreams a service should have according to the
+// topic; ok is false when it says nothing.
+func (c *Claimer) Size(service string) (upstreams int, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	upstreams, ok = c.term.sizes[service]
+	return upstreams, ok
+}
+
+// SetSize sets how many upstreams a service should have. It returns
+// ErrLeaseLost when this instance does not hold the lease.
+func (c *Claimer) SetSize(ctx context.Context, service string, upstreams int) error {
+	return c.append(ctx, savoryloft.DutyRecord{
+		Kind: savoryloft.DutyRecordKindSize, Size: &savoryloft.ServiceSize{Service: service, Upstreams: upstreams},
+	})
+}
+
 // append appends a record behind all records known.
 func (c *Claimer) append(ctx context.Context, d savoryloft.DutyRecord) error {
 	c.call.Lock()
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -6,6 +6,10 @@
 	"savoryloft.example/savoryloft"
 )
 
+// yieldMargin is the time after a holder's last record for which its own word
+// that it holds nothing does not count: it may not have seen the answer yet.
+const yieldMargin = time.Second
+
 const keptSendings = 64 // Own appends whose time is remembered; a delayed one arrives within seconds.
 
 // term holds what one instance knows of the duties topic and its own part in
@@ -21,12 +25,20 @@
 	sequence   int                   // Number of the last own append.
 	sentAt     map[int]time.Duration // Uptime before each own append, by its number.
 	lastSent   time.Duration
-	inDoubt    bool // An own append may have or may yet take effect.
-	everRead   bool // The topic was read at least once.
+	inDoubt    bool           // An own append may have or may yet take effect.
+	everRead   bool           // The topic was read at least once.
+	holder     holder         // Who made the last claim.
+	sizes      map[string]int // Upstreams wanted, by service.
 	figures    map[int]map[string]int
 	lastWindow int
 }
 
+// holder is an incarnation of an instance.
+type holder struct {
+	instance    string
+	incarnation int
+}
+
 // held returns the time for which this instance may still act.
 func (t *term) held(now time.Duration) (left time.Duration, ok bool) {
 	left = t.deadline - now
@@ -53,6 +65,7 @@
 	switch d.Kind {
 	case savoryloft.DutyRecordKindClaim:
 		t.holding, t.fence = mine, offset
+		t.holder = holder{d.Instance, d.Incarnation}
 	case savoryloft.DutyRecordKindRelease:
 		t.holding = false
 	}
@@ -62,6 +75,12 @@
 	if d.Figures != nil {
 		t.keepFigures(d.Figures)
 	}
+	if d.Size != nil {
+		if t.sizes == nil {
+			t.sizes = map[string]int{}
+		}
+		t.sizes[d.Size.Service] = d.Size.Upstreams
+	}
 }
 
 // keepFigures remembers the figures of a window. The first in the topic stand.
@@ -102,14 +121,18 @@
 // candidacy starts with a new read.
 func (t *term) forget() { t.readAt = 0 }
 
-// claimable tells whether the holder's time has surely ended, seen from after
-// its last record was read.
-func (t *term) claimable(now, ttl, delay time.Duration) bool {
+// claimable tells whether the holder's time has surely ended: it has given the
+// lease up, says itself that it no longer holds it, or has had a full TTL since
+// after its last record was read.
+func (t *term) claimable(now, ttl, delay time.Duration, yielded bool) bool {
 	if t.readAt == 0 || t.inDoubt {
 		return false
 	}
 	if t.free {
 		return now-t.changedAt >= delay
 	}
+	if yielded {
+		return now-t.changedAt >= yieldMargin+delay
+	}
 	return now-t.changedAt >= ttl+delay
 }
--- a/duties_generated.go
+++ b/duties_generated.go
@@ -21,12 +21,15 @@
 	Instance string `json:"Instance" msgpack:"Instance"`
 
 	// Claim takes the lease, and the record's offset is the fencing token; Renewal
-	// extends it; Release gives it up; Figures fixes a usage window and extends the
-	// lease.
+	// extends it; Release gives it up; Figures fixes a usage window; Size sets how
+	// many upstreams a service should have. All but Release extend the lease.
 	Kind DutyRecordKind `json:"Kind" msgpack:"Kind"`
 
 	// Number of the append among those of this incarnation.
 	Sequence int `json:"Sequence" msgpack:"Sequence"`
+
+	// Size corresponds to the JSON schema field "Size".
+	Size *ServiceSize `json:"Size,omitempty,omitzero" msgpack:"Size,omitempty"`
 }
 
 type DutyRecordKind string
@@ -36,6 +39,7 @@
 	DutyRecordKindFigures DutyRecordKind = "Figures"
 	DutyRecordKindRelease DutyRecordKind = "Release"
 	DutyRecordKindRenewal DutyRecordKind = "Renewal"
+	DutyRecordKindSize    DutyRecordKind = "Size"
 )
 
 var enumValues_DutyRecordKind = []interface{}{
@@ -43,6 +47,7 @@
 	"Renewal",
 	"Release",
 	"Figures",
+	"Size",
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -95,6 +100,36 @@
 	return nil
 }
 
+// How many upstreams a service should have in all failure domains together.
+type ServiceSize struct {
+	// Service corresponds to the JSON schema field "Service".
+	Service string `json:"Service" msgpack:"Service"`
+
+	// Upstreams corresponds to the JSON schema field "Upstreams".
+	Upstreams int `json:"Upstreams" msgpack:"Upstreams"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ServiceSize) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Service"]; raw != nil && !ok {
+		return fmt.Errorf("field Service in ServiceSize: required")
+	}
+	if _, ok := raw["Upstreams"]; raw != nil && !ok {
+		return fmt.Errorf("field Upstreams in ServiceSize: required")
+	}
+	type Plain ServiceSize
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ServiceSize(plain)
+	return nil
+}
+
 // Fixes the figures of a usage window; also extends the lease.
 type WindowFigures struct {
 	// Requests by account.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -133,7 +133,7 @@
 	}
 	if d.Duties.Orders {
 		p := &provisioner.Provisioner{
-			Holder: l.claimer, Target: l.Target, Services: l.services, Upstreams: l.watcher.Upstreams, Running: l.running,
+			Ledger: l.claimer, Target: l.Target, Services: l.services, Upstreams: l.watcher.Upstreams, Running: l.running,
 			Heartbeat: d.Heartbeat, Logger: l.Logger,
 		}
 		list = append(list, p.Run)
@@ -157,7 +157,7 @@
 	}
 	l.claimer = &claimer.Claimer{
 		Log: l.Log, Instance: d.Instance, Incarnation: l.incarnation, TTL: d.Bounds.Lease,
-		Position: l.linker.Position, OtherLeads: l.otherLeads, Logger: l.Logger,
+		Position: l.linker.Position, OtherLeads: l.otherLeads, Yielded: l.yielded, Logger: l.Logger,
 	}
 	l.relayer = &relayer.Relayer{
 		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
@@ -194,6 +194,17 @@
 	return false
 }
 
+// yielded tells whether an incarnation of an instance is a live peer that says
+// that it does not hold the lease.
+func (l *Launcher) yielded(instance string, incarnation int) bool {
+	for _, m := range l.linker.Members() {
+		if m.Instance == instance && m.Incarnation == incarnation {
+			return m.Live && m.Heard && !m.Leading
+		}
+	}
+	return false
+}
+
 // instances returns the number of instances that this one knows of, itself
 // included.
 func (l *Launcher) instances() int { return len(l.linker.Members()) + 1 }
--- a/linker/link.go
+++ b/linker/link.go
@@ -377,7 +377,7 @@
 	k.hasOffset, k.wallAt = true, time.Now()
 	k.offset = time.UnixMilli(int64(s.Wall)).Sub(k.wallAt.Round(0))
 	if m := l.members[k.peer.Instance]; m != nil && m.greeting.Incarnation == k.peer.Incarnation {
-		m.heard, m.leaving, m.leading = savoryloft.Uptime(), s.Leaving, s.Leading
+		m.heard, m.told, m.leaving, m.leading = savoryloft.Uptime(), true, s.Leaving, s.Leading
 	}
 	l.mu.Unlock()
 	if len(s.Usage) > 0 {
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -107,6 +107,7 @@
 	greeting savoryloft.LinkGreeting
 	heard    time.Duration // Uptime of the last status; 0 before the first.
 	known    time.Duration // Uptime at which it was heard of.
+	told     bool          // It has sent a status.
 	leaving  bool
 	leading  bool
 	dialling
@@ -123,6 +124,7 @@
 type Member struct {
 	savoryloft.LinkGreeting
 	Live    bool
+	Heard   bool // It has told of itself.
 	Leaving bool
 	Leading bool
 }
@@ -371,7 +373,7 @@
 	now := savoryloft.Uptime()
 	list := make([]Member, 0, len(l.members))
 	for _, m := range l.members {
-		list = append(list, Member{LinkGreeting: m.greeting, Live: m.live(now), Leaving: m.leaving, Leading: m.leading && m.live(now)})
+		list = append(list, Member{LinkGreeting: m.greeting, Live: m.live(now), Heard: m.told, Leaving: m.leaving, Leading: m.leading && m.live(now)})
 	}
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	return list
--- a/provisioner/plan.go
+++ b/provisioner/plan.go
@@ -91,7 +91,6 @@
 	since    time.Duration // Uptime of the first observation.
 	seen     bool          // Requests have run.
 	shrunkAt time.Duration
-	total    int           // Upstreams wanted; 0 before the first decision.
 	settle   time.Duration // Time for upstreams to register before the first decision.
 }
 
@@ -113,27 +112,24 @@
 }
 
 // want returns the number of upstreams for the load seen; 0 while there is
-// nothing to go by. It is a multiple of the number of failure domains.
-func (z *sizer) want(have Numbers, domains int) int {
-	if z.total == 0 {
-		if z.at-z.since < z.settle || have.sum() == 0 {
+// nothing to go by. It starts from the number that was fixed before, by this or
+// an earlier holder of the lease, or from what is registered. The result is a
+// multiple of the number of failure domains.
+func (z *sizer) want(have, domains, fixed int) int {
+	if fixed == 0 {
+		if z.at-z.since < z.settle || have == 0 {
 			return 0
 		}
-		z.total = have.sum()
-		if have.Reclaimable == 0 {
-			// Nobody has ordered yet: this is what the deployment starts with.
-			z.total += int(math.Ceil(spareOfDomain * float64(domains)))
-		}
-		z.total = roundUp(z.total, domains)
+		return roundUp(have+int(math.Ceil(spareOfDomain*float64(domains))), domains)
 	}
-	switch perUpstream := z.running / float64(z.total); {
+	switch perUpstream := z.running / float64(fixed); {
 	case perUpstream > crowded:
-		z.total = roundUp(int(math.Ceil(z.running/crowded)), domains)
-	case z.seen && perUpstream < sparse && z.total > leastSpare*domains && z.at-z.shrunkAt > fallTime:
-		z.total -= domains
+		return roundUp(int(math.Ceil(z.running/crowded)), domains)
+	case z.seen && perUpstream < sparse && fixed > leastSpare*domains && z.at-z.shrunkAt > fallTime:
 		z.shrunkAt = z.at
+		return fixed - domains
 	}
-	return z.total
+	return fixed
 }
 
 func roundUp(n, step int) int { return ceilDiv(n, step) * step }
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	p := &provisioner.Provisioner{Holder: claimer, Target: duties, Services: services, Upstreams: upstreams, Logger: log}
+//	p := &provisioner.Provisioner{Ledger: claimer, Target: duties, Services: services, Upstreams: upstreams, Logger: log}
 //	go p.Run(ctx)
 package provisioner
 
@@ -29,9 +29,16 @@
 	settleHeartbeats = 2                      // After which each upstream that lives has registered.
 )
 
+// Ledger is the holder's access to the duties topic.
+type Ledger interface {
+	savoryloft.Holder
+	Size(service string) (upstreams int, ok bool)
+	SetSize(ctx context.Context, service string, upstreams int) error
+}
+
 // Provisioner sends orders. Set the exported fields before Run.
 type Provisioner struct {
-	Holder savoryloft.Holder
+	Ledger Ledger
 	Target savoryloft.DutyTarget
 	// Services returns the services of the configuration in force.
 	Services func() []savoryloft.UpstreamService
@@ -68,7 +75,7 @@
 	p.orders = map[subject]*orderState{}
 	p.sizers = map[string]*sizer{}
 	for ctx.Err() == nil {
-		if fence, left, ok := p.Holder.Held(); ok && left > callTimeout {
+		if fence, left, ok := p.Ledger.Held(); ok && left > callTimeout {
 			p.step(ctx, fence)
 		}
 		savoryloft.Sleep(ctx, stepInterval)
@@ -110,10 +117,19 @@
 		p.sizers[s.Name] = z
 	}
 	z.observe(savoryloft.Uptime(), p.Running(s.Name))
-	total := z.want(have, len(domains))
+	fixed, _ := p.Ledger.Size(s.Name)
+	total := z.want(have.sum(), len(domains), fixed)
 	if total == 0 {
 		return true
 	}
+	if total != fixed {
+		if err := p.Ledger.SetSize(ctx, s.Name, total); err != nil {
+			p.Logger.Info("size not set", "step", savoryloft.StepOrder, "service", s.Name, "upstreams", total, "error", err.Error())
+			return false
+		}
+		p.Logger.Info("size set", "step", savoryloft.StepOrder, "service", s.Name, "upstreams", total, "before", fixed,
+			"registered", have.sum(), "running", int(z.running))
+	}
 	plan := Plan(*s.Scaling, total, domains)
 	for i, d := range domains {
 		// Reclaimable upstreams first: others are given up only once these serve.
@@ -148,7 +164,7 @@
 	if o.count == want && (have == want || now-o.placedAt < s.Scaling.Boot+repeatAfter) {
 		return true
 	}
-	fence, left, ok := p.Holder.Held()
+	fence, left, ok := p.Ledger.Held()
 	if !ok || left < callTimeout {
 		return false
 	}
