--- a/provisioner/plan.go
+++ b/provisioner/plan.go
@@ -16,11 +16,12 @@
 	// are ordered, and sparse the number below which fewer are. Engines take many
 	// more at once, but then a prompt waits for the prompts before it; between the
 	// two nothing is ordered, since a change costs caches.
-	crowded    = 10.0
-	sparse     = 2.0
-	riseTime   = 2 * time.Second  // Smoothing of a load that grows; a burst lasts some seconds.
-	fallTime   = 25 * time.Second // Smoothing of a load that falls; longer than the waves of a day's traffic.
-	leastSpare = 2                // Upstreams of each failure domain that are kept however small the load is.
+	crowded      = 10.0
+	sparse       = 2.0
+	riseTime     = 2 * time.Second  // Smoothing of a load that grows; a burst lasts some seconds.
+	fallTime     = 25 * time.Second // Smoothing of a load that falls; longer than the waves of a day's traffic.
+	keptWhenIdle = 1                // Upstreams of the dear kind that stay in each failure domain before the first request.
+	leastSpare   = 2                // Upstreams of each failure domain that are kept however small the load is.
 )
 
 // Numbers counts upstreams of a service in a failure domain by kind.
@@ -54,8 +55,9 @@
 
 // Plan returns how many upstreams each failure domain should have for total
 // upstreams together. Reclaimable ones serve as long as they are to be had in
-// most failure domains; the loss of one is what the spare ones are for.
-func Plan(s savoryloft.ScalingTraits, total int, domains []Domain) []Numbers {
+// most failure domains; the loss of one is what the spare ones are for. idle
+// tells that no request has been seen yet.
+func Plan(s savoryloft.ScalingTraits, total int, domains []Domain, idle bool) []Numbers {
 	plan := make([]Numbers, len(domains))
 	refusing := 0
 	for _, d := range domains {
@@ -71,8 +73,12 @@
 		case d.Refused && 2*refusing > len(domains):
 			plan[i] = Numbers{Reclaimable: share, Firm: ceilDiv(share, 2)}
 		default:
-			// The others stay until the cheaper ones serve, as far as there is room.
+			// The others stay until the cheaper ones serve, as far as there is room
+			// and requests for them.
 			missing := clamp(share-d.Have.Reclaimable, 0, s.Max-share)
+			if idle {
+				missing = min(missing, keptWhenIdle)
+			}
 			plan[i] = Numbers{Reclaimable: share, Firm: min(d.Have.Firm, missing)}
 		}
 	}
@@ -91,6 +97,8 @@
 	since    time.Duration // Uptime of the first observation.
 	seen     bool          // Requests have run.
 	shrunkAt time.Duration
+	have     int // Registered upstreams before the first decision, and since when.
+	haveAt   time.Duration
 	settle   time.Duration // Time for upstreams to register before the first decision.
 }
 
@@ -117,7 +125,10 @@
 // multiple of the number of failure domains.
 func (z *sizer) want(have, domains, fixed int) int {
 	if fixed == 0 {
-		if z.at-z.since < z.settle || have == 0 {
+		if have != z.have {
+			z.have, z.haveAt = have, z.at
+		}
+		if have == 0 || z.at-z.since < z.settle || z.at-z.haveAt < z.settle/2 {
 			return 0
 		}
 		return roundUp(have+int(math.Ceil(spareOfDomain*float64(domains))), domains)
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -113,7 +113,7 @@
 	}
 	z := p.sizers[s.Name]
 	if z == nil {
-		z = &sizer{settle: settleHeartbeats * p.Heartbeat}
+		z = &sizer{settle: time.Duration(settleHeartbeats * float64(p.Heartbeat))}
 		p.sizers[s.Name] = z
 	}
 	z.observe(savoryloft.Uptime(), p.Running(s.Name))
@@ -130,7 +130,7 @@
 		p.Logger.Info("size set", "step", savoryloft.StepOrder, "service", s.Name, "upstreams", total, "before", fixed,
 			"registered", have.sum(), "running", int(z.running))
 	}
-	plan := Plan(*s.Scaling, total, domains)
+	plan := Plan(*s.Scaling, total, domains, !z.seen)
 	for i, d := range domains {
 		// Reclaimable upstreams first: others are given up only once these serve.
 		if !p.order(ctx, s, subject{s.Name, d.Name, true}, plan[i].Reclaimable, d.Have.Reclaimable) ||
