Links for large deployments: hubs, answered statuses, changed loads; log calls counted

Change: candidates by position, the leader's age is passed on; the topology is kept 200 ms; frames carry changed loads; a peer gets only what it lacks.

--- a/check.go
+++ b/check.go
@@ -86,20 +86,20 @@
 			return errors.Errorf("usage of account %q is negative", u.Account)
 		}
 	}
-	return checkLoads(s.Loads)
+	return checkNews(s.Loads, s.Parts)
 }
 
 // Check returns an error when an update breaks its schema.
 func (u LoadUpdate) Check() error {
-	for _, p := range u.Parts {
+	return checkNews(u.Loads, u.Parts)
+}
+
+func checkNews(loads []LinkLoad, parts []HeldPart) error {
+	for _, p := range parts {
 		if p.Upstream == "" || p.Part == "" || p.Tokens < 0 {
 			return errors.Errorf("part %q of upstream %q is malformed", p.Part, p.Upstream)
 		}
 	}
-	return checkLoads(u.Loads)
-}
-
-func checkLoads(loads []LinkLoad) error {
 	for _, l := range loads {
 		if l.Upstream == "" || l.Running < 0 || l.Prefill < 0 || l.Tokens < 0 {
 			return errors.Errorf("load of upstream %q is negative", l.Upstream)
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -36,7 +36,7 @@
 	renewalsPerTTL  = 3
 	drift           = 100 * time.Millisecond // By which two instances' clocks may differ over a TTL.
 	positionDelay   = 400 * time.Millisecond // Between the claims of successive candidates; a status tells of a new holder by then.
-	maxPosition     = 5                      // Candidates after this one claim at the same time.
+	maxPosition     = 5                      // Instances after this one are no candidates.
 	readWait        = 500 * time.Millisecond // Long poll of a candidate.
 	leastBackoff    = 200 * time.Millisecond // After a call that failed.
 	mostBackoff     = time.Second
@@ -121,7 +121,7 @@
 		return c.append(ctx, savoryloft.DutyRecord{Kind: savoryloft.DutyRecordKindRenewal})
 	case held:
 		return nil
-	case c.OtherLeads():
+	case c.OtherLeads(), c.Position() > maxPosition:
 		c.mu.Lock()
 		c.term.forget()
 		c.mu.Unlock()
@@ -135,7 +135,7 @@
 	if err := c.read(ctx, readWait); err != nil {
 		return err
 	}
-	delay := time.Duration(min(c.Position(), maxPosition)) * positionDelay
+	delay := time.Duration(c.Position()) * positionDelay
 	c.mu.Lock()
 	h := c.term.holder
 	c.mu.Unlock()
--- a/deployment.go
+++ b/deployment.go
@@ -36,17 +36,18 @@
 
 // DeploymentBounds are the bounds of a deployment that decisions depend on.
 type DeploymentBounds struct {
-	Revocation    time.Duration // A key is refused at the latest this long after its withdrawal.
-	Drain         time.Duration // A leaving upstream gets new work for at most this long.
-	Grace         time.Duration // Time from SIGTERM to SIGKILL.
-	Lease         time.Duration // Shortest time between terms of one holder.
-	UsageWindow   time.Duration
-	UsageDelay    time.Duration // A window's report is due this long after its end.
-	RetryRatio    float64       // Repeated sends allowed for each request, over all instances.
-	RetryWindow   time.Duration
-	RetrySlack    int           // Repeated sends allowed in a window besides, over all instances.
-	RetryAfter    time.Duration // Time for which a cached prompt part is worth keeping.
-	FencingChecks bool          // Orders and reports under an old fencing token are refused by their target.
+	Revocation           time.Duration // A key is refused at the latest this long after its withdrawal.
+	ConfigurationInForce time.Duration // A new configuration is in force at the latest this long after its acceptance.
+	Drain                time.Duration // A leaving upstream gets new work for at most this long.
+	Grace                time.Duration // Time from SIGTERM to SIGKILL.
+	Lease                time.Duration // Shortest time between terms of one holder.
+	UsageWindow          time.Duration
+	UsageDelay           time.Duration // A window's report is due this long after its end.
+	RetryRatio           float64       // Repeated sends allowed for each request, over all instances.
+	RetryWindow          time.Duration
+	RetrySlack           int           // Repeated sends allowed in a window besides, over all instances.
+	RetryAfter           time.Duration // Time for which a cached prompt part is worth keeping.
+	FencingChecks        bool          // Orders and reports under an old fencing token are refused by their target.
 }
 
 // DeploymentDuties names the duties that one instance at a time carries out.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -47,6 +47,7 @@
 	stopNotice      = 2500 * time.Millisecond // The balancer asks each second and takes two misses.
 	stopReserve     = 700 * time.Millisecond  // Left of the grace time for the end of the process.
 	lastWork        = 400 * time.Millisecond  // For the release of the lease.
+	leaderLimit     = 1500 * time.Millisecond // Age of the last word of a holder of the lease: six statuses.
 	registerPause   = time.Second             // Between attempts to enter the list of members.
 	membersEvery    = 10 * time.Second        // Between reads of the list of members by readers.
 )
@@ -67,6 +68,7 @@
 
 	incarnation int
 	stopping    atomic.Bool
+	peersDirty  atomic.Bool // Peers' loads have changed since the placer got them.
 	registry    metrics.Registry
 	watcher     *watcher.Watcher
 	linker      *linker.Linker
@@ -120,7 +122,7 @@
 // duties returns what runs in the background.
 func (l *Launcher) duties() []func(context.Context) error {
 	d := l.Deployment
-	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.register, l.refresh}
+	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.register, l.refresh, l.summarize}
 	if d.Duties.UsageReports || d.Duties.Orders {
 		list = append(list, l.claimer.Run)
 	}
@@ -146,6 +148,7 @@
 	d := l.Deployment
 	l.incarnation = int(time.Now().UnixMilli())
 	l.registry = metrics.NewRegistry()
+	l.Log = observedLog{l.Log, l.registry}
 	l.counter = &counter.Counter{Source: fmt.Sprintf("%s/%d", d.Instance, l.incarnation), Window: d.Bounds.UsageWindow}
 	l.placer = &placer.Placer{FailureDomain: d.FailureDomain}
 	l.linker = &linker.Linker{
@@ -154,6 +157,7 @@
 	}
 	l.watcher = &watcher.Watcher{
 		Log: l.Log, Decoder: l.Decoder, Logger: l.Logger, Reader: l.linker.IsReader, Changed: l.passOn,
+		InForce: [2]time.Duration{d.Bounds.ConfigurationInForce, d.Bounds.Drain},
 	}
 	l.claimer = &claimer.Claimer{
 		Log: l.Log, Instance: d.Instance, Incarnation: l.incarnation, TTL: d.Bounds.Lease,
@@ -162,7 +166,7 @@
 	l.relayer = &relayer.Relayer{
 		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
 		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, Instances: l.instances,
-		Count: l.countRequest, Placed: l.tellPlaced,
+		Count: l.countRequest, Placed: l.tellPlaced, Refresh: l.refreshPeers,
 		Limiter: &limiter.Limiter{
 			Ratio: d.Bounds.RetryRatio, Slack: d.Bounds.RetrySlack, Window: d.Bounds.RetryWindow, Instances: l.instances,
 		},
@@ -185,13 +189,10 @@
 	}
 }
 
+// otherLeads tells whether another instance is known to hold the lease.
 func (l *Launcher) otherLeads() bool {
-	for _, m := range l.linker.Members() {
-		if m.Leading {
-			return true
-		}
-	}
-	return false
+	age, ok := l.linker.LeaderAge()
+	return ok && age < leaderLimit
 }
 
 // yielded tells whether an incarnation of an instance is a live peer that says
@@ -234,6 +235,7 @@
 
 // running returns how many requests of a service run, of all instances.
 func (l *Launcher) running(service string) int {
+	l.refreshPeers()
 	loads := l.placer.TotalLoads(time.Now())
 	n := 0
 	for _, u := range l.watcher.Upstreams(service) {
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -12,6 +12,13 @@
 // FillStatus implements linker.Source.
 func (s source) FillStatus(st *savoryloft.LinkStatus) {
 	_, _, st.Leading = s.claimer.Held()
+	st.LeaderAge = -1
+	if age, ok := s.linker.LeaderAge(); st.Leading {
+		st.LeaderAge = 0
+	} else if ok {
+		st.LeaderAge = int(age/time.Millisecond) + 1
+	}
+	st.LogLost = s.watcher.LogLost()
 	st.Wall = int(time.Now().UnixMilli())
 	st.Version = s.watcher.Version()
 	st.VersionAge = s.age(savoryloft.TopicConfiguration)
@@ -38,8 +45,10 @@
 	return s.counter.Since(sent, all)
 }
 
-// Records implements linker.Source.
-func (s source) Records() []savoryloft.ControlRecord { return s.watcher.Records() }
+// RecordsSince implements linker.Source.
+func (s source) RecordsSince(version, registryRead int) []savoryloft.ControlRecord {
+	return s.watcher.RecordsSince(version, registryRead)
+}
 
 // TakeRecords implements linker.Source.
 func (s source) TakeRecords(records []savoryloft.ControlRecord) { s.watcher.Take(records) }
@@ -67,4 +76,11 @@
 }
 
 // LoadsChanged implements linker.Source.
-func (s source) LoadsChanged() { s.placer.SetPeers(time.Now(), s.linker.PeerLoads()) }
+func (s source) LoadsChanged() { s.peersDirty.Store(true) }
+
+// refreshPeers feeds the placer with the peers' loads if they have changed.
+func (l *Launcher) refreshPeers() {
+	if l.peersDirty.Swap(false) {
+		l.placer.SetPeers(time.Now(), l.linker.PeerLoads())
+	}
+}
--- a/linker/link.go
+++ b/linker/link.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -15,10 +14,12 @@
 )
 
 const (
-	maxQueued   = 256                  // Frames waiting on one link; a peer that lags further is dropped.
-	keptSending = 64                   // Times of sent statuses that are kept; echoes are far younger.
-	updatePause = 5 * time.Millisecond // Before an update, to take several changes together.
-	resendAfter = 3                    // Statuses in a row that show a peer behind before all records are sent again.
+	maxQueued       = 256                    // Frames waiting on one link; a peer that lags further is dropped.
+	keptSending     = 64                     // Times of sent statuses that are kept; echoes are far younger.
+	meshUpdatePause = 5 * time.Millisecond   // Before an update, to take several changes together.
+	hubUpdatePause  = 120 * time.Millisecond // The same where one frame tells of many instances.
+	wholeEvery      = 8                      // Each so many statuses, all loads are told.
+	resendAfter     = 3                      // Statuses in a row that show a peer behind before all records are sent again.
 )
 
 // link is one connection to a peer.
@@ -39,7 +40,7 @@
 	sentAt   map[int]time.Duration
 
 	// The linker's lock guards these.
-	loads     []savoryloft.LinkLoad
+	loads     map[string]savoryloft.LinkLoad // Told by the peer, by upstream.
 	child     bool
 	hasOffset bool
 	offset    time.Duration // Peer's time of day less this instance's.
@@ -47,7 +48,10 @@
 	behind    int
 	parts     []savoryloft.HeldPart // Not told to the peer yet.
 
-	usageSent map[savoryloft.UsageCount]int // Only the writer uses it.
+	// Only the writer uses these.
+	usageSent map[savoryloft.UsageCount]int
+	loadsSent map[string]savoryloft.LinkLoad
+	statuses  int
 }
 
 // keep runs one connection until it ends.
@@ -62,6 +66,7 @@
 		out: make(chan savoryloft.LinkFrame, maxQueued), nudge: make(chan struct{}, 1),
 		urged:  make(chan struct{}, 1),
 		sentAt: map[int]time.Duration{}, usageSent: map[savoryloft.UsageCount]int{},
+		loads: map[string]savoryloft.LinkLoad{}, loadsSent: map[string]savoryloft.LinkLoad{},
 	}
 	if err := k.greet(); err != nil {
 		l.Logger.V(1).Info("link not set up", "step", savoryloft.StepPeer, "peer", conn.RemoteAddr().String(), "error", err.Error())
@@ -118,6 +123,7 @@
 		m.heard = savoryloft.Uptime()
 	}
 	l.links[k.peer.Instance] = k
+	l.topology.stale = true
 	others := make([]savoryloft.LinkGreeting, 0, len(l.members))
 	for _, m := range l.members {
 		if m.greeting.Instance != k.peer.Instance {
@@ -127,9 +133,6 @@
 	if len(others) > 0 {
 		k.send(savoryloft.LinkFrame{Members: others})
 	}
-	if records := l.Source.Records(); len(records) > 0 {
-		k.send(savoryloft.LinkFrame{Records: records})
-	}
 	return true
 }
 
@@ -139,6 +142,7 @@
 	defer l.mu.Unlock()
 	if l.links[k.peer.Instance] == k {
 		delete(l.links, k.peer.Instance)
+		l.topology.stale = true
 	}
 	reason := "closed"
 	if err != nil {
@@ -174,10 +178,31 @@
 
 // update returns what changed since the last frame with loads. Updates that
 // follow each other closely are taken together.
-func (k *link) update() *savoryloft.LoadUpdate {
-	time.Sleep(updatePause)
+func (k *link) update(ctx context.Context) *savoryloft.LoadUpdate {
+	pause := meshUpdatePause
+	if !k.linker.InMesh() {
+		pause = hubUpdatePause
+	}
+	savoryloft.Sleep(ctx, pause)
 	loads, _ := k.linker.loadsFor(k)
-	return &savoryloft.LoadUpdate{Loads: loads, Parts: k.takeParts()}
+	return &savoryloft.LoadUpdate{Loads: k.changedLoads(loads), Parts: k.takeParts()}
+}
+
+// changedLoads returns the loads that the peer does not know yet.
+func (k *link) changedLoads(loads map[string]savoryloft.LinkLoad) []savoryloft.LinkLoad {
+	var changed []savoryloft.LinkLoad
+	for id, load := range loads {
+		if k.loadsSent[id] != load {
+			changed = append(changed, load)
+		}
+	}
+	for id := range k.loadsSent {
+		if _, ok := loads[id]; !ok {
+			changed = append(changed, savoryloft.LinkLoad{Upstream: id})
+		}
+	}
+	k.loadsSent = loads
+	return changed
 }
 
 func (k *link) takeParts() []savoryloft.HeldPart {
@@ -188,9 +213,15 @@
 	return parts
 }
 
-// write sends queued frames, updates, and a status at each interval.
+// write sends queued frames, updates and statuses. The side that dialled sends
+// a status at each interval, and the other side answers each at once: an age
+// that is counted from an answered status is as young as can be.
 func (k *link) write(ctx context.Context) {
-	t := time.NewTicker(k.linker.Interval)
+	interval := k.linker.Interval
+	if !k.dialer {
+		interval = silenceLimit
+	}
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		var f savoryloft.LinkFrame
@@ -199,7 +230,7 @@
 			return
 		case f = <-k.out:
 		case <-k.urged:
-			f = savoryloft.LinkFrame{Update: k.update()}
+			f = savoryloft.LinkFrame{Update: k.update(ctx)}
 		case <-k.nudge:
 			f = savoryloft.LinkFrame{Status: k.status()}
 		case <-t.C:
@@ -224,69 +255,55 @@
 	l.Source.FillStatus(s)
 	// In a mesh each instance tells its own counts; a new peer gets all.
 	s.Usage = l.Source.UsageSince(k.usageSent, s.Sequence == 1 || !l.InMesh())
-	s.Loads, s.Child = l.loadsFor(k)
+	loads, child := l.loadsFor(k)
+	k.statuses++
+	s.Child, s.Whole = child, k.statuses%wholeEvery == 1
+	if s.Whole {
+		k.loadsSent = nil
+	}
+	s.Loads, s.Parts = k.changedLoads(loads), k.takeParts()
 	return s
 }
 
-// loadsFor returns the loads that a peer is told, and whether this instance
-// relies on the peer to pass them on.
-func (l *Linker) loadsFor(k *link) (loads []savoryloft.LinkLoad, child bool) {
+// loadsFor returns the loads that a peer is told, by upstream, and whether this
+// instance relies on the peer to pass them on.
+func (l *Linker) loadsFor(k *link) (loads map[string]savoryloft.LinkLoad, child bool) {
 	own := l.Source.Loads()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := savoryloft.Uptime()
-	if len(l.members) < meshLimit {
-		return own, false
-	}
-	if !l.isHub(l.Instance, l.FailureDomain, now) {
-		if l.primaryHub(now) == k.peer.Instance {
-			return own, true
-		}
-		return nil, false
-	}
+	t := l.arrange(savoryloft.Uptime())
 	sum := map[string]savoryloft.LinkLoad{}
-	peerIsHub := l.isHub(k.peer.Instance, k.peer.FailureDomain, now)
 	switch {
+	case t.mesh:
+	case !t.hub:
+		child = t.primary == k.peer.Instance
+		if !child {
+			return sum, false
+		}
 	case k.child:
 		sum = l.sumLoads(k)
-	case peerIsHub:
-		for _, other := range l.links {
-			if other.child {
-				for _, load := range other.loads {
-					addLoad(sum, load)
-				}
-			}
-		}
+	case t.hubs[k.peer.Instance]:
+		l.addChildren(sum)
 	default:
-		return nil, false
+		return sum, false
 	}
 	for _, load := range own {
 		addLoad(sum, load)
 	}
-	for _, load := range sum {
-		loads = append(loads, load)
-	}
-	return loads, false
+	return sum, child
 }
 
-// primaryHub returns the first linked hub of this instance's failure domain.
-// The caller holds the lock.
-func (l *Linker) primaryHub(now time.Duration) string {
-	var names []string
-	for name, k := range l.links {
-		if k.peer.FailureDomain == l.FailureDomain && l.isHub(name, l.FailureDomain, now) {
-			names = append(names, name)
+// addChildren adds the loads of the instances that rely on this one. The
+// caller holds the lock.
+func (l *Linker) addChildren(sum map[string]savoryloft.LinkLoad) {
+	for _, k := range l.links {
+		if !k.child {
+			continue
 		}
-	}
-	if len(names) == 0 {
-		return ""
-	}
-	return slices.MinFunc(names, func(a, b string) int {
-		if before(a, b) {
-			return -1
+		for _, load := range k.loads {
+			addLoad(sum, load)
 		}
-		return 1
-	})
+	}
 }
 
 func (k *link) writeFrame(f savoryloft.LinkFrame) error {
@@ -343,27 +360,45 @@
 	}
 }
 
-func (k *link) takeUpdate(u *savoryloft.LoadUpdate) {
+// takeLoads takes in loads that changed. The caller holds the linker's lock.
+func (k *link) takeLoads(loads []savoryloft.LinkLoad) {
+	for _, load := range loads {
+		if load.Running == 0 && load.Prefill == 0 && load.Tokens == 0 {
+			delete(k.loads, load.Upstream)
+			continue
+		}
+		k.loads[load.Upstream] = load
+	}
+}
+
+// takeNews takes in parts that engines hold and passes on what was not known.
+func (k *link) takeNews(parts []savoryloft.HeldPart) {
 	l := k.linker
-	l.mu.Lock()
-	k.loads = u.Loads
-	l.mu.Unlock()
 	l.Source.LoadsChanged()
-	fresh := l.Source.TakeParts(u.Parts)
-	if len(fresh) == 0 {
+	if len(parts) == 0 {
 		return
 	}
+	fresh := l.Source.TakeParts(parts)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.members) < meshLimit {
-		return // Each peer has told all others.
+	if t := l.arrange(savoryloft.Uptime()); t.hub && !t.mesh {
+		l.spreadParts(fresh, k)
 	}
-	l.spreadParts(fresh, k)
-	for _, other := range l.links {
-		if other != k {
-			other.urge()
+}
+
+func (k *link) takeUpdate(u *savoryloft.LoadUpdate) {
+	l := k.linker
+	l.mu.Lock()
+	k.takeLoads(u.Loads)
+	if t := l.arrange(savoryloft.Uptime()); t.hub && !t.mesh && len(u.Loads) > 0 {
+		for _, other := range l.links {
+			if other != k {
+				other.urge()
+			}
 		}
 	}
+	l.mu.Unlock()
+	k.takeNews(u.Parts)
 }
 
 func (k *link) takeStatus(s *savoryloft.LinkStatus) {
@@ -373,22 +408,37 @@
 	k.mu.Unlock()
 	l := k.linker
 	l.mu.Lock()
-	k.loads, k.child = s.Loads, s.Child
+	if s.Whole {
+		clear(k.loads)
+	}
+	k.takeLoads(s.Loads)
+	k.child = s.Child
 	k.hasOffset, k.wallAt = true, time.Now()
 	k.offset = time.UnixMilli(int64(s.Wall)).Sub(k.wallAt.Round(0))
 	if m := l.members[k.peer.Instance]; m != nil && m.greeting.Incarnation == k.peer.Incarnation {
+		if m.leaving != s.Leaving || m.logLost != s.LogLost {
+			l.topology.stale = true
+		}
+		m.logLost = s.LogLost
 		m.heard, m.told, m.leaving, m.leading = savoryloft.Uptime(), true, s.Leaving, s.Leading
 	}
+	if asOf > 0 && s.LeaderAge >= 0 {
+		l.leaderAt = max(l.leaderAt, asOf-time.Duration(s.LeaderAge)*time.Millisecond)
+	}
 	l.mu.Unlock()
 	if len(s.Usage) > 0 {
 		l.Source.TakeUsage(s.Usage)
 	}
-	l.Source.LoadsChanged()
+	k.takeNews(s.Parts)
 	l.Source.TakeStatus(k.peer.Instance, s, asOf)
 	k.resendIfBehind(s)
+	if !k.dialer {
+		k.wake()
+	}
 }
 
-// resendIfBehind sends all records to a peer that keeps showing older ones.
+// resendIfBehind sends what a peer lacks: at the first status, and later if
+// statuses in a row show that what was passed on has not arrived.
 func (k *link) resendIfBehind(s *savoryloft.LinkStatus) {
 	var mine savoryloft.LinkStatus
 	k.linker.Source.FillStatus(&mine)
@@ -396,9 +446,12 @@
 		k.behind = 0
 		return
 	}
-	if k.behind++; k.behind >= resendAfter {
-		k.behind = 0
-		k.send(savoryloft.LinkFrame{Records: k.linker.Source.Records()})
+	if k.behind++; k.behind < resendAfter && s.Sequence > 1 {
+		return
+	}
+	k.behind = 0
+	if records := k.linker.Source.RecordsSince(s.Version, s.RegistryRead); len(records) > 0 {
+		k.send(savoryloft.LinkFrame{Records: records})
 	}
 }
 
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -28,7 +28,6 @@
 import (
 	"cmp"
 	"context"
-	"hash/fnv"
 	"net"
 	"slices"
 	"sync"
@@ -49,9 +48,6 @@
 	leastRedial     = 200 * time.Millisecond
 	mostRedial      = 3 * time.Second
 	dialTimeout     = time.Second
-	meshLimit       = 16 // Most members that all link to each other.
-	hubsPerDomain   = 2
-	readers         = 2 // Instances that read the log for all.
 )
 
 // Source provides what statuses tell and takes what they told.
@@ -63,8 +59,9 @@
 	// UsageSince returns the counts that exceed those in sent, and adds them to it.
 	// Unless all is set, only this instance's own counts are wanted.
 	UsageSince(sent map[savoryloft.UsageCount]int, all bool) []savoryloft.UsageCount
-	// Records returns all control records.
-	Records() []savoryloft.ControlRecord
+	// RecordsSince returns the control records that an instance lacks which has a
+	// version of the configuration and the registry up to an offset.
+	RecordsSince(version, registryRead int) []savoryloft.ControlRecord
 	// TakeRecords, TakeUsage and TakeStatus take in what a peer sent. asOf is the
 	// uptime at which this instance sent what the peer's status answers; it is 0
 	// when the status answers nothing yet.
@@ -94,22 +91,26 @@
 	sent     atomic.Int64
 	received atomic.Int64
 
-	mu      sync.Mutex
-	members map[string]*member
-	seeds   map[string]*dialling // By address.
-	links   map[string]*link     // By instance.
-	group   sync.WaitGroup
-	once    sync.Once
+	mu       sync.Mutex
+	topology topology
+	members  map[string]*member
+	leaderAt time.Duration        // Uptime at which another instance was known to hold the lease; 0 when never.
+	seeds    map[string]*dialling // By address.
+	links    map[string]*link     // By instance.
+	group    sync.WaitGroup
+	once     sync.Once
 }
 
 // member is another instance that this one has heard of.
 type member struct {
 	greeting savoryloft.LinkGreeting
+	order    uint32        // Hash of the name.
 	heard    time.Duration // Uptime of the last status; 0 before the first.
 	known    time.Duration // Uptime at which it was heard of.
 	told     bool          // It has sent a status.
 	leaving  bool
 	leading  bool
+	logLost  bool // It can not read the log.
 	dialling
 }
 
@@ -198,38 +199,19 @@
 			l.dialIfDue(ctx, address, d, now)
 		}
 	}
+	l.arrange(now)
 	for name, m := range l.members {
 		if now-max(m.heard, m.known) > forgetAfter {
 			delete(l.members, name)
+			l.topology.stale = true
 			continue
 		}
-		if l.links[name] == nil && l.wants(name, now) {
+		if l.links[name] == nil && l.wants(name, m, now) {
 			l.dialIfDue(ctx, m.greeting.Address, &m.dialling, now)
 		}
 	}
 }
 
-// wants tells whether this instance should dial a member. When both want the
-// link, the one with the smaller name dials.
-func (l *Linker) wants(name string, now time.Duration) bool {
-	m := l.members[name]
-	mine := l.linksTo(l.FailureDomain, l.isHub(l.Instance, l.FailureDomain, now), m, now)
-	theirs := l.linksTo(m.greeting.FailureDomain, l.isHub(name, m.greeting.FailureDomain, now),
-		&member{greeting: l.greeting()}, now)
-	return mine && (!theirs || l.Instance < name || now-m.known > silenceLimit)
-}
-
-// linksTo tells whether an instance of a failure domain wants a link to m.
-func (l *Linker) linksTo(domain string, hub bool, m *member, now time.Duration) bool {
-	if len(l.members) < meshLimit {
-		return true
-	}
-	if !l.isHub(m.greeting.Instance, m.greeting.FailureDomain, now) {
-		return false
-	}
-	return hub || m.greeting.FailureDomain == domain
-}
-
 func (l *Linker) dialIfDue(ctx context.Context, address string, d *dialling, now time.Duration) {
 	if d.busy || now < d.next {
 		return
@@ -278,7 +260,8 @@
 		if m != nil && m.greeting.Incarnation >= g.Incarnation {
 			continue
 		}
-		l.members[g.Instance] = &member{greeting: g, known: savoryloft.Uptime()}
+		l.members[g.Instance] = &member{greeting: g, order: hash(g.Instance), known: savoryloft.Uptime()}
+		l.topology.stale = true
 		fresh = append(fresh, g)
 	}
 	if len(fresh) == 0 {
@@ -300,71 +283,6 @@
 	return !m.leaving && now-max(m.heard, m.known) < 2*liveLimit
 }
 
-// isHub tells whether an instance is one of the hubs of its failure domain.
-// The caller holds the lock.
-func (l *Linker) isHub(name, domain string, now time.Duration) bool {
-	if len(l.members) < meshLimit {
-		return true
-	}
-	ahead := 0
-	if name != l.Instance && domain == l.FailureDomain && before(l.Instance, name) {
-		ahead++
-	}
-	for n, m := range l.members {
-		if n != name && m.greeting.FailureDomain == domain && m.present(now) && before(n, name) {
-			ahead++
-		}
-	}
-	return ahead < hubsPerDomain
-}
-
-// IsHub tells whether this instance is a hub now.
-func (l *Linker) IsHub() bool {
-	l.init()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.isHub(l.Instance, l.FailureDomain, savoryloft.Uptime())
-}
-
-// IsReader tells whether this instance reads the log for all. Readers are the
-// first of the live hubs by hash.
-func (l *Linker) IsReader() bool { return l.position() < readers }
-
-// position returns how many live hubs precede this instance by hash.
-func (l *Linker) position() int {
-	l.init()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := savoryloft.Uptime()
-	if !l.isHub(l.Instance, l.FailureDomain, now) {
-		return readers
-	}
-	ahead := 0
-	for n, m := range l.members {
-		if m.live(now) && !m.leaving && before(n, l.Instance) && l.isHub(n, m.greeting.FailureDomain, now) {
-			ahead++
-		}
-	}
-	return ahead
-}
-
-// Position returns how many live hubs precede this instance by hash; 0 is
-// first.
-func (l *Linker) Position() int { return l.position() }
-
-// before orders instances by the hash of their names.
-func before(a, b string) bool {
-	ha, hb := hash(a), hash(b)
-	return ha < hb || ha == hb && a < b
-}
-
-func hash(name string) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name))
-	// FNV's last bytes hardly reach the high bits; multiply once more.
-	return h.Sum32() * 0x9E3779B1
-}
-
 // Members returns the other instances, in order of their names.
 func (l *Linker) Members() []Member {
 	l.init()
@@ -379,6 +297,15 @@
 	return list
 }
 
+// LeaderAge returns the time since another instance was known to hold the
+// lease. ok is false when none was.
+func (l *Linker) LeaderAge() (age time.Duration, ok bool) {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return savoryloft.Uptime() - l.leaderAt, l.leaderAt > 0
+}
+
 // Send passes records on to all peers.
 func (l *Linker) Send(records []savoryloft.ControlRecord) {
 	l.init()
@@ -395,7 +322,7 @@
 	l.init()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.members) < meshLimit
+	return l.arrange(savoryloft.Uptime()).mesh
 }
 
 // Flush sends a status on all links at once.
--- /dev/null
+++ b/linker/topology.go
@@ -0,0 +1,126 @@
+package linker
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"savoryloft.example/savoryloft"
+)
+
+const (
+	arrangeEvery  = 200 * time.Millisecond // Between looks at who lives; far below what makes a member count as gone.
+	meshLimit     = 16                     // Most members that all link to each other.
+	hubsPerDomain = 2
+	readers       = 2 // Instances that read the log for all.
+)
+
+// topology is who links to whom, worked out from the live members. It is kept
+// for a while, since it depends on all members.
+type topology struct {
+	at       time.Duration // Uptime at which it was worked out; 0 when never.
+	stale    bool
+	mesh     bool
+	hub      bool            // This instance is a hub.
+	hubs     map[string]bool // Other instances that are hubs.
+	primary  string          // Linked hub that passes this instance's loads on; empty at a hub.
+	position int             // Live hubs that precede this instance and can read the log.
+}
+
+// arrange works the topology out anew when it is due. The caller holds the lock.
+func (l *Linker) arrange(now time.Duration) *topology {
+	t := &l.topology
+	if t.at != 0 && !t.stale && now-t.at < arrangeEvery {
+		return t
+	}
+	*t = topology{at: now, mesh: len(l.members) < meshLimit, hubs: map[string]bool{}}
+	own := hash(l.Instance)
+	t.hub = t.mesh || l.ahead(l.Instance, own, l.FailureDomain, now) < hubsPerDomain
+	for name, m := range l.members {
+		domain := m.greeting.FailureDomain
+		if t.mesh || m.present(now) && l.ahead(name, m.order, domain, now) < hubsPerDomain {
+			t.hubs[name] = true
+		}
+	}
+	for name := range t.hubs {
+		m := l.members[name]
+		if m.live(now) && !m.leaving && !m.logLost && before(m.order, name, own, l.Instance) {
+			t.position++
+		}
+	}
+	if !t.hub {
+		t.position = math.MaxInt
+		t.primary = l.firstLinkedHub(t)
+	}
+	return t
+}
+
+// ahead returns how many present members of a failure domain precede one.
+func (l *Linker) ahead(name string, order uint32, domain string, now time.Duration) int {
+	n := 0
+	if name != l.Instance && domain == l.FailureDomain && before(hash(l.Instance), l.Instance, order, name) {
+		n++
+	}
+	for other, m := range l.members {
+		if other != name && m.greeting.FailureDomain == domain && m.present(now) && before(m.order, other, order, name) {
+			n++
+		}
+	}
+	return n
+}
+
+// firstLinkedHub returns the first linked hub of this instance's failure domain.
+func (l *Linker) firstLinkedHub(t *topology) string {
+	first := ""
+	for name, k := range l.links {
+		if !t.hubs[name] || k.peer.FailureDomain != l.FailureDomain {
+			continue
+		}
+		if first == "" || before(hash(name), name, hash(first), first) {
+			first = name
+		}
+	}
+	return first
+}
+
+// wants tells whether this instance should dial a member. When both want the
+// link, the one with the smaller name dials. The caller holds the lock.
+func (l *Linker) wants(name string, m *member, now time.Duration) bool {
+	t := l.arrange(now)
+	mine := t.mesh || t.hubs[name] && (t.hub || m.greeting.FailureDomain == l.FailureDomain)
+	theirs := t.mesh || t.hub && (t.hubs[name] || m.greeting.FailureDomain == l.FailureDomain)
+	return mine && (!theirs || l.Instance < name || now-m.known > silenceLimit)
+}
+
+// IsHub tells whether this instance is a hub now.
+func (l *Linker) IsHub() bool {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.arrange(savoryloft.Uptime()).hub
+}
+
+// IsReader tells whether this instance reads the log for all. Readers are the
+// first by hash of the live hubs that can.
+func (l *Linker) IsReader() bool { return l.Position() < readers }
+
+// Position returns how many live hubs that can read the log precede this
+// instance by hash; 0 is first.
+func (l *Linker) Position() int {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.arrange(savoryloft.Uptime()).position
+}
+
+// before orders instances by the hash of their names.
+func before(orderA uint32, a string, orderB uint32, b string) bool {
+	return orderA < orderB || orderA == orderB && a < b
+}
+
+func hash(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	// FNV's last bytes hardly reach the high bits; multiply once more.
+	return h.Sum32() * 0x9E3779B1
+}
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -200,15 +200,25 @@
 	// Sequence of the last status received from the peer; 0 before the first.
 	Echo int `json:"Echo" msgpack:"Echo"`
 
+	// Milliseconds since an instance was known to hold the lease; -1 when none was.
+	LeaderAge int `json:"LeaderAge" msgpack:"LeaderAge"`
+
 	// The sender holds the lease on the duties.
 	Leading bool `json:"Leading" msgpack:"Leading"`
 
 	// Leaving corresponds to the JSON schema field "Leaving".
 	Leaving bool `json:"Leaving" msgpack:"Leaving"`
 
-	// Loads corresponds to the JSON schema field "Loads".
+	// Loads that changed since the last frame with loads; one that is gone is told as
+	// zeros.
 	Loads []LinkLoad `json:"Loads,omitempty,omitzero" msgpack:"Loads,omitempty"`
 
+	// The sender can not read the log at the moment.
+	LogLost bool `json:"LogLost" msgpack:"LogLost"`
+
+	// Parts corresponds to the JSON schema field "Parts".
+	Parts []HeldPart `json:"Parts,omitempty,omitzero" msgpack:"Parts,omitempty"`
+
 	// Milliseconds since the registry is known to have been read to its end; -1 when
 	// that was never known.
 	RegistryAge int `json:"RegistryAge" msgpack:"RegistryAge"`
@@ -234,6 +244,9 @@
 
 	// Sender's time of day, Unix milliseconds.
 	Wall int `json:"Wall" msgpack:"Wall"`
+
+	// Loads holds all loads that the sender answers for.
+	Whole bool `json:"Whole" msgpack:"Whole"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -248,12 +261,18 @@
 	if _, ok := raw["Echo"]; raw != nil && !ok {
 		return fmt.Errorf("field Echo in LinkStatus: required")
 	}
+	if _, ok := raw["LeaderAge"]; raw != nil && !ok {
+		return fmt.Errorf("field LeaderAge in LinkStatus: required")
+	}
 	if _, ok := raw["Leading"]; raw != nil && !ok {
 		return fmt.Errorf("field Leading in LinkStatus: required")
 	}
 	if _, ok := raw["Leaving"]; raw != nil && !ok {
 		return fmt.Errorf("field Leaving in LinkStatus: required")
 	}
+	if _, ok := raw["LogLost"]; raw != nil && !ok {
+		return fmt.Errorf("field LogLost in LinkStatus: required")
+	}
 	if _, ok := raw["RegistryAge"]; raw != nil && !ok {
 		return fmt.Errorf("field RegistryAge in LinkStatus: required")
 	}
@@ -275,6 +294,9 @@
 	if _, ok := raw["Wall"]; raw != nil && !ok {
 		return fmt.Errorf("field Wall in LinkStatus: required")
 	}
+	if _, ok := raw["Whole"]; raw != nil && !ok {
+		return fmt.Errorf("field Whole in LinkStatus: required")
+	}
 	type Plain LinkStatus
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
@@ -287,7 +309,8 @@
 // Loads that changed much since the last status, and prompt parts that an upstream
 // has got.
 type LoadUpdate struct {
-	// All loads that the sender answers for; they replace those of its last status.
+	// Loads that changed since the last frame with loads; one that is gone is told as
+	// zeros.
 	Loads []LinkLoad `json:"Loads,omitempty,omitzero" msgpack:"Loads,omitempty"`
 
 	// Parts corresponds to the JSON schema field "Parts".
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -152,12 +152,23 @@
 	var loads []savoryloft.LinkLoad
 	for id, e := range p.engines {
 		if e.running > 0 {
-			loads = append(loads, savoryloft.LinkLoad{Upstream: id, Running: e.running, Prefill: e.unread(now), Tokens: e.tokens})
+			loads = append(loads, savoryloft.LinkLoad{
+				Upstream: id, Running: e.running, Prefill: roundTokens(e.unread(now), prefillStep), Tokens: roundTokens(e.tokens, memoryStep),
+			})
 		}
 	}
 	return loads
 }
 
+// roundTokens rounds to whole steps, so that a load that hardly changes is not
+// told again.
+func roundTokens(tokens, step int) int { return (tokens + step/2) / step * step }
+
+const (
+	prefillStep = 500   // Tokens; some ms of reading.
+	memoryStep  = 10000 // Tokens; a few hundredths of an engine's memory.
+)
+
 // TotalLoads returns the loads of all instances by upstream.
 func (p *Placer) TotalLoads(now time.Time) map[string]savoryloft.LinkLoad {
 	total := map[string]savoryloft.LinkLoad{}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -82,6 +82,7 @@
 func (x *exchange) send(lastEventID string, limit time.Duration) (*attempt, *sendError) {
 	r := x.relayer
 	req := x.request()
+	r.Refresh()
 	choice, ok := r.Placer.Choose(time.Now(), req, r.Watcher.Upstreams(x.service))
 	if !ok {
 		return nil, &sendError{notRun, errNoUpstream}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -65,6 +65,7 @@
 	Pool       *exchanger.Pool
 	Count      func(account string) // Counts a request that has begun to run.
 	Placed     func(uncached int)   // Called when a prompt was sent to an engine or has been read there.
+	Refresh    func()               // Called before an upstream is chosen, to bring the placer up to date.
 	Instances  func() int           // Instances that share the upstreams' connections.
 	Revocation time.Duration        // Bound on the use of withdrawn keys.
 	Stopping   func() bool
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -36,8 +36,9 @@
 const (
 	configurationWait = 400 * time.Millisecond  // Long poll; bounds the age of the configuration at a reader.
 	registryPause     = 300 * time.Millisecond  // Between reads of the registry, to take heartbeats together.
-	registryWait      = 1500 * time.Millisecond // Long poll.
-	staleLimit        = 1200 * time.Millisecond // Age at which an instance reads for itself; below the time for a change to be in force.
+	registryWait      = 500 * time.Millisecond  // Long poll; bounds the age of the registry at a reader.
+	stalePart         = 0.6                     // Part of the time for a change to be in force at which an instance reads for itself.
+	leastStale        = 800 * time.Millisecond  // Below it relayed knowledge is always fresh enough.
 	idlePause         = 100 * time.Millisecond  // Between checks of whether to read.
 	leastBackoff      = 100 * time.Millisecond  // After a failed read.
 	mostBackoff       = 800 * time.Millisecond  // Keeps calls few while the log is down and its return noticed soon.
@@ -52,6 +53,8 @@
 	Log     savoryloft.RecordLog
 	Decoder savoryloft.RecordDecoder
 	Logger  logr.Logger
+	// InForce is the time within which a change of a topic has to be in force.
+	InForce [2]time.Duration
 	// Reader tells whether this instance reads the log for others.
 	Reader func() bool
 	// Changed is called with records that this instance has applied; own tells
@@ -62,6 +65,7 @@
 	services atomic.Pointer[map[string][]savoryloft.RegisteredUpstream]
 
 	mu            sync.Mutex
+	logLost       bool                     // The last read of the configuration failed.
 	configuration savoryloft.ControlRecord // Newest one that was applied.
 	entries       map[string]*entry
 	knownAt       [2]time.Duration // Uptime at which a topic is known to have been complete; 0 when never.
@@ -141,19 +145,22 @@
 	return w.registryTop, w.registryRead
 }
 
-// Records returns all records that a new peer may lack.
-func (w *Watcher) Records() []savoryloft.ControlRecord {
+// RecordsSince returns the records that an instance lacks which has a version
+// of the configuration and the registry up to an offset.
+func (w *Watcher) RecordsSince(version, registryRead int) []savoryloft.ControlRecord {
 	w.init()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var records []savoryloft.ControlRecord
-	if w.configuration.Offset >= 0 {
+	if w.Version() > version {
 		records = append(records, w.configuration)
 	}
 	for key, e := range w.entries {
-		records = append(records, savoryloft.ControlRecord{
-			Topic: int(savoryloft.TopicRegistry), Key: key, Value: string(e.value), Offset: e.offset,
-		})
+		if e.offset > registryRead {
+			records = append(records, savoryloft.ControlRecord{
+				Topic: int(savoryloft.TopicRegistry), Key: key, Value: string(e.value), Offset: e.offset,
+			})
+		}
 	}
 	return records
 }
@@ -226,21 +233,30 @@
 
 // noteFailure notes that a topic could not be read.
 func (w *Watcher) noteFailure(t savoryloft.Topic) {
-	if t != savoryloft.TopicRegistry {
-		return
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t == savoryloft.TopicConfiguration {
+		w.logLost = true
+	} else {
+		w.registryLost = true
 	}
+}
+
+// LogLost tells whether the last read of the log failed.
+func (w *Watcher) LogLost() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.registryLost = true
+	return w.logLost
 }
 
 // noteReturn notes a return of the log before what was read is applied.
 func (w *Watcher) noteReturn(t savoryloft.Topic) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if t != savoryloft.TopicRegistry {
+		w.logLost = false
 		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	known := w.knownAt[savoryloft.TopicRegistry]
 	if now := savoryloft.Uptime(); w.registryLost || known > 0 && now-known > outageAfter {
 		w.registryLost = false
@@ -253,7 +269,7 @@
 		return true
 	}
 	age, ok := w.Age(t)
-	return !ok || age > staleLimit
+	return !ok || age > max(time.Duration(stalePart*float64(w.InForce[t])), leastStale)
 }
 
 // readPage reads one page and applies it. A topic is known to be complete as
--- /dev/null
+++ b/watcher/watcher_test.go
@@ -0,0 +1,210 @@
+package watcher
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/faker"
+)
+
+// decoder reads the project's own types as JSON.
+type decoder struct{}
+
+func (decoder) ConfigurationKey() string { return "config" }
+
+func (decoder) Configuration(value []byte) (savoryloft.Configuration, error) {
+	var c savoryloft.Configuration
+	err := json.Unmarshal(value, &c)
+	if err == nil && c.Version == 0 {
+		err = errors.New("no version")
+	}
+	return c, err
+}
+
+func (decoder) Upstream(id string, value []byte) (savoryloft.RegisteredUpstream, error) {
+	var u savoryloft.RegisteredUpstream
+	err := json.Unmarshal(value, &u)
+	u.ID = id
+	return u, err
+}
+
+func encode(t *testing.T, v any) []byte {
+	data, err := json.Marshal(v)
+	require.NoError(t, err)
+	return data
+}
+
+type world struct {
+	t       *testing.T
+	log     *faker.Log
+	watcher *Watcher
+}
+
+// run runs a test in a bubble with a watcher that reads the log itself.
+func run(t *testing.T, f func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		log := &faker.Log{}
+		w := &Watcher{Log: log, Decoder: decoder{}, Logger: logr.Discard()}
+		go func() { _ = w.Run(ctx) }()
+		f(&world{t, log, w})
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func (w *world) setUpstream(id string) {
+	w.log.Set(savoryloft.TopicRegistry, id, encode(w.t, savoryloft.RegisteredUpstream{Service: "s", Address: "10.0.0.1:1"}))
+}
+
+func (w *world) upstreams() int { return len(w.watcher.Upstreams("s")) }
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	run(t, func(w *world) {
+		for _, tt := range []struct {
+			value   []byte
+			version int
+		}{
+			{encode(t, savoryloft.Configuration{Version: 7}), 7},
+			{encode(t, savoryloft.Configuration{Version: 9}), 9},
+			{encode(t, savoryloft.Configuration{Version: 8}), 9},
+			{[]byte("{malformed"), 9},
+			{encode(t, savoryloft.Configuration{Version: 12}), 12},
+		} {
+			w.log.Set(savoryloft.TopicConfiguration, "config", tt.value)
+			time.Sleep(time.Second)
+			require.Equal(t, tt.version, w.watcher.Version())
+		}
+	})
+}
+
+func TestAgeGrowsOnlyWhileTheLogIsAway(t *testing.T) {
+	run(t, func(w *world) {
+		time.Sleep(2 * time.Second)
+		age, ok := w.watcher.Age(savoryloft.TopicConfiguration)
+		require.True(t, ok)
+		require.Less(t, age, time.Second)
+		w.log.SetDown(true)
+		time.Sleep(4 * time.Second)
+		age, _ = w.watcher.Age(savoryloft.TopicConfiguration)
+		require.Greater(t, age, 3*time.Second)
+		require.True(t, w.watcher.LogLost())
+		w.log.SetDown(false)
+		time.Sleep(2 * time.Second)
+		age, _ = w.watcher.Age(savoryloft.TopicConfiguration)
+		require.Less(t, age, time.Second)
+		require.False(t, w.watcher.LogLost())
+	})
+}
+
+func TestEntriesThatLapseInAnOutageAreKeptForAWhile(t *testing.T) {
+	run(t, func(w *world) {
+		w.setUpstream("stays")
+		w.setUpstream("lapses")
+		time.Sleep(time.Second)
+		require.Equal(t, 2, w.upstreams())
+		w.log.SetDown(true)
+		time.Sleep(3 * time.Second)
+		w.log.Set(savoryloft.TopicRegistry, "stays", nil)
+		w.log.Set(savoryloft.TopicRegistry, "lapses", nil)
+		w.log.SetDown(false)
+		time.Sleep(time.Second)
+		require.Equal(t, 2, w.upstreams())
+		w.setUpstream("stays")
+		time.Sleep(2500 * time.Millisecond)
+		require.Equal(t, 1, w.upstreams())
+		require.Equal(t, "stays", w.watcher.Upstreams("s")[0].ID)
+	})
+}
+
+func TestEntriesThatAreDroppedGoAtOnce(t *testing.T) {
+	run(t, func(w *world) {
+		w.setUpstream("a")
+		time.Sleep(time.Second)
+		w.log.Set(savoryloft.TopicRegistry, "a", nil)
+		time.Sleep(time.Second)
+		require.Zero(t, w.upstreams())
+	})
+}
+
+func TestForgottenHistoryDropsWhatIsMissing(t *testing.T) {
+	run(t, func(w *world) {
+		w.setUpstream("a")
+		w.setUpstream("b")
+		time.Sleep(time.Second)
+		w.log.Set(savoryloft.TopicRegistry, "a", nil)
+		w.log.Forget(savoryloft.TopicRegistry)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, w.upstreams())
+		require.Equal(t, "b", w.watcher.Upstreams("s")[0].ID)
+	})
+}
+
+// An instance that joined later did not know of upstreams gone before. It took
+// a drop that a peer passed on for a lapse in an outage and kept sending work.
+func TestRelayedDropHoldsAtOnceAtALateJoiner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		value := string(encode(t, savoryloft.RegisteredUpstream{Service: "s", Address: "10.0.0.1:1"}))
+		w := &Watcher{Log: &faker.Log{}, Decoder: decoder{}, Logger: logr.Discard(), Reader: func() bool { return false }}
+		registry := int(savoryloft.TopicRegistry)
+		w.Take([]savoryloft.ControlRecord{
+			{Topic: registry, Key: "gone before", Offset: 40},
+			{Topic: registry, Key: "a", Value: value, Offset: 23},
+		})
+		require.Len(t, w.Upstreams("s"), 1)
+		_, read := w.RegistryOffsets()
+		require.Equal(t, 40, read, "a drop of an unknown key completes the registry too")
+		time.Sleep(5 * time.Second)
+		w.Take([]savoryloft.ControlRecord{{Topic: registry, Key: "a", Offset: 44}})
+		require.Empty(t, w.Upstreams("s"))
+		w.Take([]savoryloft.ControlRecord{{Topic: registry, Key: "a", Value: value, Offset: 23}})
+		require.Empty(t, w.Upstreams("s"), "an older record changes nothing")
+	})
+}
+
+func TestInstancesThatDoNotReadTakeOverWhenRelayedKnowledgeIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		log := &faker.Log{}
+		w := &Watcher{
+			Log: log, Decoder: decoder{}, Logger: logr.Discard(), Reader: func() bool { return false },
+			InForce: [2]time.Duration{2 * time.Second, 2 * time.Second},
+		}
+		go func() { _ = w.Run(ctx) }()
+		time.Sleep(time.Second)
+		for range 20 {
+			w.Confirm(savoryloft.TopicConfiguration, savoryloft.Uptime())
+			w.Confirm(savoryloft.TopicRegistry, savoryloft.Uptime())
+			time.Sleep(500 * time.Millisecond)
+		}
+		before := log.Calls()
+		require.LessOrEqual(t, before, 6, "relayed knowledge is fresh enough")
+		log.Set(savoryloft.TopicConfiguration, "config", encode(t, savoryloft.Configuration{Version: 3}))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 3, w.Version(), "in force within the bound although no peer tells")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestRecordsSinceReturnsWhatAPeerLacks(t *testing.T) {
+	run(t, func(w *world) {
+		w.setUpstream("a")
+		w.setUpstream("b")
+		w.log.Set(savoryloft.TopicConfiguration, "config", encode(t, savoryloft.Configuration{Version: 5}))
+		time.Sleep(time.Second)
+		require.Len(t, w.watcher.RecordsSince(0, -1), 3)
+		require.Len(t, w.watcher.RecordsSince(5, 0), 1)
+		require.Empty(t, w.watcher.RecordsSince(5, 1))
+	})
+}
