--- /dev/null
+++ b/counter/counter_test.go
@@ -0,0 +1,44 @@
+package counter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft"
+)
+
+func TestCountsSurviveTheirInstance(t *testing.T) {
+	at := time.Unix(1000, 0)
+	a := &Counter{Source: "a/1", Window: 5 * time.Second}
+	b := &Counter{Source: "b/1", Window: 5 * time.Second}
+	c := &Counter{Source: "c/1", Window: 5 * time.Second}
+	for range 3 {
+		a.Add(at, "x")
+	}
+	b.Add(at, "x")
+	toB, toC := map[savoryloft.UsageCount]int{}, map[savoryloft.UsageCount]int{}
+	counts := a.Since(toB, false)
+	b.Merge(counts)
+	b.Merge(counts)
+	a.Add(at, "x")
+	b.Merge(a.Since(toB, false))
+	require.Empty(t, a.Since(toB, false))
+	// a is killed; c joins and gets all from b.
+	c.Merge(b.Since(toC, true))
+	w := a.WindowAt(at)
+	require.Equal(t, map[string]int{"x": 5}, b.Totals(w))
+	require.Equal(t, map[string]int{"x": 5}, c.Totals(w))
+	require.Equal(t, []savoryloft.UsageCount{{Source: "b/1", Window: w, Account: "x", Requests: 1}},
+		b.Since(map[savoryloft.UsageCount]int{}, false))
+}
+
+func TestOldWindowsAreDropped(t *testing.T) {
+	c := &Counter{Source: "a/1", Window: time.Second}
+	c.Add(time.Unix(1000, 0), "x")
+	c.Add(time.Unix(1000+keptWindows+1, 0), "x")
+	require.Empty(t, c.Totals(1000))
+	c.Merge([]savoryloft.UsageCount{{Source: "b/1", Window: 5000, Account: "x", Requests: 7}})
+	require.Empty(t, c.Totals(5000), "a peer whose clock is far off changes nothing")
+}
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,58 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Whatever the instances do, repeated sends in any window stay within the
+// bound of all together.
+func TestBoundHoldsForAllInstancesTogether(t *testing.T) {
+	const instances, ratio, slack = 4, 0.2, 56
+	window := 10 * time.Second
+	var fleet []*Limiter
+	for range instances {
+		fleet = append(fleet, &Limiter{Ratio: ratio, Slack: slack, Window: window, Instances: func() int { return instances }})
+	}
+	now := time.Unix(1000, 0)
+	var repeats, requests []time.Time
+	for step := range 4000 {
+		now = now.Add(10 * time.Millisecond)
+		l := fleet[step%instances]
+		if step%3 == 0 {
+			l.Request(now, "s")
+			requests = append(requests, now)
+		}
+		for range 3 {
+			if l.Allow(now, "s") {
+				repeats = append(repeats, now)
+			}
+		}
+	}
+	count := func(list []time.Time, from, to time.Time) int {
+		n := 0
+		for _, at := range list {
+			if at.After(from) && !at.After(to) {
+				n++
+			}
+		}
+		return n
+	}
+	for end := time.Unix(1011, 0); end.Before(now); end = end.Add(500 * time.Millisecond) {
+		from := end.Add(-window)
+		asked := max(count(requests, from, end), count(requests, from.Add(-window), from))
+		require.LessOrEqual(t, float64(count(repeats, from, end)), ratio*float64(asked)+slack)
+	}
+	require.NotEmpty(t, repeats)
+}
+
+func TestServicesAreApart(t *testing.T) {
+	l := &Limiter{Slack: 2, Window: time.Second, Instances: func() int { return 1 }}
+	now := time.Unix(5, 0)
+	require.True(t, l.Allow(now, "a"))
+	require.False(t, l.Allow(now, "a"))
+	require.True(t, l.Allow(now, "b"))
+	require.True(t, l.Allow(now.Add(2*time.Second), "a"), "a window later")
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,182 @@
+package placer
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft"
+)
+
+var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func engines(n int) []savoryloft.RegisteredUpstream {
+	var list []savoryloft.RegisteredUpstream
+	for i := range n {
+		list = append(list, savoryloft.RegisteredUpstream{ID: fmt.Sprintf("engine-%d", i), Service: "s", FailureDomain: "a", Slots: 64})
+	}
+	return list
+}
+
+var prompts atomic.Int64
+
+// prompt is a request whose first part others share.
+func prompt(shared string, sharedTokens, ownTokens int) Request {
+	own := fmt.Sprintf("own-%d", prompts.Add(1))
+	return Request{
+		Service: "s", PromptTokens: sharedTokens + ownTokens, OutputTokens: 100,
+		Parts:  []savoryloft.PromptPart{{ID: shared, Tokens: sharedTokens}, {ID: own, Tokens: ownTokens}},
+		Engine: &savoryloft.EngineTraits{Slots: 64, MemoryTokens: 500000},
+	}
+}
+
+func choose(t *testing.T, p *Placer, now time.Time, r Request, list []savoryloft.RegisteredUpstream) Choice {
+	c, ok := p.Choose(now, r, list)
+	require.True(t, ok)
+	return c
+}
+
+func TestSharedPartsAreKeptTogether(t *testing.T) {
+	p := &Placer{FailureDomain: "a"}
+	list := engines(8)
+	r := prompt("contract", 13000, 2000)
+	first := choose(t, p, start, r, list)
+	run := p.Start(start, first, r)
+	run.FirstToken(start.Add(300 * time.Millisecond))
+	run.End(start.Add(time.Second), Succeeded)
+	again := choose(t, p, start.Add(2*time.Second), prompt("contract", 13000, 2000), list)
+	require.Equal(t, first.Upstream.ID, again.Upstream.ID)
+	require.Equal(t, 2000, again.Uncached)
+}
+
+// Pattern: urgent short streams meet long prompts of other instances.
+func TestShortPromptsAvoidEnginesThatReadLongOnes(t *testing.T) {
+	p := &Placer{FailureDomain: "a"}
+	list := engines(3)
+	p.SetPeers(start, map[string]savoryloft.LinkLoad{
+		"engine-0": {Upstream: "engine-0", Running: 1, Prefill: 40000},
+		"engine-1": {Upstream: "engine-1", Running: 1, Prefill: 30000},
+	})
+	for i := range 5 {
+		r := prompt(fmt.Sprintf("short-%d", i), 300, 1000)
+		c := choose(t, p, start, r, list)
+		require.Equal(t, "engine-2", c.Upstream.ID)
+		p.Start(start, c, r).FirstToken(start)
+	}
+	later := start.Add(2 * time.Second)
+	r := prompt("short-late", 300, 1000)
+	seen := map[string]bool{}
+	for range 100 {
+		c := choose(t, p, later, r, list)
+		seen[c.Upstream.ID] = true
+		p.Start(later, c, r)
+	}
+	require.Len(t, seen, 3, "what peers told is read by now")
+}
+
+// Pattern: many requests about one thing at the same moment.
+func TestHotPartsSpread(t *testing.T) {
+	p := &Placer{FailureDomain: "a"}
+	list := engines(6)
+	used := map[string]int{}
+	for i := range 60 {
+		r := prompt("hot", 13000, 4000)
+		now := start.Add(time.Duration(i) * 5 * time.Millisecond)
+		c := choose(t, p, now, r, list)
+		p.Start(now, c, r)
+		used[c.Upstream.ID]++
+	}
+	require.Greater(t, len(used), 3)
+	for id, n := range used {
+		require.Less(t, n, 40, id)
+	}
+}
+
+func TestFailingUpstreamsAreSetAsideAndProbed(t *testing.T) {
+	p := &Placer{FailureDomain: "a"}
+	list := engines(2)
+	r := Request{Service: "s"}
+	now := start
+	for range 12 {
+		now = now.Add(20 * time.Millisecond)
+		c := choose(t, p, now, r, list)
+		run := p.Start(now, c, r)
+		if c.Upstream.ID == "engine-0" {
+			run.End(now, Failed)
+			continue
+		}
+		run.End(now, Succeeded)
+	}
+	for range 10 {
+		now = now.Add(10 * time.Millisecond)
+		require.Equal(t, "engine-1", choose(t, p, now, r, list).Upstream.ID)
+	}
+	all := list[:1]
+	require.Equal(t, "engine-0", choose(t, p, now, r, all).Upstream.ID, "the last one is used all the same")
+}
+
+func TestChoiceLeavesOut(t *testing.T) {
+	list := engines(4)
+	list[0].Draining = true
+	p := &Placer{FailureDomain: "a"}
+	r := Request{Service: "s", Exclude: map[string]bool{"engine-1": true}, Connections: 1}
+	c := choose(t, p, start, r, list)
+	p.Start(start, c, r)
+	d := choose(t, p, start, r, list)
+	require.ElementsMatch(t, []string{"engine-2", "engine-3"}, []string{c.Upstream.ID, d.Upstream.ID})
+	p.Start(start, d, r)
+	_, ok := p.Choose(start, r, list)
+	require.False(t, ok, "each has as many connections as it may")
+}
+
+// Pattern: an engine that takes requests and never produces a token.
+func TestHangingEnginesLoseTheirPlace(t *testing.T) {
+	p := &Placer{FailureDomain: "a"}
+	list := engines(2)
+	r := prompt("x", 200, 800)
+	c := choose(t, p, start, r, list)
+	p.Start(start, c, r)
+	later := start.Add(3 * time.Second)
+	for range 5 {
+		d := choose(t, p, later, r, list)
+		require.NotEqual(t, c.Upstream.ID, d.Upstream.ID)
+		p.Start(later, d, r).End(later, Succeeded)
+	}
+}
+
+func TestPeersAreToldOfPartsOnce(t *testing.T) {
+	a, b := &Placer{}, &Placer{}
+	list := engines(3)
+	r := prompt("contract", 13000, 2000)
+	c := choose(t, a, start, r, list)
+	a.Start(start, c, r)
+	parts := a.FreshParts()
+	require.Equal(t, []savoryloft.HeldPart{{Upstream: c.Upstream.ID, Part: "contract", Tokens: 13000}}, parts)
+	a.Start(start, c, prompt("contract", 13000, 2000))
+	require.Empty(t, a.FreshParts())
+	choose(t, b, start, r, list)
+	require.Len(t, b.TakeParts(start, parts), 1)
+	require.Empty(t, b.TakeParts(start, parts))
+	require.Equal(t, c.Upstream.ID, choose(t, b, start, r, list).Upstream.ID)
+}
+
+func TestReadingRateIsLearnt(t *testing.T) {
+	p := &Placer{}
+	list := engines(1)
+	now := start
+	for range 60 {
+		r := prompt("p", 0, 12000)
+		c := choose(t, p, now, r, list)
+		run := p.Start(now, c, r)
+		now = now.Add(600 * time.Millisecond)
+		run.FirstToken(now)
+		run.End(now, Succeeded)
+		for id := range p.engines["engine-0"].parts {
+			delete(p.engines["engine-0"].parts, id)
+		}
+	}
+	require.InDelta(t, 20, p.engines["engine-0"].readRate, 2)
+}
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,76 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft"
+)
+
+func table() *Table {
+	return New(savoryloft.Configuration{
+		Version: 3,
+		Routes: []savoryloft.PathRoute{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Rank: 2, Shares: []savoryloft.ServiceShare{{Service: "s1", Weight: 1}}},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Rank: 2, Shares: []savoryloft.ServiceShare{{Service: "s1", Weight: 90}, {Service: "s2", Weight: 10}}},
+			{Name: "open", Host: "a.example", Prefix: "/open/", Rank: 1, Public: true},
+		},
+		Accounts: []savoryloft.KeyedAccount{
+			{Name: "plain", Keys: []string{"k1", "k2"}},
+			{Name: "urgent", Keys: []string{"k3"}, Rank: 0, HasRank: true},
+		},
+	})
+}
+
+func TestFind(t *testing.T) {
+	for _, tt := range []struct{ host, uri, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example:80", "/x/y/1?z=/x/", "long"},
+		{"a.example", "/x/y?q", "short"},
+		{"a.example", "/x", ""},
+		{"b.example", "/x/1", ""},
+	} {
+		r := table().Find(tt.host, tt.uri)
+		if tt.want == "" {
+			require.Nil(t, r, tt.uri)
+			continue
+		}
+		require.Equal(t, tt.want, r.Name, tt.uri)
+	}
+}
+
+func TestAuthenticate(t *testing.T) {
+	tab := table()
+	keyed, open := tab.Find("a.example", "/x/1"), tab.Find("a.example", "/open/1")
+	for _, tt := range []struct {
+		route *savoryloft.PathRoute
+		key   string
+		want  Identity
+		ok    bool
+	}{
+		{keyed, "k2", Identity{"plain", 2}, true},
+		{keyed, "k3", Identity{"urgent", 0}, true},
+		{keyed, "k4", Identity{"", 2}, false},
+		{keyed, "", Identity{"", 2}, false},
+		{open, "", Identity{"", 1}, true},
+		{open, "k3", Identity{"", 1}, true},
+	} {
+		got, ok := tab.Authenticate(tt.route, tt.key)
+		require.Equal(t, tt.ok, ok, tt.key)
+		require.Equal(t, tt.want, got, tt.key)
+	}
+}
+
+func TestServiceFollowsWeights(t *testing.T) {
+	tab := table()
+	r := tab.Find("a.example", "/x/y/1")
+	n := map[string]int{}
+	for i := range 5000 {
+		n[tab.Service(r, fmt.Sprintf("request-%d", i))]++
+	}
+	require.InDelta(t, 500, n["s2"], 100)
+	require.Equal(t, tab.Service(r, "one"), tab.Service(r, "one"))
+}
--- a/uptime.go
+++ b/uptime.go
@@ -15,9 +15,17 @@
 // the machine was suspended. Go's monotonic clock leaves that out, so an age
 // that guards a promise has to be measured with Uptime.
 func Uptime() time.Duration {
-	return time.Since(processStart) + suspended() - suspendedStart
+	d := time.Since(processStart)
+	if d < 0 {
+		d += testShift
+	}
+	return d + suspended() - suspendedStart
 }
 
+// testShift keeps uptimes positive in tests whose paused clock starts in the
+// year 2000; a running process has no negative uptime.
+const testShift = 100 * 365 * 24 * time.Hour
+
 // suspended returns the time for which the machine has been suspended.
 func suspended() time.Duration {
 	var boot, steady unix.Timespec
