--- a/cmd/loftctl/main.go
+++ b/cmd/loftctl/main.go
@@ -9,6 +9,7 @@
 //	loftctl usage show|verify
 //	loftctl standin platform|engine|service
 //	loftctl load
+//	loftctl explain
 package main
 
 import (
@@ -26,7 +27,7 @@
 		SilenceErrors: true,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(noteCommand(), keyCommand(), statusCommand(), usageCommand(), standinCommand(), loadCommand())
+	root.AddCommand(noteCommand(), keyCommand(), statusCommand(), usageCommand(), standinCommand(), loadCommand(), explainCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "loftctl:", err)
 		os.Exit(1)
--- a/cmd/savoryloft/edge.go
+++ b/cmd/savoryloft/edge.go
@@ -44,24 +44,34 @@
 
 Example:
 
-  savoryloft edge --settings /etc/savoryloft/boot.toml`
+  savoryloft edge --settings /etc/savoryloft/boot.toml
+  savoryloft edge --check --settings boot.toml`
 
 func edgeCommand() *cobra.Command {
 	var file string
 	var verbosity int
+	var check bool
 	c := &cobra.Command{
 		Use:   "edge",
 		Short: "Run an entry instance on the prepared platform",
 		Long:  edgeUsage,
 		Args:  cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
+		RunE: func(c *cobra.Command, _ []string) error {
 			if file == "" {
 				file = platform.SettingsPath()
 			}
+			if check {
+				if _, err := platform.ReadSettings(file); err != nil {
+					return err
+				}
+				fmt.Fprintln(c.OutOrStdout(), "ok")
+				return nil
+			}
 			return edge(file, verbosity)
 		},
 	}
 	c.Flags().StringVar(&file, "settings", "", "settings file of the platform; the one that SAVORYLOFT_BOOT names when empty")
+	c.Flags().BoolVar(&check, "check", false, "check the settings file and exit")
 	c.Flags().IntVar(&verbosity, "verbosity", 0, "log level; 1 adds details")
 	return c
 }
--- a/cmd/savoryloft/settings.go
+++ b/cmd/savoryloft/settings.go
@@ -14,7 +14,7 @@
 
 Example:
 
-  savoryloft settings check --settings entry.json --print`
+  savoryloft settings check entry.json --print`
 
 func settingsCommand() *cobra.Command {
 	c := &cobra.Command{Use: "settings", Short: "Work with settings files"}
@@ -26,11 +26,17 @@
 	var file string
 	var printAll bool
 	c := &cobra.Command{
-		Use:   "check",
+		Use:   "check [FILE]",
 		Short: "Check a settings file",
 		Long:  settingsCheckUsage,
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if len(args) == 1 {
+				file = args[0]
+			}
+			if file == "" {
+				return errors.New("name the settings file: savoryloft settings check FILE")
+			}
 			settings, err := readSettings(file)
 			if err != nil {
 				return err
@@ -47,8 +53,7 @@
 			return nil
 		},
 	}
-	c.Flags().StringVar(&file, "settings", "", "settings file")
+	c.Flags().StringVar(&file, "settings", "", "settings file, instead of the argument")
 	c.Flags().BoolVar(&printAll, "print", false, "print the settings with all defaults")
-	_ = c.MarkFlagRequired("settings")
 	return c
 }
