--- a/placer/placer.go
+++ b/placer/placer.go
@@ -74,10 +74,11 @@
 // Choice is a chosen upstream with what decided it.
 type Choice struct {
 	Upstream savoryloft.RegisteredUpstream
-	Cost     float64 // ms.
-	Uncached int     // Prompt tokens that it is expected to read.
-	Running  int     // Requests that run there, of all instances.
-	Waiting  int     // Prompt tokens that wait to be read there, of all instances.
+	Cost     float64       // ms.
+	Uncached int           // Prompt tokens that it is expected to read.
+	Running  int           // Requests that run there, of all instances.
+	Waiting  int           // Prompt tokens that wait to be read there, of all instances.
+	First    time.Duration // Predicted time to the first token.
 }
 
 // Placer chooses upstreams. Set the exported fields before the first call.
@@ -298,6 +299,7 @@
 	c.Waiting += drained(peer.Prefill, now.Sub(p.peersAt), e.readRate)
 	c.Uncached = e.uncached(now, r, hashed)
 	read := float64(c.Uncached) / e.readRate
+	c.First = time.Duration(float64(c.Waiting+c.Uncached) / e.readRate * float64(time.Millisecond))
 	c.Cost = float64(c.Waiting)/e.readRate + read + float64(c.Running)*(runningCost+read*delayShare)
 	if r.Engine != nil {
 		// The last part is the request's own and is read anywhere.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -88,6 +88,9 @@
 		return nil, &sendError{notRun, errNoUpstream}
 	}
 	x.choice, x.upstream = choice, choice.Upstream.ID
+	if x.sends == 0 && x.crowded(choice) {
+		return nil, &sendError{notRun, errCrowded}
+	}
 	a := &attempt{exchange: x, choice: choice, run: r.Placer.Start(time.Now(), choice, req)}
 	a.ctx, a.cancel = context.WithCancel(x.ctx)
 	_, a.span = r.Tracer.Start(trace.ContextWithSpan(x.ctx, x.span), "Attempt",
@@ -211,7 +214,7 @@
 	if x.ctx.Err() != nil || x.sends >= maxSends || !x.relocate() {
 		return false
 	}
-	if errors.Is(e.cause, errNoUpstream) {
+	if errors.Is(e.cause, errNoUpstream) || errors.Is(e.cause, errCrowded) {
 		return false
 	}
 	if e.verdict == unknown && (!x.repeatable() || x.runs >= x.route.MaxAttempts) {
@@ -244,6 +247,8 @@
 		x.refuse(http.StatusServiceUnavailable, "TimeUp", "time is up; the request has not run", fullRetryAfter)
 	case errors.Is(cause, errTimeUp):
 		x.refuse(http.StatusGatewayTimeout, "TimeUp", "upstream did not answer in time", 0)
+	case errors.Is(e.cause, errCrowded):
+		x.refuseCrowded()
 	case x.runs > 0 || e.verdict == unknown:
 		x.refuse(http.StatusBadGateway, "UpstreamFailed", "upstream failed; the request may have run", 0)
 	case errors.Is(e.cause, errNoUpstream):
