--- a/linker/link.go
+++ b/linker/link.go
@@ -40,13 +40,14 @@
 	sentAt   map[int]time.Duration
 
 	// The linker's lock guards these.
-	loads     map[string]savoryloft.LinkLoad // Told by the peer, by upstream.
-	child     bool
-	hasOffset bool
-	offset    time.Duration // Peer's time of day less this instance's.
-	wallAt    time.Time     // When offset was taken, with its monotonic reading.
-	behind    int
-	parts     []savoryloft.HeldPart // Not told to the peer yet.
+	loads      map[string]savoryloft.LinkLoad // Told by the peer, by upstream.
+	child      bool
+	hasOffset  bool
+	offset     time.Duration // Peer's time of day less this instance's.
+	wallAt     time.Time     // When offset was taken, with its monotonic reading.
+	behind     int
+	unwantedAt time.Duration         // Uptime since which neither side wants the link; 0 when one does.
+	parts      []savoryloft.HeldPart // Not told to the peer yet.
 
 	// Only the writer uses these.
 	usageSent map[savoryloft.UsageCount]int
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -199,7 +199,7 @@
 			l.dialIfDue(ctx, address, d, now)
 		}
 	}
-	l.arrange(now)
+	l.prune(now)
 	for name, m := range l.members {
 		if now-max(m.heard, m.known) > forgetAfter {
 			delete(l.members, name)
--- /dev/null
+++ b/linker/linker_test.go
@@ -0,0 +1,285 @@
+package linker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/framer"
+)
+
+const patient = 10 * time.Second // Longest wait for what should happen within a second or two.
+
+// part is the source of one instance: a version, loads and counts.
+type part struct {
+	mu       sync.Mutex
+	version  int
+	loads    []savoryloft.LinkLoad
+	taken    []savoryloft.HeldPart
+	statuses int
+	oldest   time.Duration // Largest age of a peer's status answer.
+}
+
+func (p *part) FillStatus(s *savoryloft.LinkStatus) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.Version, s.VersionAge, s.RegistryOffset, s.RegistryRead, s.RegistryAge, s.LeaderAge = p.version, 0, -1, -1, -1, -1
+	s.Wall = int(time.Now().UnixMilli())
+}
+
+func (p *part) Loads() []savoryloft.LinkLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]savoryloft.LinkLoad(nil), p.loads...)
+}
+
+func (p *part) UsageSince(map[savoryloft.UsageCount]int, bool) []savoryloft.UsageCount { return nil }
+
+func (p *part) RecordsSince(version, _ int) []savoryloft.ControlRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.version <= version {
+		return nil
+	}
+	return []savoryloft.ControlRecord{{Key: "config", Offset: p.version}}
+}
+
+func (p *part) TakeRecords(records []savoryloft.ControlRecord) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range records {
+		p.version = max(p.version, r.Offset)
+	}
+}
+
+func (p *part) TakeUsage([]savoryloft.UsageCount) {}
+
+func (p *part) TakeStatus(_ string, _ *savoryloft.LinkStatus, asOf time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if asOf > 0 {
+		p.statuses++
+		p.oldest = max(p.oldest, savoryloft.Uptime()-asOf)
+	}
+}
+
+func (p *part) TakeParts(parts []savoryloft.HeldPart) []savoryloft.HeldPart {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var fresh []savoryloft.HeldPart
+	for _, part := range parts {
+		known := false
+		for _, old := range p.taken {
+			known = known || old == part
+		}
+		if !known {
+			fresh = append(fresh, part)
+		}
+	}
+	p.taken = append(p.taken, fresh...)
+	return fresh
+}
+
+func (p *part) LoadsChanged() {}
+
+func (p *part) get(f func(p *part) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return f(p)
+}
+
+type fleet struct {
+	linkers []*Linker
+	parts   []*part
+	cancels []context.CancelFunc
+}
+
+// startFleet starts instances in some failure domains; all know the first.
+func startFleet(t *testing.T, n, domains int) *fleet {
+	f := &fleet{}
+	for i := range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		p := &part{}
+		l := &Linker{
+			Instance: fmt.Sprintf("entry-%02d", i), Incarnation: 1, FailureDomain: fmt.Sprint(i % domains),
+			Address: listener.Addr().String(), Interval: 50 * time.Millisecond, Logger: logr.Discard(), Source: p,
+			Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				var d net.Dialer
+				return d.DialContext(ctx, "tcp", address)
+			},
+		}
+		if i > 0 {
+			l.Seeds = []string{f.linkers[0].Address}
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		f.linkers, f.parts, f.cancels = append(f.linkers, l), append(f.parts, p), append(f.cancels, cancel)
+		go func() { _ = l.Serve(ctx, listener) }()
+		go func() { _ = l.Run(ctx) }()
+	}
+	t.Cleanup(func() {
+		for _, cancel := range f.cancels {
+			cancel()
+		}
+	})
+	return f
+}
+
+func (f *fleet) eventually(t *testing.T, what string, ok func(i int) bool) {
+	require.Eventually(t, func() bool {
+		for i := range f.linkers {
+			if !ok(i) {
+				return false
+			}
+		}
+		return true
+	}, patient, 20*time.Millisecond, what)
+}
+
+func TestMeshSpreadsRecordsAndLoads(t *testing.T) {
+	f := startFleet(t, 5, 2)
+	f.eventually(t, "all know all", func(i int) bool { return len(f.linkers[i].Members()) == 4 })
+	f.parts[3].mu.Lock()
+	f.parts[3].version = 7
+	f.parts[3].loads = []savoryloft.LinkLoad{{Upstream: "u", Running: 3, Prefill: 500, Tokens: 10}}
+	f.parts[3].mu.Unlock()
+	f.eventually(t, "records reach all", func(i int) bool { return f.parts[i].get(func(p *part) bool { return p.version == 7 }) })
+	f.eventually(t, "loads reach all others", func(i int) bool { return i == 3 || f.linkers[i].PeerLoads()["u"].Running == 3 })
+	f.parts[3].mu.Lock()
+	f.parts[3].loads = nil
+	f.parts[3].mu.Unlock()
+	f.eventually(t, "and leave", func(i int) bool { return len(f.linkers[i].PeerLoads()) == 0 })
+	readers := 0
+	for _, l := range f.linkers {
+		if l.IsReader() {
+			readers++
+		}
+	}
+	require.Equal(t, 2, readers)
+}
+
+func TestKilledInstancesAreReplacedAsReaders(t *testing.T) {
+	f := startFleet(t, 4, 1)
+	f.eventually(t, "all live", func(i int) bool {
+		live := 0
+		for _, m := range f.linkers[i].Members() {
+			if m.Live {
+				live++
+			}
+		}
+		return live == 3
+	})
+	for i, l := range f.linkers {
+		if l.Position() == 0 {
+			f.cancels[i]()
+			f.linkers = append(f.linkers[:i:i], f.linkers[i+1:]...)
+			break
+		}
+	}
+	require.Eventually(t, func() bool {
+		first := 0
+		for _, l := range f.linkers {
+			if l.Position() == 0 {
+				first++
+			}
+		}
+		return first == 1
+	}, patient, 20*time.Millisecond)
+}
+
+// Beyond the size of a mesh each instance links to hubs only; loads are
+// counted once at every instance, and parts reach all.
+func TestHubs(t *testing.T) {
+	const n, domains = 24, 3
+	f := startFleet(t, n, domains)
+	f.eventually(t, "all know all", func(i int) bool { return len(f.linkers[i].Members()) == n-1 })
+	for i, p := range f.parts {
+		p.mu.Lock()
+		p.loads = []savoryloft.LinkLoad{{Upstream: "u", Running: 1, Tokens: i + 1}}
+		p.mu.Unlock()
+	}
+	f.eventually(t, "each counts all others once", func(i int) bool { return f.linkers[i].PeerLoads()["u"].Running == n-1 })
+	f.eventually(t, "links from the time as a mesh end", func(i int) bool {
+		l := f.linkers[i]
+		l.mu.Lock()
+		links := len(l.links)
+		l.mu.Unlock()
+		return l.IsHub() || links <= hubsPerDomain
+	})
+	hubs := 0
+	for _, l := range f.linkers {
+		if l.IsHub() {
+			hubs++
+		}
+	}
+	require.Equal(t, hubsPerDomain*domains, hubs)
+	held := savoryloft.HeldPart{Upstream: "u", Part: "p", Tokens: 5}
+	f.linkers[7].Update([]savoryloft.HeldPart{held})
+	f.eventually(t, "parts reach all", func(i int) bool {
+		return i == 7 || f.parts[i].get(func(p *part) bool { return len(p.taken) > 0 })
+	})
+	f.parts[11].mu.Lock()
+	f.parts[11].version = 9
+	f.parts[11].mu.Unlock()
+	f.eventually(t, "records reach all", func(i int) bool { return f.parts[i].get(func(p *part) bool { return p.version == 9 }) })
+}
+
+// An answered status is never older than one interval and the way.
+func TestStatusesAreAnsweredAtOnce(t *testing.T) {
+	f := startFleet(t, 2, 1)
+	f.eventually(t, "statuses", func(i int) bool { return f.parts[i].get(func(p *part) bool { return p.statuses > 20 }) })
+	total := 0
+	for _, p := range f.parts {
+		total += p.statuses
+	}
+	require.Greater(t, total, 40)
+}
+
+func TestInvalidFramesEndTheLink(t *testing.T) {
+	f := startFleet(t, 1, 1)
+	for _, frame := range []savoryloft.LinkFrame{
+		{},
+		{Greeting: &savoryloft.LinkGreeting{}},
+		{Greeting: &savoryloft.LinkGreeting{Instance: "x"}},
+	} {
+		conn, err := net.Dial("tcp", f.linkers[0].Address)
+		require.NoError(t, err)
+		data, err := framer.Encode(&frame)
+		require.NoError(t, err)
+		_, err = conn.Write(data)
+		require.NoError(t, err)
+		_ = conn.SetReadDeadline(time.Now().Add(patient))
+		buf := make([]byte, 4096)
+		for err == nil {
+			_, err = conn.Read(buf)
+		}
+		require.ErrorContains(t, err, "EOF")
+		_ = conn.Close()
+	}
+	require.Empty(t, f.linkers[0].Members())
+}
+
+func FuzzLinkFrame(f *testing.F) {
+	for _, frame := range []savoryloft.LinkFrame{
+		{Greeting: &savoryloft.LinkGreeting{Instance: "a", Address: "b"}},
+		{Status: &savoryloft.LinkStatus{Loads: []savoryloft.LinkLoad{{Upstream: "u"}}}},
+		{Update: &savoryloft.LoadUpdate{Parts: []savoryloft.HeldPart{{Upstream: "u", Part: "p"}}}},
+	} {
+		data, err := framer.Encode(&frame)
+		require.NoError(f, err)
+		f.Add(data[framer.HeaderBytes:])
+	}
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		var frame savoryloft.LinkFrame
+		if framer.Decode(body, &frame) == nil {
+			_ = frame.Check()
+		}
+	})
+}
--- a/linker/topology.go
+++ b/linker/topology.go
@@ -11,6 +11,7 @@
 const (
 	arrangeEvery  = 200 * time.Millisecond // Between looks at who lives; far below what makes a member count as gone.
 	meshLimit     = 16                     // Most members that all link to each other.
+	pruneAfter    = 2 * time.Second        // For which neither side wants a link before it ends.
 	hubsPerDomain = 2
 	readers       = 2 // Instances that read the log for all.
 )
@@ -87,11 +88,35 @@
 // link, the one with the smaller name dials. The caller holds the lock.
 func (l *Linker) wants(name string, m *member, now time.Duration) bool {
 	t := l.arrange(now)
-	mine := t.mesh || t.hubs[name] && (t.hub || m.greeting.FailureDomain == l.FailureDomain)
-	theirs := t.mesh || t.hub && (t.hubs[name] || m.greeting.FailureDomain == l.FailureDomain)
+	mine, theirs := l.wanted(t, name, m.greeting.FailureDomain)
 	return mine && (!theirs || l.Instance < name || now-m.known > silenceLimit)
 }
 
+// wanted tells whether this instance, and whether the peer wants a link between
+// them.
+func (l *Linker) wanted(t *topology, name, domain string) (mine, theirs bool) {
+	mine = t.mesh || t.hubs[name] && (t.hub || domain == l.FailureDomain)
+	theirs = t.mesh || t.hub && (t.hubs[name] || domain == l.FailureDomain)
+	return mine, theirs
+}
+
+// prune ends links that neither side wants any more, such as those from the
+// time when the deployment was small. The caller holds the lock.
+func (l *Linker) prune(now time.Duration) {
+	t := l.arrange(now)
+	for name, k := range l.links {
+		mine, theirs := l.wanted(t, name, k.peer.FailureDomain)
+		switch {
+		case mine || theirs:
+			k.unwantedAt = 0
+		case k.unwantedAt == 0:
+			k.unwantedAt = now
+		case now-k.unwantedAt > pruneAfter:
+			k.cancel()
+		}
+	}
+}
+
 // IsHub tells whether this instance is a hub now.
 func (l *Linker) IsHub() bool {
 	l.init()
