Keep the counts of open usage windows in renewals

Ruled out: lost links (all peers were gone), a late report (it came in time, empty). Change: a renewal, which is written anyway, carries the counts so far; the next holder adds them if no incarnation of them is known, else takes the larger.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -57,7 +57,10 @@
 	// Yielded tells whether an incarnation of an instance is a live peer that says
 	// that it does not hold the lease.
 	Yielded func(instance string, incarnation int) bool
-	Logger  logr.Logger
+	// Partials returns the counts of windows without figures, which renewals keep
+	// in the log; may be nil.
+	Partials func() []savoryloft.PartialCounts
+	Logger   logr.Logger
 
 	call sync.Mutex // Held during a call to the log.
 	mu   sync.Mutex
@@ -118,7 +121,11 @@
 	case inDoubt:
 		return c.read(ctx, 0)
 	case renew:
-		return c.append(ctx, savoryloft.DutyRecord{Kind: savoryloft.DutyRecordKindRenewal})
+		renewal := savoryloft.DutyRecord{Kind: savoryloft.DutyRecordKindRenewal}
+		if c.Partials != nil {
+			renewal.Partials = c.Partials()
+		}
+		return c.append(ctx, renewal)
 	case held:
 		return nil
 	case c.OtherLeads(), c.Position() > maxPosition:
@@ -204,6 +211,15 @@
 	})
 }
 
+// Partial returns the counts of a window that the last renewal of another
+// incarnation which told of it has kept.
+func (c *Claimer) Partial(window int) (savoryloft.PartialCounts, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.term.partials[window]
+	return p, ok
+}
+
 // Size returns how many upstreams a service should have according to the
 // topic; ok is false when it says nothing.
 func (c *Claimer) Size(service string) (upstreams int, ok bool) {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -197,3 +197,35 @@
 	time.Sleep(10 * time.Second)
 	synctest.Wait()
 }
+
+// All instances lose power between a window's end and its report: the next
+// holder finds the counts in the last renewal.
+func TestRenewalsKeepCountsForTheNextHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		log := &faker.Log{}
+		kept := savoryloft.PartialCounts{Window: 7, Sources: []string{"entry-0/1"}, Counts: map[string]int{"x": 5}}
+		claim := func(i int) *Claimer {
+			return &Claimer{
+				Log: log, Instance: fmt.Sprintf("entry-%d", i), Incarnation: 1, TTL: ttl, Logger: logr.Discard(),
+				Position: func() int { return 0 }, OtherLeads: func() bool { return false },
+				Yielded:  func(string, int) bool { return false },
+				Partials: func() []savoryloft.PartialCounts { return []savoryloft.PartialCounts{kept} },
+			}
+		}
+		first, second := claim(0), claim(1)
+		firstCtx, kill := context.WithCancel(ctx)
+		go func() { _ = first.Run(firstCtx) }()
+		time.Sleep(3 * time.Second)
+		_, ok := first.Partial(7)
+		require.False(t, ok, "an incarnation knows its own counts better")
+		kill()
+		go func() { _ = second.Run(ctx) }()
+		time.Sleep(8 * time.Second)
+		p, ok := second.Partial(7)
+		require.True(t, ok)
+		require.Equal(t, kept, p)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -29,6 +29,7 @@
 	everRead   bool           // The topic was read at least once.
 	holder     holder         // Who made the last claim.
 	sizes      map[string]int // Upstreams wanted, by service.
+	partials   map[int]savoryloft.PartialCounts
 	figures    map[int]map[string]int
 	lastWindow int
 }
@@ -75,6 +76,12 @@
 	if d.Figures != nil {
 		t.keepFigures(d.Figures)
 	}
+	if !mine {
+		// What this incarnation wrote itself, it knows better.
+		for _, p := range d.Partials {
+			t.keepPartial(p)
+		}
+	}
 	if d.Size != nil {
 		if t.sizes == nil {
 			t.sizes = map[string]int{}
@@ -99,6 +106,19 @@
 	}
 }
 
+// keepPartial remembers the counts of a window without figures.
+func (t *term) keepPartial(p savoryloft.PartialCounts) {
+	if t.partials == nil {
+		t.partials = map[int]savoryloft.PartialCounts{}
+	}
+	t.partials[p.Window] = p
+	for w := range t.partials {
+		if w < p.Window-keptWindowCount {
+			delete(t.partials, w)
+		}
+	}
+}
+
 // skipTo notes that the topic reaches up to an offset.
 func (t *term) skipTo(now time.Duration, end int) {
 	t.end = end
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -12,6 +12,8 @@
 package counter
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -109,3 +111,33 @@
 	}
 	return totals
 }
+
+// Sources returns the incarnations that have counted in a window, in order.
+func (c *Counter) Sources(window int) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seen := map[string]bool{}
+	for k := range c.counts {
+		if k.Window == window {
+			seen[k.Source] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// Restore returns a window's totals together with counts that the log has kept.
+// If an incarnation of those is still known here, its peers have its counts and
+// the larger figures stand; if none is, all of them were lost, and both add up.
+func (c *Counter) Restore(p savoryloft.PartialCounts) map[string]int {
+	totals := c.Totals(p.Window)
+	known := c.Sources(p.Window)
+	overlap := slices.ContainsFunc(p.Sources, func(s string) bool { return slices.Contains(known, s) })
+	for account, n := range p.Counts {
+		if overlap {
+			totals[account] = max(totals[account], n)
+			continue
+		}
+		totals[account] += n
+	}
+	return totals
+}
--- a/counter/counter_test.go
+++ b/counter/counter_test.go
@@ -42,3 +42,23 @@
 	c.Merge([]savoryloft.UsageCount{{Source: "b/1", Window: 5000, Account: "x", Requests: 7}})
 	require.Empty(t, c.Totals(5000), "a peer whose clock is far off changes nothing")
 }
+
+func TestRestore(t *testing.T) {
+	at := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name    string
+		sources []string
+		want    map[string]int
+	}{
+		{"all were lost: both add up", []string{"a/1", "b/1"}, map[string]int{"x": 12, "y": 4}},
+		{"a peer has the counts of one that was lost", []string{"a/1", "b/2"}, map[string]int{"x": 10, "y": 4}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &Counter{Source: "b/2", Window: 5 * time.Second}
+			c.Add(at, "x")
+			c.Add(at, "x")
+			p := savoryloft.PartialCounts{Window: c.WindowAt(at), Sources: tt.sources, Counts: map[string]int{"x": 10, "y": 4}}
+			require.Equal(t, tt.want, c.Restore(p))
+		})
+	}
+}
--- a/duties_generated.go
+++ b/duties_generated.go
@@ -25,6 +25,10 @@
 	// many upstreams a service should have. All but Release extend the lease.
 	Kind DutyRecordKind `json:"Kind" msgpack:"Kind"`
 
+	// What a renewal tells of windows without figures, for the case that all
+	// instances are lost.
+	Partials []PartialCounts `json:"Partials,omitempty,omitzero" msgpack:"Partials,omitempty"`
+
 	// Number of the append among those of this incarnation.
 	Sequence int `json:"Sequence" msgpack:"Sequence"`
 
@@ -100,6 +104,45 @@
 	return nil
 }
 
+// Counts of a window so far.
+type PartialCounts struct {
+	// Requests by account.
+	Counts PartialCountsCounts `json:"Counts" msgpack:"Counts"`
+
+	// Incarnations whose counts are in Counts.
+	Sources []string `json:"Sources" msgpack:"Sources"`
+
+	// Window corresponds to the JSON schema field "Window".
+	Window int `json:"Window" msgpack:"Window"`
+}
+
+// Requests by account.
+type PartialCountsCounts map[string]int
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PartialCounts) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Counts"]; raw != nil && !ok {
+		return fmt.Errorf("field Counts in PartialCounts: required")
+	}
+	if _, ok := raw["Sources"]; raw != nil && !ok {
+		return fmt.Errorf("field Sources in PartialCounts: required")
+	}
+	if _, ok := raw["Window"]; raw != nil && !ok {
+		return fmt.Errorf("field Window in PartialCounts: required")
+	}
+	type Plain PartialCounts
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = PartialCounts(plain)
+	return nil
+}
+
 // How many upstreams a service should have in all failure domains together.
 type ServiceSize struct {
 	// Service corresponds to the JSON schema field "Service".
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -128,7 +129,7 @@
 	}
 	if d.Duties.UsageReports {
 		b := &biller.Biller{
-			Duties: l.claimer, Target: l.Target, Counts: l.counter.Totals, Now: l.trueTime,
+			Duties: l.claimer, Target: l.Target, Counts: l.usage, Now: l.trueTime,
 			Window: d.Bounds.UsageWindow, Logger: l.Logger,
 		}
 		list = append(list, b.Run)
@@ -161,7 +162,7 @@
 	}
 	l.claimer = &claimer.Claimer{
 		Log: l.Log, Instance: d.Instance, Incarnation: l.incarnation, TTL: d.Bounds.Lease,
-		Position: l.linker.Position, OtherLeads: l.otherLeads, Yielded: l.yielded, Logger: l.Logger,
+		Position: l.linker.Position, OtherLeads: l.otherLeads, Yielded: l.yielded, Partials: l.partials, Logger: l.Logger,
 	}
 	l.relayer = &relayer.Relayer{
 		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
@@ -215,6 +216,45 @@
 	l.counter.Add(t, account)
 }
 
+// usage returns the requests of each account in a window, with what the log has
+// kept in case that all instances were lost in it.
+func (l *Launcher) usage(window int) map[string]int {
+	if p, ok := l.claimer.Partial(window); ok {
+		return l.counter.Restore(p)
+	}
+	return l.counter.Totals(window)
+}
+
+// partials returns the counts of the windows that have no figures yet.
+func (l *Launcher) partials() []savoryloft.PartialCounts {
+	if l.Deployment.Bounds.UsageWindow <= 0 {
+		return nil
+	}
+	now, _ := l.trueTime()
+	var list []savoryloft.PartialCounts
+	for w, last := l.counter.WindowAt(now)-1, l.counter.WindowAt(now); w <= last; w++ {
+		if _, fixed := l.claimer.Figures(w); fixed {
+			continue
+		}
+		if counts := l.usage(w); len(counts) > 0 {
+			list = append(list, savoryloft.PartialCounts{Window: w, Sources: l.partialSources(w), Counts: counts})
+		}
+	}
+	return list
+}
+
+// partialSources returns the incarnations whose counts a window's figures hold,
+// those included that only the log remembers.
+func (l *Launcher) partialSources(window int) []string {
+	sources := l.counter.Sources(window)
+	if p, ok := l.claimer.Partial(window); ok {
+		sources = append(sources, p.Sources...)
+		slices.Sort(sources)
+		sources = slices.Compact(sources)
+	}
+	return sources
+}
+
 // trueTime returns the time of day of the median instance. ok is false while
 // this instance has no peer to compare with shortly after its start.
 func (l *Launcher) trueTime() (t time.Time, ok bool) {
