--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,7 @@
 .PHONY: format
 format:
 	@$(TOOL) gofumpt -w $$(cd .. && git ls-files -co --exclude-standard '*.go' | sed 's#^#../#')
+
+.PHONY: soak
+soak:
+	SOAK_SEEDS="$(SEEDS)" SOAK_SECONDS="$(SECONDS)" $(GO) test -count 1 -timeout 60m -v -run TestSoak ./soaker/
--- a/call.go
+++ b/call.go
@@ -43,8 +43,6 @@
 	Rank        int
 	HasRank     bool
 	LastEventID string
-	BackupTo    string // Address of the upstream that gets copies of the run's memory.
-	ContinueAt  string // Handle of a copy of the run's memory.
 }
 
 // AnswerHead is the head of an upstream's answer.
--- a/configuration.go
+++ b/configuration.go
@@ -58,7 +58,6 @@
 // UpstreamService is a group of upstreams that serve the same requests.
 type UpstreamService struct {
 	Name           string
-	HealthPath     string
 	MaxConnections int // Most connections to one upstream from all instances.
 	Engine         *EngineTraits
 	Scaling        *ScalingTraits
@@ -66,11 +65,8 @@
 
 // EngineTraits describes the model engines of a service.
 type EngineTraits struct {
-	Slots         int // Requests that run at once.
-	MemoryTokens  int // KV memory in tokens.
-	EventTokens   int // Tokens in one event of a stream.
-	Backups       bool
-	HandleTimeout time.Duration // Time for which a copy of a run's memory is kept after its end.
+	Slots        int // Requests that run at once.
+	MemoryTokens int // KV memory in tokens.
 }
 
 // ScalingTraits bounds the orders of upstreams of a service. All counts are
@@ -110,6 +106,5 @@
 	Draining      bool
 	Reclaimable   bool
 	WarmIn        time.Duration // Time for which the upstream stays slow after its start.
-	LeavesIn      time.Duration // Time until a reclaimed upstream is gone; 0 when unknown.
 	Born          int           // Unix time of the upstream's start in milliseconds.
 }
--- a/deployment.go
+++ b/deployment.go
@@ -8,7 +8,6 @@
 type Deployment struct {
 	Instance      string
 	FailureDomain string
-	Region        string
 	Listen        DeploymentListen
 	Seeds         []string // Addresses of instances that may be up, for links.
 	Limits        DeploymentLimits
@@ -30,7 +29,6 @@
 // DeploymentLimits bounds what the process may use.
 type DeploymentLimits struct {
 	MemoryBytes int64
-	Descriptors int
 	Cores       int
 }
 
@@ -42,12 +40,9 @@
 	Grace                time.Duration // Time from SIGTERM to SIGKILL.
 	Lease                time.Duration // Shortest time between terms of one holder.
 	UsageWindow          time.Duration
-	UsageDelay           time.Duration // A window's report is due this long after its end.
-	RetryRatio           float64       // Repeated sends allowed for each request, over all instances.
+	RetryRatio           float64 // Repeated sends allowed for each request, over all instances.
 	RetryWindow          time.Duration
-	RetrySlack           int           // Repeated sends allowed in a window besides, over all instances.
-	RetryAfter           time.Duration // Time for which a cached prompt part is worth keeping.
-	FencingChecks        bool          // Orders and reports under an old fencing token are refused by their target.
+	RetrySlack           int // Repeated sends allowed in a window besides, over all instances.
 }
 
 // DeploymentDuties names the duties that one instance at a time carries out.
--- /dev/null
+++ b/soaker/soak_test.go
@@ -0,0 +1,503 @@
+package soaker
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/faker"
+	"savoryloft.example/savoryloft/platform/standin"
+)
+
+const (
+	instances  = 4
+	engines    = 5
+	callers    = 12
+	host       = "h.example"
+	revocation = 3 * time.Second // Bound on withdrawn keys.
+	settle     = 6 * time.Second // After the last fault, until all has to work again.
+	served     = 0.9             // Part of the requests after that which must be served.
+	events     = 8
+)
+
+// regressions are seeds that failed before, with their cause.
+var regressions = []uint64{}
+
+// TestSoak runs the seeds in SOAK_SEEDS for SOAK_SECONDS each; in CI one seed
+// for a short time, and all that ever failed.
+func TestSoak(t *testing.T) {
+	seconds := 8
+	if s := os.Getenv("SOAK_SECONDS"); s != "" {
+		n, err := strconv.Atoi(s)
+		require.NoError(t, err)
+		seconds = n
+	}
+	seeds := append([]uint64{1}, regressions...)
+	if s := os.Getenv("SOAK_SEEDS"); s != "" {
+		seeds = nil
+		for _, field := range strings.Fields(s) {
+			n, err := strconv.ParseUint(field, 10, 64)
+			require.NoError(t, err)
+			seeds = append(seeds, n)
+		}
+	}
+	binary := filepath.Join(t.TempDir(), "savoryloft")
+	out, err := exec.Command("go", "build", "-o", binary, "../cmd/savoryloft").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, binary, seed, time.Duration(seconds)*time.Second) })
+	}
+}
+
+// site is one soak: stand-ins, proxies, processes and what callers saw.
+type site struct {
+	t       *testing.T
+	dir     string
+	binary  string
+	log     *faker.Log
+	duties  *standin.Duties
+	engines []*standin.Engine
+	proxies []*Proxy // Before engines, then before the store for each instance.
+	nodes   []*node
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	version  int
+	keys     map[string]time.Time // Valid ones with a zero time, else when they were withdrawn.
+	accepted map[string]*attempt
+	next     atomic.Int64
+	trouble  atomic.Bool // Engines misbehave.
+}
+
+// node is one instance's process.
+type node struct {
+	ip       string
+	settings string
+	log      *os.File
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+}
+
+// attempt is one request of a caller.
+type attempt struct {
+	route, key string
+	sent       time.Time
+	status     int // 0 when the connection ended without an answer.
+	body       string
+	whole      bool
+}
+
+func (s *site) draw(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.IntN(n)
+}
+
+func soak(t *testing.T, binary string, seed uint64, d time.Duration) {
+	s := &site{
+		t: t, dir: t.TempDir(), binary: binary, duties: &standin.Duties{}, rng: rand.New(rand.NewPCG(seed, 7)),
+		keys: map[string]time.Time{"key-0": {}, "key-1": {}, "key-2": {}, "key-3": {}}, accepted: map[string]*attempt{},
+	}
+	s.build()
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() { s.call(stop) })
+	}
+	s.trouble.Store(true)
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		s.fault(&group)
+		time.Sleep(time.Duration(100+s.draw(500)) * time.Millisecond)
+	}
+	s.trouble.Store(false)
+	time.Sleep(settle)
+	close(stop)
+	group.Wait()
+	s.check()
+	s.checkRecovery()
+	if t.Failed() {
+		s.keepLogs(seed)
+	}
+}
+
+// build starts the stand-ins, the proxies and the processes.
+func (s *site) build() {
+	s.log = &faker.Log{Delay: 1500 * time.Millisecond, Decide: func() faker.Fate {
+		if !s.trouble.Load() {
+			return faker.Acknowledged
+		}
+		return []faker.Fate{
+			faker.Acknowledged, faker.Acknowledged, faker.Acknowledged, faker.Acknowledged, faker.Acknowledged,
+			faker.Acknowledged, faker.Lost, faker.Late, faker.Refused,
+		}[s.draw(9)]
+	}}
+	s.configure()
+	for i := range engines {
+		e := &standin.Engine{ID: fmt.Sprintf("i-%d", i), Events: events, Pause: 20 * time.Millisecond, Decide: s.misbehave}
+		server := httptest.NewServer(e)
+		s.t.Cleanup(server.Close)
+		s.t.Cleanup(server.CloseClientConnections)
+		s.engines = append(s.engines, e)
+		s.log.Set(savoryloft.TopicRegistry, e.ID, []byte(fmt.Sprintf(
+			`{"service":"s","address":%q,"zone":"a","slots":64,"state":"ready","seq_no":1}`, s.proxy(server.Listener.Addr().String()))))
+	}
+	store := httptest.NewServer(&standin.Store{Log: s.log})
+	s.t.Cleanup(store.Close)
+	s.t.Cleanup(store.CloseClientConnections)
+	target := httptest.NewServer(s.duties)
+	s.t.Cleanup(target.Close)
+	s.t.Cleanup(target.CloseClientConnections)
+	for i := range instances {
+		n := &node{ip: fmt.Sprintf("127.0.9.%d", i+1), settings: filepath.Join(s.dir, fmt.Sprintf("entry-%d.toml", i))}
+		text := fmt.Sprintf(settingsText, i, n.ip, s.proxy(store.Listener.Addr().String()), target.Listener.Addr().String())
+		require.NoError(s.t, os.WriteFile(n.settings, []byte(text), 0o600))
+		file, err := os.Create(n.settings + ".log")
+		require.NoError(s.t, err)
+		n.log = file
+		s.nodes = append(s.nodes, n)
+		n.start(s)
+		s.t.Cleanup(n.kill)
+	}
+	for _, n := range s.nodes {
+		require.Eventually(s.t, n.ready, 15*time.Second, 20*time.Millisecond)
+	}
+}
+
+const settingsText = `node_name = "entry-%[1]d"
+ip = "%[2]s"
+zone = "a"
+seeds = ["127.0.9.1:7103", "127.0.9.2:7103"]
+heartbeat_ms = 1000
+[listen]
+frontend = "%[2]s:7101"
+readiness = "%[2]s:7102"
+control = "%[2]s:7103"
+[limits]
+memory_mb = 200
+[bounds]
+revoke_ms = 3000
+config_apply_ms = 2000
+drain_ms = 2000
+grace_s = 5
+lease_ms = 1000
+report_window_s = 2
+retry_ratio = 0.5
+retry_window_s = 10
+retry_slack = 200
+fencing_enforced = true
+[platform]
+address = "%[3]s"
+form = "log"
+[cloud]
+address = "%[4]s"
+duties = ["usage_report"]
+`
+
+func (s *site) proxy(target string) string {
+	p := &Proxy{Target: target}
+	address, err := p.Start()
+	require.NoError(s.t, err)
+	s.t.Cleanup(p.Stop)
+	s.proxies = append(s.proxies, p)
+	return address
+}
+
+// configure writes a configuration with the keys that are valid now.
+func (s *site) configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	var keys []string
+	for k, withdrawn := range s.keys {
+		if withdrawn.IsZero() {
+			keys = append(keys, strconv.Quote(k))
+		}
+	}
+	slices.Sort(keys)
+	route := func(name, kind string, attempts int, resumable bool) string {
+		return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":"/%s/","route_kind":%q,"timeout_ms":3000,"goal_ms":500,`+
+			`"itl_target_ms":200,"priority":1,"service":"s","max_attempts":%d,"resumable":%t}`, name, host, name, kind, attempts, resumable)
+	}
+	s.log.Set(savoryloft.TopicConfiguration, "config", []byte(fmt.Sprintf(
+		`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"s","max_conns":500,"inference_engine":{"slots":64,"kv_capacity":1000000}}],`+
+			`"tenants":[{"name":"account","api_keys":[%s]}]}`, s.version,
+		route("stream", "streaming", 1, false), route("resume", "streaming", 4, true),
+		route("once", "non_idempotent", 1, false), route("twice", "idempotent", 3, false), strings.Join(keys, ","))))
+}
+
+func (s *site) misbehave(*http.Request) standin.Behaviour {
+	if !s.trouble.Load() {
+		return standin.Well
+	}
+	switch n := s.draw(100); {
+	case n < 4:
+		return standin.Refuse
+	case n < 8:
+		return standin.FailRun
+	case n < 12:
+		return standin.LoseAnswer
+	case n < 16:
+		return standin.CutStream
+	}
+	return standin.Well
+}
+
+func (n *node) start(s *site) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cmd = exec.Command(s.binary, "edge", "--settings", n.settings)
+	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
+	require.NoError(s.t, n.cmd.Start())
+}
+
+// signal sends a signal to the process that this soak started.
+func (n *node) signal(sig syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.cmd.Process.Signal(sig)
+}
+
+func (n *node) wait() {
+	n.mu.Lock()
+	cmd := n.cmd
+	n.mu.Unlock()
+	_ = cmd.Wait()
+}
+
+func (n *node) kill() {
+	n.signal(syscall.SIGCONT)
+	n.signal(syscall.SIGKILL)
+	n.wait()
+}
+
+func (n *node) ready() bool {
+	resp, err := http.Get("http://" + n.ip + ":7102/savoryloft/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// fault starts one fault that ends by itself. Faults overlap.
+func (s *site) fault(group *sync.WaitGroup) {
+	length := time.Duration(300+s.draw(2500)) * time.Millisecond
+	n := s.nodes[s.draw(len(s.nodes))]
+	switch s.draw(8) {
+	case 0, 1:
+		p, m := s.proxies[s.draw(len(s.proxies))], Mode(1+s.draw(int(modes)-1))
+		p.Set(m)
+		group.Go(func() {
+			time.Sleep(length)
+			p.Set(Pass)
+		})
+	case 2:
+		n.signal(syscall.SIGSTOP)
+		group.Go(func() {
+			time.Sleep(length)
+			n.signal(syscall.SIGCONT)
+		})
+	case 3:
+		n.kill()
+		n.start(s)
+	case 4:
+		n.signal(syscall.SIGCONT)
+		n.signal(syscall.SIGTERM)
+		group.Go(func() {
+			time.Sleep(6 * time.Second)
+			n.kill()
+			n.start(s)
+		})
+	case 5:
+		s.log.SetDown(true)
+		group.Go(func() {
+			time.Sleep(length)
+			s.log.SetDown(false)
+		})
+	case 6:
+		s.withdraw()
+	case 7:
+		s.configure()
+	}
+}
+
+// withdraw takes a key away while more than one is left.
+func (s *site) withdraw() {
+	s.mu.Lock()
+	valid := []string{}
+	for k, at := range s.keys {
+		if at.IsZero() {
+			valid = append(valid, k)
+		}
+	}
+	slices.Sort(valid)
+	if len(valid) > 1 {
+		s.keys[valid[s.rng.IntN(len(valid))]] = time.Now().Add(time.Hour) // Until the configuration is accepted.
+	}
+	s.mu.Unlock()
+	if len(valid) < 2 {
+		return
+	}
+	s.configure()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, at := range s.keys {
+		if at.After(time.Now()) {
+			s.keys[k] = time.Now()
+		}
+	}
+}
+
+// call sends requests of one caller over connections that it keeps.
+func (s *site) call(stop <-chan struct{}) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: 4 * time.Second}
+	defer client.CloseIdleConnections()
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		s.attempt(client, s.nodes[s.draw(len(s.nodes))], "")
+		time.Sleep(time.Duration(s.draw(60)) * time.Millisecond)
+	}
+}
+
+// attempt sends one request and notes what came back.
+func (s *site) attempt(client *http.Client, n *node, key string) *attempt {
+	if key == "" {
+		key = fmt.Sprintf("key-%d", s.draw(4))
+	}
+	a := &attempt{route: []string{"stream", "resume", "once", "twice"}[s.draw(4)], key: key}
+	id := fmt.Sprintf("id-%d", s.next.Add(1))
+	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:7101/%s/x", n.ip, a.route), strings.NewReader(id))
+	require.NoError(s.t, err)
+	r.Host = host
+	r.Header.Set("X-Attempt-Id", id)
+	r.Header.Set("Authorization", "Token "+key)
+	if a.route == "stream" || a.route == "resume" {
+		r.Header.Set("X-Token-Count", "100,20")
+		r.Header.Set("X-Prefix-Hash", fmt.Sprintf("p%d:60,%s:40", s.draw(9), id))
+	}
+	a.sent = time.Now()
+	if resp, err := client.Do(r); err == nil {
+		body, readErr := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		a.status, a.body, a.whole = resp.StatusCode, string(body), readErr == nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepted[id] = a
+	return a
+}
+
+// check holds what callers saw against what engines saw.
+func (s *site) check() {
+	runs := map[string]int{}
+	for _, e := range s.engines {
+		for _, seen := range e.Requests() {
+			if seen.Started {
+				runs[seen.ID]++
+			}
+			require.Equal(s.t, "account", seen.Header.Get("X-Tenant"))
+			require.Empty(s.t, seen.Header.Get("Authorization"), "a key reached an upstream")
+			require.Equal(s.t, seen.ID, seen.Body, "a body reached an upstream under another ID")
+		}
+	}
+	statuses := map[int]int{}
+	for id, a := range s.accepted {
+		statuses[a.status]++
+		n := runs[id]
+		delete(runs, id)
+		where := fmt.Sprintf("%s %+v ran %d times", id, *a, n)
+		if a.route == "once" || a.route == "stream" {
+			require.LessOrEqual(s.t, n, 1, "ran more than once: %s", where)
+		}
+		if a.status == http.StatusServiceUnavailable || a.status == http.StatusUnauthorized {
+			require.Zero(s.t, n, "said not to have run: %s", where)
+		}
+		if a.status == http.StatusOK && a.whole {
+			require.NotZero(s.t, n, "answered without a run: %s", where)
+			s.checkBody(a, where)
+		}
+		if withdrawn := s.keys[a.key]; n > 0 && !withdrawn.IsZero() {
+			require.Less(s.t, a.sent.Sub(withdrawn), revocation, "a withdrawn key works: %s", where)
+		}
+	}
+	require.Empty(s.t, runs, "requests that nobody sent")
+	_, broken := s.duties.Snapshot()
+	require.Empty(s.t, broken)
+	s.t.Logf("answers by status: %v", statuses)
+}
+
+func (s *site) checkBody(a *attempt, where string) {
+	if a.route == "once" || a.route == "twice" {
+		require.True(s.t, strings.HasPrefix(a.body, "answer of i-"), where)
+		return
+	}
+	var want strings.Builder
+	for i := 1; i <= events; i++ {
+		fmt.Fprintf(&want, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	require.Equal(s.t, want.String(), a.body, where)
+}
+
+// checkRecovery requires that all works again after the last fault.
+func (s *site) checkRecovery() {
+	for _, p := range s.proxies {
+		p.Set(Pass)
+	}
+	s.log.SetDown(false)
+	for _, n := range s.nodes {
+		require.Eventually(s.t, n.ready, 15*time.Second, 50*time.Millisecond, "%s is not ready again", n.ip)
+	}
+	valid := ""
+	for k, at := range s.keys {
+		if at.IsZero() {
+			valid = k
+		}
+	}
+	ok, client := 0, &http.Client{Timeout: 4 * time.Second}
+	const requests = 60
+	for i := range requests {
+		if a := s.attempt(client, s.nodes[i%len(s.nodes)], valid); a.status == http.StatusOK && a.whole {
+			ok++
+		}
+	}
+	require.GreaterOrEqual(s.t, float64(ok), served*requests, "served after the faults")
+}
+
+// keepLogs copies the instances' logs to where a failure can be traced.
+func (s *site) keepLogs(seed uint64) {
+	dir := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d", seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		s.t.Logf("logs not kept: %v", err)
+		return
+	}
+	for _, n := range s.nodes {
+		data, err := os.ReadFile(n.settings + ".log")
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, filepath.Base(n.settings)+".log"), data, 0o600)
+		}
+		if err != nil {
+			s.t.Logf("log not kept: %v", err)
+		}
+	}
+	s.t.Logf("logs are in %s", dir)
+}
