--- a/cmd/savoryloft/edge.go
+++ b/cmd/savoryloft/edge.go
@@ -28,8 +28,8 @@
 	dialLimit           = time.Second
 	idleLimit           = 20 * time.Second // Idle connections to upstreams; their own limit is mostly shorter.
 	dutyTimeout         = 800 * time.Millisecond
-	memoryPart          = 0.6 // Part of the memory limit at which the collector works harder.
-	collectorPercent    = 200 // Heap growth between collections; memory is plenty, processor time is not.
+	memoryPart          = 0.5 // Part of the memory limit at which the collector works harder.
+	collectorPercent    = 100 // Heap growth between collections; small machines have little memory.
 )
 
 const edgeUsage = `Edge runs an entry instance on the prepared platform until it gets SIGTERM or
