--- a/linker/link.go
+++ b/linker/link.go
@@ -17,7 +17,8 @@
 	maxQueued       = 256                    // Frames waiting on one link; a peer that lags further is dropped.
 	keptSending     = 64                     // Times of sent statuses that are kept; echoes are far younger.
 	meshUpdatePause = 5 * time.Millisecond   // Before an update, to take several changes together.
-	hubUpdatePause  = 120 * time.Millisecond // The same where one frame tells of many instances.
+	hubUpdatePause  = 200 * time.Millisecond // The same where one frame tells of many instances.
+	totalEvery      = 50 * time.Millisecond  // Between sums of all peers' loads at a hub.
 	wholeEvery      = 8                      // Each so many statuses, all loads are told.
 	resendAfter     = 3                      // Statuses in a row that show a peer behind before all records are sent again.
 )
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -94,9 +94,11 @@
 	mu       sync.Mutex
 	topology topology
 	members  map[string]*member
-	leaderAt time.Duration        // Uptime at which another instance was known to hold the lease; 0 when never.
-	seeds    map[string]*dialling // By address.
-	links    map[string]*link     // By instance.
+	total    map[string]savoryloft.LinkLoad // Loads of all peers together.
+	totalAt  time.Duration                  // Uptime at which total was worked out.
+	leaderAt time.Duration                  // Uptime at which another instance was known to hold the lease; 0 when never.
+	seeds    map[string]*dialling           // By address.
+	links    map[string]*link               // By instance.
 	group    sync.WaitGroup
 	once     sync.Once
 }
--- a/linker/news.go
+++ b/linker/news.go
@@ -83,7 +83,7 @@
 			return sum, false
 		}
 	case k.child:
-		sum = l.sumLoads(k)
+		sum = l.othersOf(k)
 	case t.hubs[k.peer.Instance]:
 		l.addChildren(sum)
 	default:
@@ -95,6 +95,26 @@
 	return sum, child
 }
 
+// othersOf returns the loads of all other instances but those that a peer told
+// itself. The sum over all peers is kept for a while, since it is the same for
+// all instances that rely on this one. The caller holds the lock.
+func (l *Linker) othersOf(k *link) map[string]savoryloft.LinkLoad {
+	if now := savoryloft.Uptime(); l.total == nil || now-l.totalAt > totalEvery {
+		l.total, l.totalAt = l.sumLoads(nil), now
+	}
+	others := make(map[string]savoryloft.LinkLoad, len(l.total))
+	for id, load := range l.total {
+		told := k.loads[id]
+		load.Running = max(load.Running-told.Running, 0)
+		load.Prefill = max(load.Prefill-told.Prefill, 0)
+		load.Tokens = max(load.Tokens-told.Tokens, 0)
+		if load.Running+load.Prefill+load.Tokens > 0 {
+			others[id] = load
+		}
+	}
+	return others
+}
+
 // addChildren adds the loads of the instances that rely on this one. The
 // caller holds the lock.
 func (l *Linker) addChildren(sum map[string]savoryloft.LinkLoad) {
