--- a/biller/biller.go
+++ b/biller/biller.go
@@ -43,8 +43,8 @@
 	Duties Ledger
 	Target savoryloft.DutyTarget
 	Counts func(window int) map[string]int
-	// Now returns the true time; ok is false while it is not known well.
-	Now    func() (t time.Time, ok bool)
+	// Now returns the true time, as far as the instances know it together.
+	Now    func() time.Time
 	Window time.Duration
 	Logger logr.Logger
 
@@ -65,11 +65,7 @@
 
 // step fixes and reports the windows that are due.
 func (b *Biller) step(ctx context.Context) {
-	now, ok := b.Now()
-	if !ok {
-		return
-	}
-	last := int(now.Add(-settleTime).UnixNano()/int64(b.Window)) - 1
+	last := int(b.Now().Add(-settleTime).UnixNano()/int64(b.Window)) - 1
 	if b.first == 0 {
 		b.first = last + 1
 	}
--- a/biller/biller_test.go
+++ b/biller/biller_test.go
@@ -86,7 +86,7 @@
 		b := &Biller{
 			Duties: l, Target: s, Window: 5 * time.Second, Logger: logr.Discard(),
 			Counts: func(int) map[string]int { n++; return map[string]int{"x": n} },
-			Now:    func() (time.Time, bool) { return time.Now(), true },
+			Now:    time.Now,
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		s.setFail(savoryloft.ErrUnavailable)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -212,8 +212,7 @@
 func (l *Launcher) instances() int { return len(l.linker.Members()) + 1 }
 
 func (l *Launcher) countRequest(account string) {
-	t, _ := l.trueTime()
-	l.counter.Add(t, account)
+	l.counter.Add(l.trueTime(), account)
 }
 
 // usage returns the requests of each account in a window, with what the log has
@@ -230,7 +229,7 @@
 	if l.Deployment.Bounds.UsageWindow <= 0 {
 		return nil
 	}
-	now, _ := l.trueTime()
+	now := l.trueTime()
 	var list []savoryloft.PartialCounts
 	for w, last := l.counter.WindowAt(now)-1, l.counter.WindowAt(now); w <= last; w++ {
 		if _, fixed := l.claimer.Figures(w); fixed {
@@ -255,10 +254,9 @@
 	return sources
 }
 
-// trueTime returns the time of day of the median instance. ok is false while
-// this instance has no peer to compare with shortly after its start.
-func (l *Launcher) trueTime() (t time.Time, ok bool) {
-	return time.Now().Add(l.linker.ClockOffset()), true
+// trueTime returns the time of day of the median instance.
+func (l *Launcher) trueTime() time.Time {
+	return time.Now().Add(l.linker.ClockOffset())
 }
 
 func (l *Launcher) services() []savoryloft.UpstreamService {
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -9,18 +9,18 @@
 
 // engine is the model of one upstream.
 type engine struct {
-	upstream savoryloft.RegisteredUpstream
-	running  int // Own requests.
-	prefill  int // Prompt tokens of own requests without a first token.
-	tokens   int // Memory of own requests.
-	parts    map[string]partUse
-	partSum  int
-	readRate float64 // Prompt tokens per ms.
-	failures float64
-	failedAt time.Time
-	probedAt time.Time
-	seenAt   time.Time
-	oldest   map[*Run]struct{} // Runs without a first token.
+	upstream  savoryloft.RegisteredUpstream
+	running   int // Own requests.
+	prefill   int // Prompt tokens of own requests without a first token.
+	tokens    int // Memory of own requests.
+	parts     map[string]partUse
+	partSum   int
+	readRate  float64 // Prompt tokens per ms.
+	failures  float64
+	failedAt  time.Time
+	probedAt  time.Time
+	seenAt    time.Time
+	unstarted map[*Run]struct{} // Runs without a first token.
 }
 
 type partUse struct {
@@ -47,7 +47,7 @@
 	}
 	e := p.engines[u.ID]
 	if e == nil || e.upstream.Born != u.Born {
-		e = &engine{parts: map[string]partUse{}, readRate: initialReadRate, oldest: map[*Run]struct{}{}}
+		e = &engine{parts: map[string]partUse{}, readRate: initialReadRate, unstarted: map[*Run]struct{}{}}
 		p.engines[u.ID] = e
 	}
 	e.upstream = u
@@ -61,7 +61,7 @@
 		return 0
 	}
 	var oldest time.Time
-	for r := range e.oldest {
+	for r := range e.unstarted {
 		if oldest.IsZero() || r.started.Before(oldest) {
 			oldest = r.started
 		}
@@ -122,7 +122,7 @@
 // token is beyond its prediction. An engine that hangs shows so.
 func (e *engine) overdue(now time.Time) float64 {
 	worst := 0.0
-	for r := range e.oldest {
+	for r := range e.unstarted {
 		late := float64(now.Sub(r.started)-slowAge)/float64(time.Millisecond) - r.expected
 		worst = max(worst, late)
 	}
@@ -175,7 +175,7 @@
 func (r *Run) endPrefill() {
 	r.prefill = false
 	r.engine.prefill -= r.uncached
-	delete(r.engine.oldest, r)
+	delete(r.engine.unstarted, r)
 }
 
 // End notes that a run has ended.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -63,8 +63,7 @@
 	Service      string
 	Parts        []savoryloft.PromptPart
 	PromptTokens int
-	OutputTokens int // Expected.
-	Sticky       bool
+	OutputTokens int                      // Expected.
 	Engine       *savoryloft.EngineTraits // nil for a plain service.
 	// Connections is the most requests of this instance at one upstream.
 	Connections int
@@ -314,7 +313,7 @@
 	e.running++
 	e.prefill += run.uncached
 	e.tokens += run.tokens
-	e.oldest[run] = struct{}{}
+	e.unstarted[run] = struct{}{}
 	if e.suspended(now) {
 		e.probedAt = now
 	}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -58,7 +58,7 @@
 func (x *exchange) request() placer.Request {
 	req := placer.Request{
 		Service: x.service, Parts: x.call.Parts, PromptTokens: x.call.PromptTokens,
-		OutputTokens: x.call.OutputTokens, Sticky: x.route.Sticky, Exclude: x.tried,
+		OutputTokens: x.call.OutputTokens, Exclude: x.tried,
 	}
 	if x.call.OutputHint > 0 {
 		req.OutputTokens = min(x.call.OutputHint, max(x.call.OutputTokens, 1))
