--- a/cmd/savoryloft/edge.go
+++ b/cmd/savoryloft/edge.go
@@ -34,7 +34,7 @@
 
 const edgeUsage = `Edge runs an entry instance on the prepared platform until it gets SIGTERM or
 SIGINT. It reads the settings file that the platform writes; its path stands in
-the environment variable SAVORYLOFT_BOOT.
+the environment variable ` + platform.SettingsVariable + `.
 
 A planned stop cuts no request: the readiness probe fails first, requests go on
 until the balancer has noticed, and running ones finish within the grace time of
@@ -70,7 +70,7 @@
 			return edge(file, verbosity)
 		},
 	}
-	c.Flags().StringVar(&file, "settings", "", "settings file of the platform; the one that SAVORYLOFT_BOOT names when empty")
+	c.Flags().StringVar(&file, "settings", "", "settings file of the platform; the one that "+platform.SettingsVariable+" names when empty")
 	c.Flags().BoolVar(&check, "check", false, "check the settings file and exit")
 	c.Flags().IntVar(&verbosity, "verbosity", 0, "log level; 1 adds details")
 	return c
--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -184,18 +184,15 @@
 // request builds a request of the next attempt.
 func (s *site) request(i *instance, route, key string) *http.Request {
 	s.attempts++
-	r, err := http.NewRequest(http.MethodPost, i.url+"/"+route+"/x", strings.NewReader("the body"))
-	require.NoError(s.t, err)
-	r.Host = host
-	r.Header.Set("X-Attempt-Id", fmt.Sprintf("attempt-%d", s.attempts))
-	r.Header.Set("X-Deadline-Ms", "4000")
-	if key != "" {
-		r.Header.Set("Authorization", "Token "+key)
+	c := standin.Call{
+		Address: strings.TrimPrefix(i.url, "http://"), Host: host, Route: route, ID: fmt.Sprintf("attempt-%d", s.attempts),
+		Key: key, Patience: 4 * time.Second, Body: "the body",
 	}
 	if route == "stream" || route == "resume" {
-		r.Header.Set("X-Token-Count", "100,20")
-		r.Header.Set("X-Prefix-Hash", "aa:60,bb:40")
+		c.Parts = "aa:60,bb:40"
 	}
+	r, err := c.Request()
+	require.NoError(s.t, err)
 	return r
 }
 
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -50,13 +50,13 @@
 			require.Equal(t, tt.status, a.status)
 			if tt.status == http.StatusOK {
 				require.Equal(t, tt.body, a.body)
-				require.Equal(t, "signed-by-i-0", a.header.Get("X-Server-Signature"))
+				require.Equal(t, "signed-by-i-0", standin.Signature(a.header))
 			}
 		})
 	}
 	for _, seen := range e.Requests() {
-		require.Equal(t, "account", seen.Header.Get("X-Tenant"))
-		require.Empty(t, seen.Header.Get("Authorization"))
+		require.Equal(t, "account", seen.Account)
+		require.Empty(t, seen.Credential)
 		require.Equal(t, "the body", seen.Body)
 	}
 }
@@ -89,7 +89,7 @@
 			r := s.request(i, tt.route, "key-1")
 			a := s.do(r)
 			require.Equal(t, tt.status, a.status)
-			require.Equal(t, tt.runs, s.runs(r.Header.Get("X-Attempt-Id")))
+			require.Equal(t, tt.runs, s.runs(standin.RequestID(r)))
 		})
 	}
 }
@@ -105,13 +105,13 @@
 	a := s.do(r)
 	require.Equal(t, http.StatusServiceUnavailable, a.status)
 	require.NotEmpty(t, a.header.Get("Retry-After"))
-	require.Zero(t, s.runs(r.Header.Get("X-Attempt-Id")))
+	require.Zero(t, s.runs(standin.RequestID(r)))
 }
 
 func TestBrokenStreams(t *testing.T) {
 	s := newSite(t)
 	decide := func(r *http.Request) standin.Behaviour {
-		if r.Header.Get("Last-Event-Id") == "" {
+		if !standin.Resumes(r) {
 			return standin.CutStream
 		}
 		return standin.Well
@@ -259,8 +259,8 @@
 	e := s.addEngine(nil)
 	i := s.start(long)
 	s.waitUpstreams(i, 1)
-	hidden := "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: hidden\r\nAuthorization: Token key-1\r\nContent-Length: 0\r\n\r\n"
-	start := "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: outer\r\nAuthorization: Token key-1\r\n"
+	hidden := standin.RawHead(host, "once", "hidden", "key-1") + "Content-Length: 0\r\n\r\n"
+	start := standin.RawHead(host, "once", "outer", "key-1")
 	for _, text := range []string{
 		start + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
 		start + "Content-Length: 0\r\nContent-Length: 4\r\n\r\n" + hidden,
@@ -281,7 +281,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
-	go serveStray(l)
+	go standin.ServeStray(l)
 	s.register("i-stray", l.Addr().String(), "ready")
 	i := s.start(long)
 	s.waitUpstreams(i, 1)
@@ -289,7 +289,7 @@
 		r := s.request(i, "once", "key-1")
 		a := s.do(r)
 		require.Equal(t, 200, a.status)
-		require.Equal(t, "for "+r.Header.Get("X-Attempt-Id"), a.body)
+		require.Equal(t, "for "+standin.RequestID(r), a.body)
 	}
 }
 
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -26,7 +26,6 @@
 package linker
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -103,35 +102,6 @@
 	once     sync.Once
 }
 
-// member is another instance that this one has heard of.
-type member struct {
-	greeting savoryloft.LinkGreeting
-	order    uint32        // Hash of the name.
-	heard    time.Duration // Uptime of the last status; 0 before the first.
-	known    time.Duration // Uptime at which it was heard of.
-	told     bool          // It has sent a status.
-	leaving  bool
-	leading  bool
-	logLost  bool // It can not read the log.
-	dialling
-}
-
-// dialling is the state of attempts to reach an address.
-type dialling struct {
-	busy    bool
-	next    time.Duration // Uptime of the next attempt.
-	backoff time.Duration
-}
-
-// Member describes another instance.
-type Member struct {
-	savoryloft.LinkGreeting
-	Live    bool
-	Heard   bool // It has told of itself.
-	Leaving bool
-	Leading bool
-}
-
 func (l *Linker) init() {
 	l.once.Do(func() {
 		l.members = map[string]*member{}
@@ -243,62 +213,6 @@
 	d.next = savoryloft.Uptime() + d.backoff
 }
 
-// AddMembers takes in instances that were heard of elsewhere.
-func (l *Linker) AddMembers(greetings []savoryloft.LinkGreeting) {
-	l.init()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.addMembers(greetings, nil)
-}
-
-// addMembers passes on what is new. The caller holds the lock.
-func (l *Linker) addMembers(greetings []savoryloft.LinkGreeting, from *link) {
-	var fresh []savoryloft.LinkGreeting
-	for _, g := range greetings {
-		if g.Instance == l.Instance {
-			continue
-		}
-		m := l.members[g.Instance]
-		if m != nil && m.greeting.Incarnation >= g.Incarnation {
-			continue
-		}
-		l.members[g.Instance] = &member{greeting: g, order: hash(g.Instance), known: savoryloft.Uptime()}
-		l.topology.stale = true
-		fresh = append(fresh, g)
-	}
-	if len(fresh) == 0 {
-		return
-	}
-	for _, k := range l.links {
-		if k != from {
-			k.send(savoryloft.LinkFrame{Members: fresh})
-		}
-	}
-}
-
-// live tells whether a member has been heard from lately.
-func (m *member) live(now time.Duration) bool { return m.heard > 0 && now-m.heard < liveLimit }
-
-// present tells whether a member counts for the choice of hubs. One that was
-// just heard of counts before its first status.
-func (m *member) present(now time.Duration) bool {
-	return !m.leaving && now-max(m.heard, m.known) < 2*liveLimit
-}
-
-// Members returns the other instances, in order of their names.
-func (l *Linker) Members() []Member {
-	l.init()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := savoryloft.Uptime()
-	list := make([]Member, 0, len(l.members))
-	for _, m := range l.members {
-		list = append(list, Member{LinkGreeting: m.greeting, Live: m.live(now), Heard: m.told, Leaving: m.leaving, Leading: m.leading && m.live(now)})
-	}
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
-	return list
-}
-
 // LeaderAge returns the time since another instance was known to hold the
 // lease. ok is false when none was.
 func (l *Linker) LeaderAge() (age time.Duration, ok bool) {
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -22,6 +22,7 @@
 
 	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/faker"
+	"savoryloft.example/savoryloft/platform"
 	"savoryloft.example/savoryloft/platform/standin"
 )
 
@@ -287,7 +288,7 @@
 }
 
 func (n *node) ready() bool {
-	resp, err := http.Get("http://" + n.ip + ":7102/savoryloft/readyz")
+	resp, err := http.Get("http://" + n.ip + ":7102" + platform.ReadinessPath)
 	if err != nil {
 		return false
 	}
@@ -386,15 +387,12 @@
 	}
 	a := &attempt{route: []string{"stream", "resume", "once", "twice"}[s.draw(4)], key: key}
 	id := fmt.Sprintf("id-%d", s.next.Add(1))
-	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:7101/%s/x", n.ip, a.route), strings.NewReader(id))
-	require.NoError(s.t, err)
-	r.Host = host
-	r.Header.Set("X-Attempt-Id", id)
-	r.Header.Set("Authorization", "Token "+key)
+	c := standin.Call{Address: n.ip + ":7101", Host: host, Route: a.route, ID: id, Key: key, Body: id}
 	if a.route == "stream" || a.route == "resume" {
-		r.Header.Set("X-Token-Count", "100,20")
-		r.Header.Set("X-Prefix-Hash", fmt.Sprintf("p%d:60,%s:40", s.draw(9), id))
+		c.Parts = fmt.Sprintf("p%d:60,%s:40", s.draw(9), id)
 	}
+	r, err := c.Request()
+	require.NoError(s.t, err)
 	a.sent = time.Now()
 	if resp, err := client.Do(r); err == nil {
 		body, readErr := io.ReadAll(resp.Body)
@@ -415,8 +413,8 @@
 			if seen.Started {
 				runs[seen.ID]++
 			}
-			require.Equal(s.t, "account", seen.Header.Get("X-Tenant"))
-			require.Empty(s.t, seen.Header.Get("Authorization"), "a key reached an upstream")
+			require.Equal(s.t, "account", seen.Account)
+			require.Empty(s.t, seen.Credential, "a key reached an upstream")
 			require.Equal(s.t, seen.ID, seen.Body, "a body reached an upstream under another ID")
 		}
 	}
