Count a run in one place; one silent logger for both servers

An attempt was counted as a run at its head, and callers took that back before fail counted it again; now it counts itself once. The type that drops fasthttp's lines stood in launcher and server. Behaviour is unchanged.

--- a/launcher/pages.go
+++ b/launcher/pages.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/logger"
 	"savoryloft.example/savoryloft/monitor"
 	"savoryloft.example/savoryloft/relayer"
 )
@@ -49,7 +50,7 @@
 		IdleTimeout:                   idleTimeout,
 		HeaderReceived:                l.requestLimits,
 		ErrorHandler:                  relayer.HandleProtocolError,
-		Logger:                        silentLogger{},
+		Logger:                        logger.Silent{},
 	}
 }
 
@@ -65,15 +66,8 @@
 	return c
 }
 
-// silentLogger drops fasthttp's own lines; HandleProtocolError answers the
-// errors that they tell of.
-type silentLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (silentLogger) Printf(string, ...any) {}
-
 func pageServer(h fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, Logger: silentLogger{}}
+	return &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, Logger: logger.Silent{}}
 }
 
 // ready returns why this instance should get no new connections, or nil.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -51,6 +51,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	span     trace.Span
+	counted  bool // It is one of the exchange's runs.
 	released bool
 }
 
@@ -118,7 +119,7 @@
 		a.release(placer.Refused)
 		return nil, x.failed(choice, &sendError{notRun, errors.Errorf("upstream refused with status %d", a.head.StatusCode)})
 	}
-	x.runs++
+	a.countRun()
 	return a, nil
 }
 
@@ -168,13 +169,21 @@
 	return errors.Errorf("upstream %s answers other requests only", a.choice.Upstream.ID)
 }
 
+// countRun counts the attempt as one after which the request may have run.
+func (a *attempt) countRun() {
+	if !a.counted {
+		a.counted = true
+		a.exchange.runs++
+	}
+}
+
 // fail ends an attempt after an error on its connection.
 func (a *attempt) fail(err error) *sendError {
 	v := unknown
 	if !a.conn.Sent() {
 		v = notRun
 	} else {
-		a.exchange.runs++
+		a.countRun()
 	}
 	outcome := placer.Failed
 	if a.exchange.ctx.Err() != nil {
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -49,7 +49,6 @@
 	x.count()
 	body, err := a.conn.ReadAnswer(a.ctx, a.response, maxAnswerBytes)
 	if err != nil {
-		x.runs-- // fail counts it.
 		return a.head, nil, a.fail(err)
 	}
 	h := a.head
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -79,7 +79,6 @@
 	err := s.fill()
 	timer.Stop()
 	if err != nil {
-		x.runs--
 		return a.fail(err)
 	}
 	a.run.FirstToken(time.Now())
@@ -113,7 +112,6 @@
 	x, a := s.exchange, s.attempt
 	body, err := a.conn.ReadAnswer(a.ctx, a.response, maxAnswerBytes)
 	if err != nil {
-		x.runs--
 		return a.fail(err)
 	}
 	if bad := x.checkAnswer(a.head); bad != nil {
@@ -203,7 +201,6 @@
 // allowed. It returns the error with which the answer has to end otherwise.
 func (s *stream) resume(cause error) error {
 	x := s.exchange
-	x.runs--
 	e := s.attempt.fail(cause)
 	for x.mayRepeat(e) {
 		if e = s.open(); e != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -29,6 +29,7 @@
 	"savoryloft.example/savoryloft/follower"
 	"savoryloft.example/savoryloft/gossiper"
 	"savoryloft.example/savoryloft/journaler"
+	"savoryloft.example/savoryloft/logger"
 	"savoryloft.example/savoryloft/receiver"
 	"savoryloft.example/savoryloft/recorder"
 	"savoryloft.example/savoryloft/reporter"
@@ -214,17 +215,10 @@
 		Concurrency:        a.MaxConnections,
 		CloseOnShutdown:    true,
 		ErrorHandler:       receiver.HandleProtocolError,
-		Logger:             discard{},
+		Logger:             logger.Silent{},
 	}
 }
 
-// discard drops fasthttp's own log lines; HandleProtocolError answers the
-// errors that they tell of.
-type discard struct{}
-
-// Printf implements fasthttp.Logger.
-func (discard) Printf(string, ...any) {}
-
 func (s *Server) listenAll() (callers, operators, peers net.Listener, err error) {
 	l := s.Settings.Listen
 	if callers, err = s.Listen(l.Callers); err != nil {
