--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -68,6 +68,8 @@
 	Preemptible bool      // The attempt can be cut off and resumed.
 	Resumed     bool      // Part of the answer has been passed on.
 	Arrived     time.Time // Start of the wait that targets count from; now when zero.
+
+	last string // Name of the upstream that ran the last attempt and may still have the prompt cached.
 }
 
 // Target describes one upstream to the admitter.
--- a/admitter/choose.go
+++ b/admitter/choose.go
@@ -10,6 +10,10 @@
 // upstream that has seen the same prefix is kept before a less loaded one.
 const affinityGap = 0.25
 
+// resumeGap is the load up to which a resumed request stays where it ran: its
+// prompt and the tokens passed on so far would be processed again elsewhere.
+const resumeGap = 1.0
+
 // randomChoices is the number of upstreams compared on the fast path.
 const randomChoices = 4
 
@@ -33,8 +37,8 @@
 			best, bestLoad = u, load
 		}
 	}
-	if u := affine(table, r); u != nil && usable(u, r) {
-		if p.load(u) <= bestLoad+affinityGap && u.acquire() {
+	if u, gap := affine(table, r); u != nil && usable(u, r) {
+		if p.load(u) <= bestLoad+gap && u.acquire() {
 			return u
 		}
 	}
@@ -59,12 +63,19 @@
 	return u.room() > 0 && !slices.Contains(r.Exclude, u.Name)
 }
 
-// affine returns the upstream that requests with the same prefix prefer.
-func affine(table []*Upstream, r *Request) *Upstream {
+// affine returns the upstream that has the prompt cached, as far as is known,
+// and the load that may be taken on for it: for a resumed request the one that
+// ran it last, otherwise the one that requests with the same prefix prefer.
+func affine(table []*Upstream, r *Request) (u *Upstream, gap float64) {
+	if r.Resumed {
+		if i := slices.IndexFunc(table, func(u *Upstream) bool { return u.Name == r.last }); i >= 0 {
+			return table[i], resumeGap
+		}
+	}
 	if r.Prefix == 0 {
-		return nil
+		return nil, 0
 	}
-	return table[r.Prefix%uint64(len(table))]
+	return table[r.Prefix%uint64(len(table))], affinityGap
 }
 
 // load tells how busy an upstream is: the used part of the allowance, and the
--- a/admitter/demand.go
+++ b/admitter/demand.go
@@ -11,8 +11,8 @@
 
 const (
 	activeFor     = 10 * time.Second       // Time for which a class counts after its last request.
-	reserveWindow = 300 * time.Millisecond // Arrivals of higher tiers that lower ones leave room for.
-	mostReserved  = 0.2                    // Most of the slots that are kept free for higher tiers.
+	reserveWindow = 300 * time.Millisecond // Arrivals of higher tiers that a tier leaves room for, for each tier above it.
+	mostReserved  = 0.3                    // Most of the slots that are kept free for higher tiers.
 	measureEvery  = time.Second
 	levelTime     = 10 * time.Second // Time constant of the demand's moving average.
 	rateWeight    = 0.3
@@ -104,7 +104,7 @@
 	d.measured = now
 	above := 0.0
 	for t := range d.rates {
-		arrivals := above * reserveWindow.Seconds()
+		arrivals := above * float64(t) * reserveWindow.Seconds()
 		d.reserve[t].Store(int64((arrivals + math.Sqrt(arrivals)) * thousandths))
 		rate := float64(d.arrivals[t].Swap(0)) / dt.Seconds()
 		d.rates[t] += rateWeight * (rate - d.rates[t])
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -29,8 +29,9 @@
 	firstToken atomic.Int64              // Moving average of attempts' times to the first token, in nanoseconds.
 	preempted  [preemptions]atomic.Int64 // Attempts preempted, by reason.
 
-	mu    sync.Mutex // Guards the queue, which only waiting requests touch.
-	queue queue
+	mu         sync.Mutex // Guards the queue, which only waiting requests touch.
+	queue      queue
+	floorsOpen [Tiers]time.Time // Since when a tier runs less than its floor in the whole fleet; zero when it does not.
 }
 
 func newPool(a *Admitter, name string) *Pool {
@@ -105,6 +106,7 @@
 		Upstream: u, Context: ctx, pool: p, request: r, cancel: cancel,
 		started: time.Now(), floor: floor,
 	}
+	r.last = u.Name
 	p.running[r.Class.Tier].Add(1)
 	u.addGrant(g)
 	return g
@@ -136,6 +138,12 @@
 	p.firstToken.Store(old + int64(smoothing*float64(int64(o.FirstToken)-old)))
 }
 
+// need returns the time before its end that a waiter needs a slot: the usual
+// time to the first token and that for which a preempted attempt yields.
+func (p *Pool) need() time.Duration {
+	return time.Duration(urgentFactor*float64(p.firstToken.Load())) + urgentMargin
+}
+
 // settle corrects the estimates that the grant was charged with.
 func (p *Pool) settle(g *Grant, o Observation) {
 	p.mu.Lock()
@@ -242,14 +250,18 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.queue.accrue(now, p.share.Load().Floors)
+	p.openFloors(now)
 	for p.waiting.Load() > 0 {
 		w, floor := p.queue.next(now)
 		if w == nil {
 			return
 		}
-		if !floor && !w.asked.Load() && !p.roomFor(w.request.Class.Tier) {
+		if !floor && !w.asked.Load() && !p.roomFor(w.request.Class.Tier) && !w.patienceEnds(now, p.need()) {
 			return
 		}
+		if !floor || w.request.Resumed {
+			w = p.preferCached(w)
+		}
 		u := p.choose(w.request)
 		if u == nil && len(w.request.Exclude) > 0 {
 			w.request.Exclude = nil // Better the same upstream again than a queue that stands still.
@@ -264,6 +276,48 @@
 	}
 }
 
+// openFloors tells the queue which floors may be used. The instances use an open
+// floor one after the other, a digest apart; if all did at once, a class would
+// get what it is due in bursts and stand still between them. The caller holds
+// p.mu.
+func (p *Pool) openFloors(now time.Time) {
+	s := p.share.Load()
+	for t := range p.floorsOpen {
+		running := int(p.running[t].Load()) + s.RunningElsewhere[t]
+		if float64(running) >= math.Ceil(s.FleetFloors[t]) {
+			p.floorsOpen[t] = time.Time{}
+		} else if p.floorsOpen[t].IsZero() {
+			p.floorsOpen[t] = now
+		}
+		turn := time.Duration(s.Position) * floorTurn
+		p.queue.open[t] = !p.floorsOpen[t].IsZero() && now.Sub(p.floorsOpen[t]) >= turn
+	}
+}
+
+// preferCached returns a resumed waiter of the same class whose last upstream
+// has a free slot, or else w: there its prompt need not be processed again. A
+// waiter is passed over only a few times. The caller holds p.mu.
+func (p *Pool) preferCached(w *waiter) *waiter {
+	if w.asked.Load() || w.passedOver >= mostPassedOver || p.admitter.Policy.FirstInFirstOut {
+		return w
+	}
+	free := map[string]bool{}
+	for _, u := range p.Upstreams() {
+		if usable(u, w.request) {
+			free[u.Name] = true
+		}
+	}
+	if w.request.Resumed && free[w.request.last] {
+		return w
+	}
+	cached := p.queue.resumedAt(w.class, free)
+	if cached == nil {
+		return w
+	}
+	w.passedOver++
+	return cached
+}
+
 // tick moves limits and preempts.
 func (p *Pool) tick() {
 	now := time.Now()
--- a/admitter/preempt.go
+++ b/admitter/preempt.go
@@ -29,7 +29,7 @@
 		return
 	}
 	p.mu.Lock()
-	urgent := p.queue.urgent(now, time.Duration(p.firstToken.Load()))
+	urgent := p.queue.urgent(now, p.need())
 	p.mu.Unlock()
 	for _, w := range urgent {
 		if !p.yieldTo(w.request.Class.Tier) {
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -13,11 +13,13 @@
 )
 
 const (
-	urgentFactor    = 1.5                    // Multiple of the usual time to the first token that a waiter must have left.
+	urgentFactor    = 1.0                    // Multiple of the usual time to the first token that a waiter must have left.
 	urgentMargin    = 100 * time.Millisecond // Time for a preempted attempt to yield.
 	rateWindow      = time.Second            // Window of the grant rate that waits are estimated from.
 	rateSmoothing   = 0.3
-	maxFloorCredit  = 1.0 // Slot-seconds that a class can save up.
+	maxFloorCredit  = 1.0                    // Slot-seconds that a class can save up.
+	mostPassedOver  = 4                      // Times that a waiter lets one with a cached prompt go before.
+	floorTurn       = 250 * time.Millisecond // Between two instances that use an open floor; a digest tells of the first by then.
 	defaultHoldTime = time.Second
 )
 
@@ -31,6 +33,8 @@
 	account *accountQueue
 	class   *classQueue
 	element *list.Element
+
+	passedOver int // Times that a waiter with a cached prompt went before.
 }
 
 // accountQueue holds the waiters of one client account in one class.
@@ -58,6 +62,7 @@
 	grants  int
 	rate    float64 // Grants in a second.
 	rateAt  time.Time
+	open    [Tiers]bool // Tiers that run less than their floor in the whole fleet.
 }
 
 func (q *queue) init(policy Policy) {
@@ -170,11 +175,11 @@
 	return c.class.FirstToken.Std() - now.Sub(oldest)
 }
 
-// floorClass returns a class below a tier whose floor has credit left.
+// floorClass returns a class below a tier whose floor is open and has credit left.
 func (q *queue) floorClass(tier int) *classQueue {
 	var best *classQueue
 	for _, c := range q.classes {
-		if c.count == 0 || c.class.Tier <= tier || c.credit <= 0 {
+		if c.count == 0 || c.class.Tier <= tier || c.credit <= 0 || !q.open[c.class.Tier] {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(c.credit, best.credit), cmp.Compare(best.class.Name, c.class.Name)) > 0 {
@@ -198,6 +203,24 @@
 	return best.waiters.Front().Value.(*waiter)
 }
 
+// resumedAt returns the oldest resumed waiter of a class that ran last on one of
+// some upstreams.
+func (q *queue) resumedAt(c *classQueue, upstreams map[string]bool) *waiter {
+	var best *waiter
+	for _, a := range c.accounts {
+		for e := a.waiters.Front(); e != nil; e = e.Next() {
+			w := e.Value.(*waiter)
+			if !w.request.Resumed || !upstreams[w.request.last] {
+				continue
+			}
+			if best == nil || w.request.Arrived.Before(best.request.Arrived) {
+				best = w
+			}
+		}
+	}
+	return best
+}
+
 func (q *queue) accountBefore(a, b *accountQueue) bool {
 	if !q.policy.NoFairness && a.served != b.served {
 		return a.served < b.served
@@ -252,10 +275,8 @@
 }
 
 // urgent returns the waiters that miss their target unless a lower tier yields
-// now, the highest tier first. An attempt's own time to the first token is
-// taken from what was seen lately.
-func (q *queue) urgent(now time.Time, first time.Duration) []*waiter {
-	need := time.Duration(urgentFactor*float64(first)) + urgentMargin
+// now, the highest tier first.
+func (q *queue) urgent(now time.Time, need time.Duration) []*waiter {
 	var list []*waiter
 	q.each(func(w *waiter) {
 		if !w.asked.Load() && w.request.Class.Tier < Tiers-1 && w.inNeed(now, need) {
@@ -277,7 +298,12 @@
 	if !w.request.Resumed && slack <= need && slack > 0 {
 		return true
 	}
-	return patience(w.request.Class)-waited <= need
+	return w.patienceEnds(now, need)
+}
+
+// patienceEnds tells whether a waiter is refused unless it gets a slot within need.
+func (w *waiter) patienceEnds(now time.Time, need time.Duration) bool {
+	return patience(w.request.Class)-now.Sub(w.request.Arrived) <= need
 }
 
 // accrue adds the floors' slot-seconds since the last call to the classes that
--- a/admitter/sharer.go
+++ b/admitter/sharer.go
@@ -27,6 +27,9 @@
 	Slots              float64        // Slots of the pool that this instance may use.
 	Floors             [Tiers]float64 // Slots that the floors guarantee this instance, by tier.
 	YieldableElsewhere [Tiers]bool    // Tiers that wait or run beyond their floor at another instance.
+	FleetFloors        [Tiers]float64 // Slots that the floors guarantee all instances together, by tier.
+	RunningElsewhere   [Tiers]int     // Requests that the other instances run, by tier.
+	Position           int            // Of this instance among all, in the order in which they use open floors.
 }
 
 // Demands returns this instance's demand on each pool.
@@ -86,10 +89,13 @@
 func (p *Pool) setShare(name string, members []Member, self int) {
 	table := p.Upstreams()
 	limits := make([]float64, len(table))
+	free := make([]int, len(table)) // What the other members leave of each limit.
 	capacity := 0.0
 	for i, u := range table {
-		limits[i] = fleetLimit(u, members, self)
+		var others int
+		limits[i], others = fleetLimit(u, members, self)
 		u.adopt(limits[i])
+		free[i] = max(0, int(math.Round(limits[i]))-others)
 		limits[i] -= headroom * limits[i]
 		if !u.leaving.Load() {
 			capacity += limits[i]
@@ -107,22 +113,35 @@
 	share.Slots = slots[self]
 	for t := range Tiers {
 		share.Floors[t] = floors[t][self]
+		for _, f := range floors[t] {
+			share.FleetFloors[t] += f
+		}
+	}
+	for _, m := range members {
+		if rank(name, m.Name) < rank(name, members[self].Name) {
+			share.Position++
+		}
 	}
 	p.share.Store(&share)
 	for i, u := range table {
-		u.allowance.Store(int32(portion(u.Name, limits[i], capacity, members, slots, self)))
+		mine := portion(u.Name, limits[i], capacity, members, slots, self)
+		// Others may run more than their present portions until their requests end.
+		u.allowance.Store(int32(min(mine, free[i])))
 	}
 	p.countSlots()
 	p.dispatch()
 }
 
-// fleetLimit combines the estimates of the members that use an upstream.
-func fleetLimit(u *Upstream, members []Member, self int) float64 {
+// fleetLimit combines the estimates of the members that use an upstream, and
+// adds up the requests that the other members run there.
+func fleetLimit(u *Upstream, members []Member, self int) (limit float64, others int) {
 	sum, weight := 0.0, 0.0
 	for i, m := range members {
 		l, ok := m.Loads[u.Name]
 		if i == self {
 			l, ok = savoryloft.UpstreamLoad{InFlight: u.InFlight(), Limit: u.Limit()}, true
+		} else {
+			others += l.InFlight
 		}
 		if ok {
 			w := float64(l.InFlight) + 0.1
@@ -130,7 +149,7 @@
 			weight += w
 		}
 	}
-	return sum / weight
+	return sum / weight, others
 }
 
 // divide splits a pool's slots among members. Each tier first gets its floor,
@@ -184,7 +203,7 @@
 	return 0
 }
 
-// elsewhere tells what other members wait for and could yield.
+// elsewhere tells what other members wait for, run and could yield.
 func elsewhere(demands []savoryloft.PoolDemand, floors [Tiers][]float64, self int) Share {
 	var s Share
 	var waiting [Tiers]int
@@ -196,6 +215,7 @@
 			waiting[t] += d.Waiting[t]
 		}
 		for t := range d.Running {
+			s.RunningElsewhere[t] += d.Running[t]
 			if float64(d.Running[t]) > math.Ceil(floors[t][i]) {
 				s.YieldableElsewhere[t] = true
 			}
--- a/admitter/upstream.go
+++ b/admitter/upstream.go
@@ -13,7 +13,7 @@
 	settleTime      = 500 * time.Millisecond // Time that a lower limit takes to show in observations.
 	increase        = 0.25                   // Growth of the limit in one period.
 	mostDecrease    = 0.7                    // Least factor on the limit in one period.
-	highMark        = 0.85                   // Part of a target from which the limit goes down.
+	highMark        = 0.80                   // Part of a target from which the limit goes down.
 	adoption        = 0.3                    // Part of the difference to the fleet's limit that each digest removes.
 	overloadMark    = 1.1                    // Part of a target above which running lower tiers yield.
 	lowMark         = 0.7                    // Part of a target up to which the limit may grow.
--- a/admitter/world_test.go
+++ b/admitter/world_test.go
@@ -299,7 +299,7 @@
 	began, from := time.Now(), *done
 	var o admitter.Observation
 	defer func() { g.Done(o) }()
-	var begun time.Time
+	var begun, marked time.Time
 	for *done < tokens {
 		d := engineBetween
 		if *done == from {
@@ -322,13 +322,14 @@
 			*first = *last
 		}
 		if begun.IsZero() {
-			begun = *last
+			begun, marked = *last, *last
 			o.FirstToken = begun.Sub(began)
 		}
-		if n := *done - from; n > 1 {
-			o.BetweenTokens = last.Sub(begun) / time.Duration(n-1)
+		if n := *done - from - 1; n > 0 {
+			o.BetweenTokens = last.Sub(begun) / time.Duration(n)
 			if n%progressTokens == 0 {
-				g.Progress(o.BetweenTokens)
+				g.Progress(last.Sub(marked) / progressTokens)
+				marked = *last
 			}
 		}
 		o.Tokens = *done
