Let the lease pass early only on a word that is younger than the holder's last record

Cause, by reading the claim conditions for the model: a candidate trusted a live peer's word that it holds nothing, dated by arrival and given even while the peer's claim was under way; a release kept the own hold until it was answered. Ruled out: dropping the shortcut, which would leave duties undone for 3.1 s after each cut that ends a holder's term. Change: statuses carry Yielded, dated by what they answer; a yield gives up what was sent before; a release gives up the hold first.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -8,6 +8,8 @@
 // before it sent the last record that was appended; a claimant counts a full
 // TTL from after it read that record and names the offset behind it. So the two
 // times can not meet, and a suspended machine counts the time that it missed.
+// A claimant need not wait if the holder has yielded since: it has said that it
+// holds nothing and that nothing it sent before can make it the holder.
 //
 // # Usage
 //
@@ -54,9 +56,9 @@
 	Position func() int
 	// OtherLeads tells whether a live peer says that it holds the lease.
 	OtherLeads func() bool
-	// Yielded tells whether an incarnation of an instance is a live peer that says
-	// that it does not hold the lease.
-	Yielded func(instance string, incarnation int) bool
+	// Yielded returns an uptime after which an incarnation of an instance has
+	// yielded, see Standing; 0 when it has not.
+	Yielded func(instance string, incarnation int) time.Duration
 	// Partials returns the counts of windows without figures, which renewals keep
 	// in the log; may be nil.
 	Partials func() []savoryloft.PartialCounts
@@ -77,6 +79,16 @@
 	return c.term.fence, left, ok
 }
 
+// Standing tells whether this instance holds the lease, and if not, whether it
+// yields: nothing that it has sent so far can make it the holder any more.
+func (c *Claimer) Standing() (leading, yields bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := savoryloft.Uptime()
+	_, leading = c.term.held(now)
+	return leading, c.term.yield(now)
+}
+
 // Figures returns the figures of a window that the topic has fixed.
 func (c *Claimer) Figures(window int) (map[string]int, bool) {
 	c.mu.Lock()
@@ -146,9 +158,12 @@
 	c.mu.Lock()
 	h := c.term.holder
 	c.mu.Unlock()
-	yielded := h.instance != c.Instance && c.Yielded(h.instance, h.incarnation)
+	var yieldedAt time.Duration
+	if h.instance != c.Instance {
+		yieldedAt = c.Yielded(h.instance, h.incarnation)
+	}
 	c.mu.Lock()
-	due := c.term.claimable(savoryloft.Uptime(), c.TTL+drift, delay, yielded)
+	due := c.term.claimable(savoryloft.Uptime(), c.TTL+drift, delay, yieldedAt)
 	c.mu.Unlock()
 	if !due || c.OtherLeads() {
 		return nil
@@ -251,14 +266,17 @@
 	}
 	at := c.term.end
 	d.Sequence = c.term.sending(sent)
+	if d.Kind == savoryloft.DutyRecordKindRelease {
+		c.term.resign()
+	}
 	c.mu.Unlock()
 	value, err := json.Marshal(d)
-	if err != nil {
-		return errors.Annotate(err, "encode duty record")
+	if err == nil {
+		err = c.Log.AppendAt(ctx, savoryloft.TopicDuties, at, value)
 	}
-	err = c.Log.AppendAt(ctx, savoryloft.TopicDuties, at, value)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.term.underway = false
 	switch {
 	case err == nil:
 		c.observe(savoryloft.Uptime(), savoryloft.KeyedRecord{Value: value, Offset: at})
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -42,7 +42,12 @@
 				}
 				return false
 			},
-			Yielded: func(instance string, _ int) bool { return instance == "entry-0" && f.yielded.Load() },
+			Yielded: func(instance string, _ int) time.Duration {
+				if _, yields := f.claimers[0].Standing(); instance != "entry-0" || !yields || !f.yielded.Load() {
+					return 0
+				}
+				return savoryloft.Uptime()
+			},
 		}
 		f.claimers = append(f.claimers, c)
 	}
@@ -209,7 +214,7 @@
 			return &Claimer{
 				Log: log, Instance: fmt.Sprintf("entry-%d", i), Incarnation: 1, TTL: ttl, Logger: logr.Discard(),
 				Position: func() int { return 0 }, OtherLeads: func() bool { return false },
-				Yielded:  func(string, int) bool { return false },
+				Yielded:  func(string, int) time.Duration { return 0 },
 				Partials: func() []savoryloft.PartialCounts { return []savoryloft.PartialCounts{kept} },
 			}
 		}
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -6,10 +6,6 @@
 	"savoryloft.example/savoryloft"
 )
 
-// yieldMargin is the time after a holder's last record for which its own word
-// that it holds nothing does not count: it may not have seen the answer yet.
-const yieldMargin = time.Second
-
 const keptSendings = 64 // Own appends whose time is remembered; a delayed one arrives within seconds.
 
 // term holds what one instance knows of the duties topic and its own part in
@@ -25,7 +21,9 @@
 	sequence   int                   // Number of the last own append.
 	sentAt     map[int]time.Duration // Uptime before each own append, by its number.
 	lastSent   time.Duration
+	underway   bool           // An own append was sent and not answered.
 	inDoubt    bool           // An own append may have or may yet take effect.
+	yieldSeen  time.Duration  // Uptime at which the holder was first seen to have yielded since its last record; 0 when it was not.
 	everRead   bool           // The topic was read at least once.
 	holder     holder         // Who made the last claim.
 	sizes      map[string]int // Upstreams wanted, by service.
@@ -54,6 +52,7 @@
 	t.sequence++
 	t.sentAt[t.sequence] = now
 	t.lastSent = now
+	t.underway = true
 	delete(t.sentAt, t.sequence-keptSendings)
 	return t.sequence
 }
@@ -123,6 +122,7 @@
 func (t *term) skipTo(now time.Duration, end int) {
 	t.end = end
 	t.changedAt = now
+	t.yieldSeen = 0
 	t.free = false
 }
 
@@ -131,6 +131,7 @@
 	if !t.everRead || t.readAt == 0 {
 		t.everRead = true
 		t.changedAt = now
+		t.yieldSeen = 0
 		t.free = t.free || t.end == 0
 	}
 	t.readAt = now
@@ -141,18 +142,40 @@
 // candidacy starts with a new read.
 func (t *term) forget() { t.readAt = 0 }
 
+// resign ends the own term before a release is sent: the release may be read
+// elsewhere long before its answer arrives here.
+func (t *term) resign() {
+	t.holding = false
+	clear(t.sentAt)
+}
+
+// yield tells whether this instance neither holds the lease nor can come to hold
+// it by what it has sent so far. From then on it takes no hold from records sent
+// before that appear late.
+func (t *term) yield(now time.Duration) bool {
+	if _, held := t.held(now); held || t.underway || t.inDoubt {
+		return false
+	}
+	clear(t.sentAt)
+	return true
+}
+
 // claimable tells whether the holder's time has surely ended: it has given the
-// lease up, says itself that it no longer holds it, or has had a full TTL since
-// after its last record was read.
-func (t *term) claimable(now, ttl, delay time.Duration, yielded bool) bool {
+// lease up, has had a full TTL since after its last record was read, or has
+// yielded. yieldedAt is an uptime after which it did, or 0. A yield from before
+// its last record was read says nothing, since the record may have come later.
+func (t *term) claimable(now, ttl, delay, yieldedAt time.Duration) bool {
 	if t.readAt == 0 || t.inDoubt {
 		return false
 	}
-	if t.free {
+	switch {
+	case t.free:
 		return now-t.changedAt >= delay
-	}
-	if yielded {
-		return now-t.changedAt >= yieldMargin+delay
+	case yieldedAt > t.changedAt:
+		if t.yieldSeen == 0 {
+			t.yieldSeen = now
+		}
+		return now-t.yieldSeen >= delay
 	}
 	return now-t.changedAt >= ttl+delay
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -196,15 +196,15 @@
 	return ok && age < leaderLimit
 }
 
-// yielded tells whether an incarnation of an instance is a live peer that says
-// that it does not hold the lease.
-func (l *Launcher) yielded(instance string, incarnation int) bool {
+// yielded returns an uptime after which an incarnation of an instance has said
+// that it has yielded the lease; 0 when it has not.
+func (l *Launcher) yielded(instance string, incarnation int) time.Duration {
 	for _, m := range l.linker.Members() {
 		if m.Instance == instance && m.Incarnation == incarnation {
-			return m.Live && m.Heard && !m.Leading
+			return m.Yielded
 		}
 	}
-	return false
+	return 0
 }
 
 // instances returns the number of instances that this one knows of, itself
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -11,7 +11,7 @@
 
 // FillStatus implements linker.Source.
 func (s source) FillStatus(st *savoryloft.LinkStatus) {
-	_, _, st.Leading = s.claimer.Held()
+	st.Leading, st.Yielded = s.claimer.Standing()
 	st.LeaderAge = -1
 	if age, ok := s.linker.LeaderAge(); st.Leading {
 		st.LeaderAge = 0
--- a/linker/members.go
+++ b/linker/members.go
@@ -17,7 +17,8 @@
 	told     bool          // It has sent a status.
 	leaving  bool
 	leading  bool
-	logLost  bool // It can not read the log.
+	yielded  time.Duration // Uptime after which its last status says that it has yielded; 0 when it does not.
+	logLost  bool          // It can not read the log.
 	dialling
 }
 
@@ -35,6 +36,7 @@
 	Heard   bool // It has told of itself.
 	Leaving bool
 	Leading bool
+	Yielded time.Duration // Uptime after which it said that it has yielded the lease; 0 when it does not say so.
 }
 
 // AddMembers takes in instances that were heard of elsewhere.
@@ -87,7 +89,7 @@
 	now := savoryloft.Uptime()
 	list := make([]Member, 0, len(l.members))
 	for _, m := range l.members {
-		list = append(list, Member{LinkGreeting: m.greeting, Live: m.live(now), Heard: m.told, Leaving: m.leaving, Leading: m.leading && m.live(now)})
+		list = append(list, Member{LinkGreeting: m.greeting, Live: m.live(now), Heard: m.told, Leaving: m.leaving, Leading: m.leading && m.live(now), Yielded: m.yielded})
 	}
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	return list
--- a/linker/news.go
+++ b/linker/news.go
@@ -189,6 +189,10 @@
 		}
 		m.logLost = s.LogLost
 		m.heard, m.told, m.leaving, m.leading = savoryloft.Uptime(), true, s.Leaving, s.Leading
+		m.yielded = 0
+		if s.Yielded {
+			m.yielded = asOf
+		}
 	}
 	if asOf > 0 && s.LeaderAge >= 0 {
 		l.leaderAt = max(l.leaderAt, asOf-time.Duration(s.LeaderAge)*time.Millisecond)
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -247,6 +247,10 @@
 
 	// Loads holds all loads that the sender answers for.
 	Whole bool `json:"Whole" msgpack:"Whole"`
+
+	// The sender does not hold the lease, and nothing that it has sent so far can
+	// make it the holder.
+	Yielded bool `json:"Yielded" msgpack:"Yielded"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -297,6 +301,9 @@
 	if _, ok := raw["Whole"]; raw != nil && !ok {
 		return fmt.Errorf("field Whole in LinkStatus: required")
 	}
+	if _, ok := raw["Yielded"]; raw != nil && !ok {
+		return fmt.Errorf("field Yielded in LinkStatus: required")
+	}
 	type Plain LinkStatus
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
