Count what a peer states from its answer's age, not only from the question

Cause: on the grown sites instances fell back to reading the log themselves (14 and 9 calls a second for registry and configuration), because ages grow by 250 ms at each link whose peer dialled: what a status states counted from when this instance had sent the status that it answers, up to an interval earlier. Ruled out: links from hubs to the others dialled the wrong way (they are not; now tested), links that come and go (all at the start). Change: a status says how long its sender has had what it answers; that time counts.

--- a/linker/link.go
+++ b/linker/link.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex
 	sequence int
 	echo     int
+	echoAt   time.Duration // Uptime at which the status that echo names was received.
 	sentAt   map[int]time.Duration
 
 	// The linker's lock guards these.
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -19,10 +19,10 @@
 //		// This instance reads the platform's log for the others.
 //	}
 //
-// A status echoes the sequence of the last one that came from the peer. So an
-// age that a peer states is counted from when this instance sent that last
-// one, and neither delay on the way nor a suspended peer can make it seem
-// younger than it is.
+// A status echoes the sequence of the last one that came from the peer, and says
+// how long ago that was. So an age that a peer states is counted from when this
+// instance sent that last one and the peer's time since it came, and neither
+// delay on the way nor a suspended peer can make it seem younger than it is.
 package linker
 
 import (
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -242,6 +242,97 @@
 	require.Greater(t, total, 40)
 }
 
+// What a peer states counts from when this instance sent what the peer answers,
+// and the time that the peer has had it; never from later than now.
+func TestStatusCountsFromWhatItAnswers(t *testing.T) {
+	const sentAgo = 300 * time.Millisecond
+	for _, tt := range []struct {
+		name    string
+		echo    int
+		echoAge time.Duration
+		after   time.Duration // Of the question, as of which the status counts; -1 when it does not.
+	}{
+		{"answers nothing", 0, 0, -1},
+		{"answers what is not known any more", 9, 0, -1},
+		{"answered at once", 1, 0, 0},
+		{"answered after a while", 1, 250 * time.Millisecond, 250 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			asked := savoryloft.Uptime() - sentAgo
+			source, yielded := takeOne(asked, tt.echo, tt.echoAge)
+			require.Equal(t, source, yielded, "a yield that answers nothing does not count")
+			if tt.after < 0 {
+				require.Zero(t, source)
+				return
+			}
+			require.Equal(t, asked+tt.after, source)
+		})
+	}
+	asOf, _ := takeOne(savoryloft.Uptime()-sentAgo, 1, time.Minute)
+	require.LessOrEqual(t, asOf, savoryloft.Uptime(), "a peer that claims to have had the question before it was sent")
+}
+
+// takeOne lets a linker take in a status that answers one sent at an uptime. It
+// returns as of when it counted, and the uptime of the yield in it.
+func takeOne(asked time.Duration, echo int, echoAge time.Duration) (asOf, yielded time.Duration) {
+	source := &statusTaker{}
+	l := &Linker{Instance: "a", Logger: logr.Discard(), Source: source}
+	l.init()
+	k := &link{
+		linker: l, peer: savoryloft.LinkGreeting{Instance: "b", Incarnation: 1}, dialer: true,
+		sentAt: map[int]time.Duration{1: asked}, loads: map[string]savoryloft.LinkLoad{},
+	}
+	l.addMembers([]savoryloft.LinkGreeting{k.peer}, nil)
+	k.takeStatus(&savoryloft.LinkStatus{
+		Sequence: 4, Echo: echo, EchoAge: int(echoAge / time.Millisecond), Yielded: true, LeaderAge: -1,
+	})
+	return source.asOf, l.Members()[0].Yielded
+}
+
+// statusTaker keeps when the last status was taken as of.
+type statusTaker struct {
+	part
+	asOf time.Duration
+}
+
+func (s *statusTaker) TakeStatus(_ string, _ *savoryloft.LinkStatus, asOf time.Duration) {
+	s.asOf = asOf
+}
+
+// An instance that is no hub dials its hubs, so that what they state is as young
+// there as their statuses are frequent.
+func TestOthersDialTheirHubs(t *testing.T) {
+	const n = 24
+	name := func(i int) string { return fmt.Sprintf("%c%d", 'a'+i, i) }
+	hubs := 0
+	for self := range n {
+		l := &Linker{Instance: name(self), FailureDomain: "d0", Logger: logr.Discard(), Source: &part{}}
+		l.init()
+		var greetings []savoryloft.LinkGreeting
+		for i := range n {
+			greetings = append(greetings, savoryloft.LinkGreeting{
+				Instance: name(i), Incarnation: 1, FailureDomain: "d0", Address: "127.0.0.1:9",
+			})
+		}
+		l.AddMembers(greetings)
+		l.mu.Lock()
+		now, dialled := savoryloft.Uptime(), 0
+		for peer, m := range l.members {
+			if l.wants(peer, m, now) {
+				dialled++
+				require.True(t, l.topology.hubs[peer], "%s dials %s", name(self), peer)
+			}
+		}
+		if l.topology.hub {
+			hubs++
+		} else {
+			require.Equal(t, hubsPerDomain, dialled)
+		}
+		l.mu.Unlock()
+	}
+	require.Equal(t, hubsPerDomain, hubs)
+}
+
 func TestInvalidFramesEndTheLink(t *testing.T) {
 	f := startFleet(t, 1, 1)
 	for _, frame := range []savoryloft.LinkFrame{
--- a/linker/news.go
+++ b/linker/news.go
@@ -49,8 +49,13 @@
 	s := &savoryloft.LinkStatus{}
 	k.mu.Lock()
 	k.sequence++
+	now := savoryloft.Uptime()
 	s.Sequence, s.Echo = k.sequence, k.echo
-	k.sentAt[k.sequence] = savoryloft.Uptime()
+	if k.echo > 0 {
+		// Before the rest is filled in, which is then at least as young as this says.
+		s.EchoAge = int((now - k.echoAt) / time.Millisecond)
+	}
+	k.sentAt[k.sequence] = now
 	delete(k.sentAt, k.sequence-keptSending)
 	k.mu.Unlock()
 	l := k.linker
@@ -171,8 +176,12 @@
 
 func (k *link) takeStatus(s *savoryloft.LinkStatus) {
 	k.mu.Lock()
-	k.echo = s.Sequence
+	now := savoryloft.Uptime()
+	k.echo, k.echoAt = s.Sequence, now
 	asOf := k.sentAt[s.Echo]
+	if asOf > 0 {
+		asOf = min(asOf+time.Duration(s.EchoAge)*time.Millisecond, now)
+	}
 	k.mu.Unlock()
 	l := k.linker
 	l.mu.Lock()
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -200,6 +200,10 @@
 	// Sequence of the last status received from the peer; 0 before the first.
 	Echo int `json:"Echo" msgpack:"Echo"`
 
+	// Milliseconds, rounded down, since the sender received the status that Echo
+	// names.
+	EchoAge int `json:"EchoAge" msgpack:"EchoAge"`
+
 	// Milliseconds since an instance was known to hold the lease; -1 when none was.
 	LeaderAge int `json:"LeaderAge" msgpack:"LeaderAge"`
 
@@ -265,6 +269,9 @@
 	if _, ok := raw["Echo"]; raw != nil && !ok {
 		return fmt.Errorf("field Echo in LinkStatus: required")
 	}
+	if _, ok := raw["EchoAge"]; raw != nil && !ok {
+		return fmt.Errorf("field EchoAge in LinkStatus: required")
+	}
 	if _, ok := raw["LeaderAge"]; raw != nil && !ok {
 		return fmt.Errorf("field LeaderAge in LinkStatus: required")
 	}
@@ -309,6 +316,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if 0 > plain.EchoAge {
+		return fmt.Errorf("field %s: must be >= %v", "EchoAge", 0)
+	}
 	*j = LinkStatus(plain)
 	return nil
 }
