Poll the registry for 300 ms, so that what is passed on is young enough

Cause: a reader's registry is up to 1.3 s old (poll of 500 ms, pause of 300 ms, poll); two links further that is beyond the 1.8 s at which an instance reads for itself.

--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -34,7 +34,7 @@
 const (
 	configurationWait = 400 * time.Millisecond  // Long poll; bounds the age of the configuration at a reader.
 	registryPause     = 300 * time.Millisecond  // Between reads of the registry, to take heartbeats together.
-	registryWait      = 500 * time.Millisecond  // Long poll; bounds the age of the registry at a reader.
+	registryWait      = 300 * time.Millisecond  // Long poll; bounds the age of the registry at a reader, with the pause before it.
 	stalePart         = 0.6                     // Part of the time for a change to be in force at which an instance reads for itself.
 	leastStale        = 800 * time.Millisecond  // Below it relayed knowledge is always fresh enough.
 	idlePause         = 100 * time.Millisecond  // Between checks of whether to read.
