Let instances that hear late of each other prefer different upstreams

Cause: with hubs, loads are told up to 600 ms late; all 88 instances then took the upstream that had been idle last. Change: a cost of up to 4% of that delay, by hash of instance and upstream; none in a mesh, where loads are told at once. Ruled out: a random cost for each request (same mean in the test, more connections). Test: 88 instances and 120 upstreams, loads half a second late: a request meets 42.6 others without and 5.1 with the preference.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -151,7 +151,7 @@
 	l.registry = metrics.NewRegistry()
 	l.Log = observedLog{l.Log, l.registry}
 	l.counter = &counter.Counter{Source: fmt.Sprintf("%s/%d", d.Instance, l.incarnation), Window: d.Bounds.UsageWindow}
-	l.placer = &placer.Placer{FailureDomain: d.FailureDomain}
+	l.placer = &placer.Placer{Instance: d.Instance, FailureDomain: d.FailureDomain}
 	l.linker = &linker.Linker{
 		Instance: d.Instance, Incarnation: l.incarnation, FailureDomain: d.FailureDomain, Address: d.Listen.Links,
 		Seeds: d.Seeds, Dial: l.Pool.Dial, Logger: l.Logger, Source: source{l},
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -81,6 +81,6 @@
 // refreshPeers feeds the placer with the peers' loads if they have changed.
 func (l *Launcher) refreshPeers() {
 	if l.peersDirty.Swap(false) {
-		l.placer.SetPeers(time.Now(), l.linker.PeerLoads())
+		l.placer.SetPeers(time.Now(), l.linker.PeerLoads(), l.linker.LoadDelay())
 	}
 }
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -283,6 +283,18 @@
 	return l.sumLoads(nil)
 }
 
+// LoadDelay returns the time that a peer's loads may take to get here: none in a
+// mesh, where each tells at once, and a pause at each link otherwise.
+func (l *Linker) LoadDelay() time.Duration {
+	if l.InMesh() {
+		return 0
+	}
+	return hopsBetween * hubUpdatePause
+}
+
+// hopsBetween is the links between two instances that are no hubs.
+const hopsBetween = 3
+
 // sumLoads adds up what peers sent, but for one of them. The caller holds the lock.
 func (l *Linker) sumLoads(except *link) map[string]savoryloft.LinkLoad {
 	sum := map[string]savoryloft.LinkLoad{}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -10,8 +10,8 @@
 //
 // # Usage
 //
-//	p := &placer.Placer{FailureDomain: "a"}
-//	p.SetPeers(links.PeerLoads(), members)
+//	p := &placer.Placer{Instance: "entry-1", FailureDomain: "a"}
+//	p.SetPeers(now, links.PeerLoads(), links.LoadDelay())
 //	choice, ok := p.Choose(now, request, upstreams)
 //	run := p.Start(now, choice, request)
 //	run.FirstToken(now)
@@ -39,6 +39,7 @@
 	rereadShare       = 0.5                    // Cost of reading a shared part again, beyond the own wait.
 	fullCost          = 4000.0                 // ms for a place that is not free.
 	remoteCost        = 1.5                    // ms for an upstream in another failure domain.
+	preferencePart    = 0.04                   // Largest preference, as a part of the time that peers' loads take.
 	failureCost       = 400.0                  // ms for each recent failure.
 	failureDecay      = 3 * time.Second        // Time in which the memory of failures halves.
 	suspendAfter      = 2.5                    // Recent failures from which an upstream is set aside.
@@ -82,20 +83,23 @@
 
 // Placer chooses upstreams. Set the exported fields before the first call.
 type Placer struct {
+	Instance      string
 	FailureDomain string
 
 	mu      sync.Mutex
 	engines map[string]*engine
 	peers   map[string]savoryloft.LinkLoad
 	peersAt time.Time
+	delay   time.Duration         // Time that peers' loads take to get here.
 	fresh   []savoryloft.HeldPart // Parts that engines got and peers were not told of.
 }
 
-// SetPeers takes in the loads of the other instances.
-func (p *Placer) SetPeers(now time.Time, loads map[string]savoryloft.LinkLoad) {
+// SetPeers takes in the loads of the other instances, and the time that these
+// take to get here.
+func (p *Placer) SetPeers(now time.Time, loads map[string]savoryloft.LinkLoad, delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peers, p.peersAt = loads, now
+	p.peers, p.peersAt, p.delay = loads, now, delay
 }
 
 // Loads returns this instance's own loads.
@@ -243,6 +247,7 @@
 	if e.upstream.FailureDomain != p.FailureDomain {
 		c.Cost += remoteCost
 	}
+	c.Cost += p.preference(e)
 	if e.upstream.WarmIn > 0 {
 		c.Cost += warmCost
 	}
@@ -250,6 +255,17 @@
 	return c
 }
 
+// preference returns a cost, in ms, that differs between instances. Instances
+// that hear late of each other's requests would else all take the upstream that
+// was idle last.
+func (p *Placer) preference(e *engine) float64 {
+	if p.delay == 0 {
+		return 0
+	}
+	most := preferencePart * float64(p.delay) / float64(time.Millisecond)
+	return most * float64(rendezvous(p.Instance, e.upstream.ID)>>11) / (1 << 53)
+}
+
 // ownTokens returns the tokens that no other request shares.
 func (r Request) ownTokens() int {
 	shared := 0
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -59,7 +59,7 @@
 	p.SetPeers(start, map[string]savoryloft.LinkLoad{
 		"engine-0": {Upstream: "engine-0", Running: 1, Prefill: 40000},
 		"engine-1": {Upstream: "engine-1", Running: 1, Prefill: 30000},
-	})
+	}, 0)
 	for i := range 5 {
 		r := prompt(fmt.Sprintf("short-%d", i), 300, 1000)
 		c := choose(t, p, start, r, list)
@@ -77,6 +77,67 @@
 	require.Len(t, seen, 3, "what peers told is read by now")
 }
 
+// Pattern: many instances that hear of each other's requests half a second late.
+func TestInstancesWithOldLoadsDoNotMeet(t *testing.T) {
+	const (
+		instances = 88
+		upstreams = 120
+		interval  = 2 * time.Millisecond // Between two requests of all instances.
+		delay     = 500 * time.Millisecond
+		requests  = 3000
+		duration  = 1500 * time.Millisecond
+	)
+	type sent struct {
+		at       time.Time
+		upstream string
+		run      *Run
+	}
+	list := engines(upstreams)
+	placers := make([]*Placer, instances)
+	for i := range placers {
+		placers[i] = &Placer{Instance: fmt.Sprint("entry-", i), FailureDomain: "a"}
+	}
+	perInstance := make([][]sent, instances)
+	running := map[string]int{}
+	var all []sent
+	worst, sum := 0, 0
+	ended := 0
+	for n := range requests {
+		now := start.Add(time.Duration(n) * interval)
+		for ; ended < len(all) && now.Sub(all[ended].at) >= duration; ended++ {
+			all[ended].run.End(now, Succeeded)
+			running[all[ended].upstream]--
+		}
+		i := n * 37 % instances // An order in which neighbours do not follow each other.
+		loads := map[string]savoryloft.LinkLoad{}
+		for j, list := range perInstance {
+			for _, s := range list {
+				if j != i && now.Sub(s.at) >= delay && now.Sub(s.at) < duration+delay {
+					l := loads[s.upstream]
+					loads[s.upstream] = savoryloft.LinkLoad{Upstream: s.upstream, Running: l.Running + 1}
+				}
+			}
+		}
+		placers[i].SetPeers(now, loads, delay)
+		r := prompt(fmt.Sprint("own-", n), 0, 1000)
+		c := choose(t, placers[i], now, r, list)
+		run := placers[i].Start(now, c, r)
+		run.FirstToken(now)
+		s := sent{now, c.Upstream.ID, run}
+		perInstance[i] = append(perInstance[i], s)
+		all = append(all, s)
+		sum += running[c.Upstream.ID]
+		running[c.Upstream.ID]++
+		worst = max(worst, running[c.Upstream.ID])
+	}
+	// 6 run at an upstream on average, so a request that goes anywhere meets as many.
+	const places = 48
+	mean := float64(sum) / requests
+	t.Logf("a request meets %.1f others, at most %d", mean, worst)
+	require.Less(t, mean, 7.0)
+	require.Less(t, worst, places)
+}
+
 // Pattern: many requests about one thing at the same moment.
 func TestHotPartsSpread(t *testing.T) {
 	p := &Placer{FailureDomain: "a"}
