Put changed limits and seeds in force without a restart

Settings that change with or without a signal were checked and logged only. Limits bind the runtime at any time, and seeds are further addresses to dial, so both are taken at once; the log names them, and those that wait for the next start.

--- a/cmd/savoryloft/edge.go
+++ b/cmd/savoryloft/edge.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -38,7 +39,8 @@
 
 A planned stop cuts no request: the readiness probe fails first, requests go on
 until the balancer has noticed, and running ones finish within the grace time of
-the settings. SIGHUP and changes of the file are checked and logged.
+the settings. On SIGHUP and when the file changes it is read again: limits and
+seeds are in force at once, the rest from the next start.
 
 Log events go to standard output, one line of key=value pairs each.
 
@@ -87,8 +89,6 @@
 	out := logger.NewWriter(os.Stdout)
 	defer out.Close()
 	log := logger.New(out, verbosity).WithValues("instance", d.Instance)
-	reload := &reloader{file: file, current: d, logger: log}
-	go reload.run(ctx)
 	pool := &exchanger.Pool{
 		Dial:      exchanger.Dialer{Unacknowledged: unacknowledgedLimit, Timeout: dialLimit}.Dial,
 		IdleLimit: idleLimit,
@@ -100,6 +100,8 @@
 		Pool:   pool, Logger: log, Tracer: tracer.None(),
 		Readiness: platform.ReadinessPath, Metrics: platform.MetricsPath,
 	}
+	reload := &reloader{file: file, current: d, logger: log, seeds: l.AddSeeds}
+	go reload.run(ctx)
 	return l.Run(ctx)
 }
 
@@ -114,13 +116,14 @@
 	}
 }
 
-// reloader checks the settings file when it may have changed. What an instance
-// is bound to at its start, such as its addresses, is in force from the next
-// start; a file that is not valid changes nothing.
+// reloader reads the settings file again when it may have changed. Limits and
+// seeds are in force at once; what an instance is bound to at its start, such as
+// its addresses, from the next start. A file that is not valid changes nothing.
 type reloader struct {
 	file    string
 	current savoryloft.Deployment
 	logger  logr.Logger
+	seeds   func(addresses []string) // Takes addresses of instances for links.
 }
 
 const reloadInterval = 2 * time.Second // Between looks at the file, which may change without a signal.
@@ -156,7 +159,27 @@
 		r.logger.Info("settings not reloaded; the last valid ones stay in force", "why", why, "error", err.Error())
 		return
 	}
-	changed := fmt.Sprintf("%+v", d) != fmt.Sprintf("%+v", r.current)
+	now, later := r.changes(d)
 	r.current = d
-	r.logger.Info("settings read again", "why", why, "changed", changed, "in_force", "from the next start")
+	limitResources(d.Limits)
+	r.seeds(d.Seeds)
+	r.logger.Info("settings read again", "why", why, "in_force", now, "from_next_start", later)
+}
+
+// changes returns the names of the settings that differ from the current ones:
+// those that are in force at once, and those from the next start.
+func (r *reloader) changes(d savoryloft.Deployment) (now, later []string) {
+	old, new := reflect.ValueOf(r.current), reflect.ValueOf(d)
+	for i := range old.NumField() {
+		if reflect.DeepEqual(old.Field(i).Interface(), new.Field(i).Interface()) {
+			continue
+		}
+		switch name := old.Type().Field(i).Name; name {
+		case "Limits", "Seeds":
+			now = append(now, name)
+		default:
+			later = append(later, name)
+		}
+	}
+	return now, later
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -73,6 +73,7 @@
 	registry    metrics.Registry
 	watcher     *watcher.Watcher
 	linker      *linker.Linker
+	shared      atomic.Pointer[linker.Linker] // The same, for other goroutines than Run's.
 	claimer     *claimer.Claimer
 	counter     *counter.Counter
 	placer      *placer.Placer
@@ -80,6 +81,14 @@
 	listener    *relayer.Listener
 }
 
+// AddSeeds adds addresses of instances that may be up. Before Run it does
+// nothing.
+func (l *Launcher) AddSeeds(addresses []string) {
+	if k := l.shared.Load(); k != nil {
+		k.AddSeeds(addresses)
+	}
+}
+
 // Run serves until ctx ends, then stops without cutting a request.
 func (l *Launcher) Run(ctx context.Context) error {
 	l.build()
@@ -156,6 +165,7 @@
 		Instance: d.Instance, Incarnation: l.incarnation, FailureDomain: d.FailureDomain, Address: d.Listen.Links,
 		Seeds: d.Seeds, Dial: l.Pool.Dial, Logger: l.Logger, Source: source{l},
 	}
+	l.shared.Store(l.linker)
 	l.watcher = &watcher.Watcher{
 		Log: l.Log, Decoder: l.Decoder, Logger: l.Logger, Reader: l.linker.IsReader, Changed: l.passOn,
 		InForce: [2]time.Duration{d.Bounds.ConfigurationInForce, d.Bounds.Drain},
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -232,6 +232,18 @@
 	}
 }
 
+// AddSeeds adds addresses of instances that may be up.
+func (l *Linker) AddSeeds(addresses []string) {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range addresses {
+		if a != l.Address && l.seeds[a] == nil {
+			l.seeds[a] = &dialling{}
+		}
+	}
+}
+
 // InMesh tells whether all instances link to each other, so that only the one
 // that read a record has to pass it on.
 func (l *Linker) InMesh() bool {
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -299,6 +299,27 @@
 	s.asOf = asOf
 }
 
+// Seeds that are added while a linker runs are dialled like those of its start.
+func TestAddedSeedsAreDialled(t *testing.T) {
+	dialled := make(chan string, 8)
+	l := &Linker{
+		Instance: "a", Address: "10.0.0.1:1", Seeds: []string{"10.0.0.2:1"}, Logger: logr.Discard(), Source: &part{},
+		Dial: func(_ context.Context, address string) (net.Conn, error) {
+			dialled <- address
+			return nil, net.ErrClosed
+		},
+	}
+	l.AddSeeds([]string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+	l.maintain(context.Background())
+	l.group.Wait()
+	close(dialled)
+	var list []string
+	for a := range dialled {
+		list = append(list, a)
+	}
+	require.ElementsMatch(t, []string{"10.0.0.2:1", "10.0.0.3:1"}, list, "not this instance itself, and none twice")
+}
+
 // An instance that is no hub dials its hubs, so that what they state is as young
 // there as their statuses are frequent.
 func TestOthersDialTheirHubs(t *testing.T) {
