Serve long and short prompts apart in large fleets; compare a few upstreams where loads are old

Engines read other requests' long prompts between their tokens, up to 10,000 tokens at once, and instances met at the same engines because loads come up to 600 ms late. Ruled out: a higher cost of reading beside others (met more, docs/POLICY.md), late first tokens. Change: from 40 upstreams on a part of them is for prompts below 4,000 tokens, by the time that each kind takes; with hubs, six upstreams of the kind are compared at random besides holders of a part. Tests: 88 instances with loads half a second old; short prompts beside a long one fall from 17 to 0.3 of 100; the part follows the times.

--- a/placer/engine.go
+++ b/placer/engine.go
@@ -38,6 +38,7 @@
 	waited   int     // Prompt tokens that waited before it.
 	expected float64 // Predicted ms to the first token.
 	prefill  bool    // No first token yet.
+	long     bool    // The prompt is long.
 	ended    bool
 }
 
@@ -107,6 +108,15 @@
 	return max(tokens, 0)
 }
 
+// holds tells whether an engine holds the first part of a request's prompt.
+func (e *engine) holds(r Request) bool {
+	if len(r.Parts) < 2 {
+		return false
+	}
+	_, ok := e.parts[r.Parts[0].ID]
+	return ok
+}
+
 // recentFailures returns the failures of an engine, of which half are
 // forgotten in each failureDecay.
 func (e *engine) recentFailures(now time.Time) float64 {
@@ -189,6 +199,7 @@
 	if r.prefill {
 		r.endPrefill()
 	}
+	r.placer.times.add(now, r.long, now.Sub(r.started))
 	e := r.engine
 	e.running--
 	e.tokens -= r.tokens
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -21,6 +21,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -39,6 +40,7 @@
 	rereadShare       = 0.5                    // Cost of reading a shared part again, beyond the own wait.
 	fullCost          = 4000.0                 // ms for a place that is not free.
 	remoteCost        = 1.5                    // ms for an upstream in another failure domain.
+	compared          = 6                      // Upstreams of a request's kind that are compared where peers' loads are told late.
 	preferencePart    = 0.04                   // Largest preference, as a part of the time that peers' loads take.
 	failureCost       = 400.0                  // ms for each recent failure.
 	failureDecay      = 3 * time.Second        // Time in which the memory of failures halves.
@@ -90,7 +92,8 @@
 	engines map[string]*engine
 	peers   map[string]savoryloft.LinkLoad
 	peersAt time.Time
-	delay   time.Duration         // Time that peers' loads take to get here.
+	delay   time.Duration // Time that peers' loads take to get here.
+	times   kindTimes
 	fresh   []savoryloft.HeldPart // Parts that engines got and peers were not told of.
 }
 
@@ -195,9 +198,12 @@
 func (p *Placer) Choose(now time.Time, r Request, upstreams []savoryloft.RegisteredUpstream) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first := hashedFirst(r, upstreams)
+	suits := p.times.suits(now, r, upstreams)
+	first := hashedFirst(r, upstreams, suits)
+	compare := p.sample(upstreams, suits)
 	best := Choice{Cost: math.Inf(1)}
 	suspended := Choice{Cost: math.Inf(1)}
+	passedOver := Choice{Cost: math.Inf(1)}
 	for _, u := range upstreams {
 		if u.Draining || r.Exclude[u.ID] {
 			continue
@@ -208,22 +214,48 @@
 			continue
 		}
 		c := p.cost(now, e, r, u.ID == first)
+		if !suits(u.ID) {
+			c.Cost += otherKindCost
+		}
 		if e.suspended(now) && now.Sub(e.probedAt) < probeEvery {
 			if c.Cost < suspended.Cost {
 				suspended = c
 			}
 			continue
 		}
-		if c.Cost < best.Cost {
+		switch {
+		case c.Cost >= best.Cost:
+		case u.ID == first || e.holds(r) || compare():
 			best = c
+		case c.Cost < passedOver.Cost:
+			passedOver = c
 		}
 	}
+	if math.IsInf(best.Cost, 1) {
+		best = passedOver
+	}
 	if math.IsInf(best.Cost, 1) {
 		best = suspended
 	}
 	return best, !math.IsInf(best.Cost, 1)
 }
 
+// sample returns whether to compare an upstream that holds nothing of a prompt.
+// Where peers' loads are told late, instances that all compared all upstreams
+// would meet at the one that was idle last; each compares a few at random.
+func (p *Placer) sample(upstreams []savoryloft.RegisteredUpstream, suits func(id string) bool) func() bool {
+	if p.delay == 0 {
+		return func() bool { return true }
+	}
+	n := 0
+	for _, u := range upstreams {
+		if !u.Draining && suits(u.ID) {
+			n++
+		}
+	}
+	return func() bool { return rand.IntN(max(n, 1)) < compared }
+}
+
 // cost returns what a request would cost at an engine.
 func (p *Placer) cost(now time.Time, e *engine, r Request, hashed bool) Choice {
 	peer := p.peers[e.upstream.ID]
@@ -263,7 +295,7 @@
 		return 0
 	}
 	most := preferencePart * float64(p.delay) / float64(time.Millisecond)
-	return most * float64(rendezvous(p.Instance, e.upstream.ID)>>11) / (1 << 53)
+	return most * unit(rendezvous(p.Instance, e.upstream.ID))
 }
 
 // ownTokens returns the tokens that no other request shares.
@@ -284,8 +316,8 @@
 }
 
 // hashedFirst returns the upstream that rendezvous hashing puts first for the
-// last shared part of a request.
-func hashedFirst(r Request, upstreams []savoryloft.RegisteredUpstream) string {
+// last shared part of a request among those that suit it.
+func hashedFirst(r Request, upstreams []savoryloft.RegisteredUpstream, suits func(id string) bool) string {
 	shared := r.shared()
 	if len(shared) == 0 {
 		return ""
@@ -294,7 +326,7 @@
 	var best uint64
 	var id string
 	for _, u := range upstreams {
-		if u.Draining {
+		if u.Draining || !suits(u.ID) {
 			continue
 		}
 		if h := rendezvous(key, u.ID); id == "" || h > best {
@@ -304,6 +336,9 @@
 	return id
 }
 
+// unit maps a hash to a number from 0 up to 1.
+func unit(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
+
 func rendezvous(key, id string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(key))
@@ -323,7 +358,7 @@
 	defer p.mu.Unlock()
 	e := p.engine(c.Upstream)
 	run := &Run{
-		placer: p, engine: e, uncached: c.Uncached, tokens: r.PromptTokens + r.OutputTokens, started: now,
+		long: r.PromptTokens >= longPrompt, placer: p, engine: e, uncached: c.Uncached, tokens: r.PromptTokens + r.OutputTokens, started: now,
 		waited: c.Waiting, expected: float64(c.Waiting+c.Uncached) / e.readRate, prefill: true,
 	}
 	e.running++
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -77,11 +77,19 @@
 	require.Len(t, seen, 3, "what peers told is read by now")
 }
 
-// Pattern: many instances that hear of each other's requests half a second late.
-func TestInstancesWithOldLoadsDoNotMeet(t *testing.T) {
+// oldLoads plays requests of many instances that hear of each other's half a
+// second late.
+type oldLoads struct {
+	upstreams int
+	request   func(n int) Request
+	met       float64 // Others that a request meets at its upstream, on average.
+	worst     int     // Most requests at one upstream.
+	beside    float64 // Part of the short prompts that run where a long one is read.
+}
+
+func (o *oldLoads) play(t *testing.T) {
 	const (
 		instances = 88
-		upstreams = 120
 		interval  = 2 * time.Millisecond // Between two requests of all instances.
 		delay     = 500 * time.Millisecond
 		requests  = 3000
@@ -92,16 +100,15 @@
 		upstream string
 		run      *Run
 	}
-	list := engines(upstreams)
+	list := engines(o.upstreams)
 	placers := make([]*Placer, instances)
 	for i := range placers {
 		placers[i] = &Placer{Instance: fmt.Sprint("entry-", i), FailureDomain: "a"}
 	}
 	perInstance := make([][]sent, instances)
-	running := map[string]int{}
+	running, longUntil := map[string]int{}, map[string]time.Time{}
 	var all []sent
-	worst, sum := 0, 0
-	ended := 0
+	sum, ended, short, beside := 0, 0, 0, 0
 	for n := range requests {
 		now := start.Add(time.Duration(n) * interval)
 		for ; ended < len(all) && now.Sub(all[ended].at) >= duration; ended++ {
@@ -119,23 +126,81 @@
 			}
 		}
 		placers[i].SetPeers(now, loads, delay)
-		r := prompt(fmt.Sprint("own-", n), 0, 1000)
+		r := o.request(n)
 		c := choose(t, placers[i], now, r, list)
 		run := placers[i].Start(now, c, r)
 		run.FirstToken(now)
 		s := sent{now, c.Upstream.ID, run}
 		perInstance[i] = append(perInstance[i], s)
 		all = append(all, s)
-		sum += running[c.Upstream.ID]
-		running[c.Upstream.ID]++
-		worst = max(worst, running[c.Upstream.ID])
+		sum += running[s.upstream]
+		running[s.upstream]++
+		o.worst = max(o.worst, running[s.upstream])
+		if r.PromptTokens >= longPrompt {
+			longUntil[s.upstream] = now.Add(time.Duration(float64(c.Uncached)/initialReadRate) * time.Millisecond)
+		} else {
+			short++
+			if longUntil[s.upstream].After(now) {
+				beside++
+			}
+		}
 	}
+	o.met = float64(sum) / requests
+	o.beside = float64(beside) / float64(max(short, 1))
+	t.Logf("a request meets %.1f others, at most %d; %.3f of the short prompts run beside a long one", o.met, o.worst, o.beside)
+}
+
+// Pattern: many instances that hear of each other's requests late.
+func TestInstancesWithOldLoadsDoNotMeet(t *testing.T) {
+	o := &oldLoads{upstreams: 120, request: func(n int) Request { return prompt(fmt.Sprint("own-", n), 0, 1000) }}
+	o.play(t)
 	// 6 run at an upstream on average, so a request that goes anywhere meets as many.
 	const places = 48
-	mean := float64(sum) / requests
-	t.Logf("a request meets %.1f others, at most %d", mean, worst)
-	require.Less(t, mean, 7.0)
-	require.Less(t, worst, places)
+	require.Less(t, o.met, 7.0)
+	require.Less(t, o.worst, places)
+}
+
+// Pattern: urgent short streams beside many long prompts. In a large fleet they
+// hardly ever run where a long prompt is read; in a small one all engines serve
+// both, since parts of it would be too small for a burst.
+func TestLongAndShortPromptsRunApart(t *testing.T) {
+	mixed := func(n int) Request {
+		if n%5 < 2 {
+			return prompt(fmt.Sprint("thing-", n%24), 300, 1000)
+		}
+		return prompt(fmt.Sprint("document-", n%24), 6000, 3000)
+	}
+	large := &oldLoads{upstreams: 120, request: mixed}
+	large.play(t)
+	require.Less(t, large.beside, 0.05)
+	small := &oldLoads{upstreams: splitFrom - 1, request: mixed}
+	small.play(t)
+	require.Greater(t, small.beside, 0.05)
+}
+
+// The part of the upstreams for short prompts follows the time that they take.
+func TestPartForShortPromptsFollowsTheirTime(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		short, long time.Duration // Of one request in each 100 ms.
+		want        float64
+	}{
+		{"nothing seen", 0, 0, usualShortPart},
+		{"only short ones", time.Second, 0, 1},
+		{"only long ones", 0, time.Second, 0},
+		{"a quarter of the time", time.Second, 3 * time.Second, 0.25},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var k kindTimes
+			now := start
+			for range 1000 {
+				now = now.Add(100 * time.Millisecond)
+				k.add(now, false, tt.short)
+				k.add(now, true, tt.long)
+			}
+			require.InDelta(t, tt.want, k.shortPart(now), 0.02)
+		})
+	}
 }
 
 // Pattern: many requests about one thing at the same moment.
