--- a/cmd/loftctl/explain.go
+++ b/cmd/loftctl/explain.go
@@ -9,6 +9,8 @@
 
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
+
+	"savoryloft.example/savoryloft/summarizer"
 )
 
 const explainUsage = `Explain reads the logs of some instances and prints, in order of time, the
@@ -69,56 +71,42 @@
 	wanted := map[string]bool{}
 	instances := map[string]bool{}
 	for _, l := range own {
-		if u := field(l, "upstream"); u != "" && u != `""` {
+		if u := summarizer.Field(l, "upstream"); u != "" {
 			wanted[u] = true
 		}
-		instances[field(l, "instance")] = true
+		instances[summarizer.Field(l, "instance")] = true
 	}
 	version, end := "", ""
 	if len(own) > 0 {
 		last := own[len(own)-1]
-		version, end = field(last, "version"), field(last, "time")
+		version, end = summarizer.Field(last, "version"), summarizer.Field(last, "time")
 	}
 	var story []string
 	for _, l := range lines {
-		here := instances[field(l, "instance")]
-		message := field(l, "msg")
+		here := instances[summarizer.Field(l, "instance")]
+		message := summarizer.Field(l, "msg")
 		switch {
-		case field(l, "id") == id:
-		case here && message == `"upstream changed"` && wanted[field(l, "upstream")]:
-		case here && message == `"configuration in force"` && field(l, "version") == version:
-		case here && field(l, "time") <= end && (message == `"log is not reachable"` || message == `"log is reachable again"`):
+		case summarizer.Field(l, "id") == id:
+		case here && message == "upstream changed" && wanted[summarizer.Field(l, "upstream")]:
+		case here && message == "configuration in force" && summarizer.Field(l, "version") == version:
+		case here && summarizer.Field(l, "time") <= end && (message == "log is not reachable" || message == "log is reachable again"):
 		default:
 			continue
 		}
 		story = append(story, l)
 	}
-	slices.SortStableFunc(story, func(a, b string) int { return strings.Compare(field(a, "time"), field(b, "time")) })
+	slices.SortStableFunc(story, func(a, b string) int {
+		return strings.Compare(summarizer.Field(a, "time"), summarizer.Field(b, "time"))
+	})
 	return story
 }
 
 func linesWith(lines []string, name, value string) []string {
 	var found []string
 	for _, l := range lines {
-		if field(l, name) == value {
+		if summarizer.Field(l, name) == value {
 			found = append(found, l)
 		}
 	}
 	return found
 }
-
-// field returns the value of a key in a line of key=value pairs, with its
-// quotes; "" when there is none.
-func field(line, name string) string {
-	_, after, ok := strings.Cut(" "+line, " "+name+"=")
-	if !ok {
-		return ""
-	}
-	if strings.HasPrefix(after, `"`) {
-		if end := strings.Index(after[1:], `"`); end >= 0 {
-			return after[:end+2]
-		}
-	}
-	value, _, _ := strings.Cut(after, " ")
-	return value
-}
--- a/cmd/loftctl/main.go
+++ b/cmd/loftctl/main.go
@@ -10,6 +10,7 @@
 //	loftctl standin platform|engine|service
 //	loftctl load
 //	loftctl explain
+//	loftctl report
 package main
 
 import (
@@ -27,7 +28,7 @@
 		SilenceErrors: true,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(noteCommand(), keyCommand(), statusCommand(), usageCommand(), standinCommand(), loadCommand(), explainCommand())
+	root.AddCommand(noteCommand(), keyCommand(), statusCommand(), usageCommand(), standinCommand(), loadCommand(), explainCommand(), reportCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "loftctl:", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/loftctl/report.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"html/template"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgsvg" // Registers the format that the page uses.
+
+	"savoryloft.example/savoryloft/summarizer"
+)
+
+const reportUsage = `Report reads the logs of some instances and writes one HTML page: how many
+requests of each route ended how, how long their first byte or token took, over
+time and in all, and which upstreams failed. The page needs nothing else.
+
+Example:
+
+  loftctl report --interval 10s entry-1.log entry-2.log > report.html`
+
+const (
+	plotWidth     = 22 * vg.Centimeter
+	plotHeight    = 8 * vg.Centimeter
+	plottedRoutes = 7 // Routes with the most requests; more lines can not be told apart.
+	listedErrors  = 3 // Errors listed for one upstream.
+)
+
+func reportCommand() *cobra.Command {
+	interval := time.Second
+	c := &cobra.Command{
+		Use:   "report FILE...",
+		Short: "Write an HTML page about the requests in logs",
+		Long:  reportUsage,
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			if interval <= 0 {
+				return errors.Errorf("interval %s is not positive", interval)
+			}
+			s := &summarizer.Summary{Interval: interval}
+			requests := 0
+			for _, file := range files {
+				n, err := addLog(s, file)
+				if err != nil {
+					return err
+				}
+				requests += n
+			}
+			if requests == 0 {
+				return errors.New("no line tells of a request; are these the logs of entry instances?")
+			}
+			return writeReport(c.OutOrStdout(), s)
+		},
+	}
+	c.Flags().DurationVar(&interval, "interval", interval, "length of the spans that the plots show")
+	return c
+}
+
+// addLog adds the lines of a file and returns how many of them counted.
+func addLog(s *summarizer.Summary, file string) (int, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return 0, errors.Annotate(err, "read log")
+	}
+	defer f.Close()
+	n := 0
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, maxLogLine)
+	for lines.Scan() {
+		if s.Add(lines.Text()) {
+			n++
+		}
+	}
+	return n, errors.Annotate(lines.Err(), file)
+}
+
+// page is what the template shows.
+type page struct {
+	Plots     []template.HTML
+	Routes    []*summarizer.Route
+	Upstreams []*summarizer.Upstream
+}
+
+var pageTemplate = template.Must(template.New("report").Funcs(template.FuncMap{
+	"first":  func(r *summarizer.Route, q float64) string { return r.First(q).String() },
+	"counts": counts,
+	"listed": func() int { return listedErrors },
+	"name": func(route string) string {
+		if route == "" {
+			return "(no route)"
+		}
+		return route
+	},
+}).Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>savoryloft: requests</title>
+<style>body{font-family:sans-serif;max-width:60em;margin:auto}td,th{padding:.2em .6em;text-align:left}td.n{text-align:right}</style>
+</head><body>
+<h1>Requests</h1>
+{{range .Plots}}<div>{{.}}</div>
+{{end}}<h2>Routes</h2>
+<table><tr><th>Route</th><th>Requests</th><th>First, p50</th><th>p95</th><th>p99</th><th>Ended</th></tr>
+{{range .Routes}}<tr><td>{{name .Name}}</td><td class="n">{{.Requests}}</td><td class="n">{{first . 0.5}}</td><td class="n">{{first . 0.95}}</td><td class="n">{{first . 0.99}}</td><td>{{counts .Outcomes 0}}</td></tr>
+{{end}}</table>
+<h2>Upstreams with failed attempts</h2>
+<table><tr><th>Upstream</th><th>Failed</th><th>Errors</th></tr>
+{{range .Upstreams}}<tr><td>{{.ID}}</td><td class="n">{{.Failed}}</td><td>{{counts .Errors listed}}</td></tr>
+{{end}}</table>
+</body></html>
+`))
+
+// counts lists names with their counts, the largest first; at most some of
+// them unless most is 0.
+func counts(m map[string]int, most int) string {
+	names := slices.SortedFunc(maps.Keys(m), func(a, b string) int {
+		if m[a] != m[b] {
+			return m[b] - m[a]
+		}
+		return slices.Compare([]byte(a), []byte(b))
+	})
+	text := ""
+	for i, n := range names {
+		if most > 0 && i == most {
+			return text + ", ..."
+		}
+		if i > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("%s: %d", n, m[n])
+	}
+	return text
+}
+
+func writeReport(w io.Writer, s *summarizer.Summary) error {
+	p := page{Routes: s.Routes(), Upstreams: s.Upstreams()}
+	for _, curve := range []struct {
+		title, unit string
+		value       func(*summarizer.Span) float64
+	}{
+		{"Requests", "a second", func(x *summarizer.Span) float64 { return float64(x.Requests) / s.Interval.Seconds() }},
+		{"Not served", "a second", func(x *summarizer.Span) float64 { return float64(x.Failed) / s.Interval.Seconds() }},
+		{"First byte or token, 95 in 100", "ms", func(x *summarizer.Span) float64 { return float64(x.First(0.95).Milliseconds()) }},
+	} {
+		svg, err := drawRoutes(curve.title, curve.unit, p.Routes, curve.value)
+		if err != nil {
+			return err
+		}
+		p.Plots = append(p.Plots, svg)
+	}
+	return errors.Annotate(pageTemplate.Execute(w, p), "write report")
+}
+
+// drawRoutes draws a value of each route over time, in seconds since the first
+// request.
+func drawRoutes(title, unit string, routes []*summarizer.Route, value func(*summarizer.Span) float64) (template.HTML, error) {
+	var start time.Time
+	for _, r := range routes {
+		for at := range r.Spans {
+			if start.IsZero() || at.Before(start) {
+				start = at
+			}
+		}
+	}
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text, p.Y.Min = title, "seconds", unit, 0
+	p.Legend.Top = true
+	var lines []any
+	for _, r := range routes[:min(len(routes), plottedRoutes)] {
+		var points plotter.XYs
+		for _, at := range slices.SortedFunc(maps.Keys(r.Spans), time.Time.Compare) {
+			points = append(points, plotter.XY{X: at.Sub(start).Seconds(), Y: value(r.Spans[at])})
+		}
+		lines = append(lines, r.Name, points)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return "", errors.Annotate(err, "plot "+title)
+	}
+	drawing, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", errors.Annotate(err, "plot "+title)
+	}
+	var svg bytes.Buffer
+	if _, err := drawing.WriteTo(&svg); err != nil {
+		return "", errors.Annotate(err, "plot "+title)
+	}
+	// The XML header does not belong into a page.
+	if i := bytes.Index(svg.Bytes(), []byte("<svg")); i > 0 {
+		svg.Next(i)
+	}
+	return template.HTML(svg.String()), nil //nolint:gosec // Drawn here; names in it are escaped by the library.
+}
