--- a/cmd/loftctl/report_test.go
+++ b/cmd/loftctl/report_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-func runReport(t *testing.T, args ...string) (string, error) {
+func runReport(args ...string) (string, error) {
 	var out bytes.Buffer
 	c := reportCommand()
 	c.SetOut(&out)
@@ -31,7 +31,7 @@
 time=2026-03-24T08:31:42.1Z msg=request id=2 outcome=TimeUp status=504 route="<b>odd</b>" first=0
 time=2026-03-24T08:31:42.1Z msg="attempt failed" id=2 upstream=u1 error="connection <refused>"
 `), 0o600))
-	page, err := runReport(t, log)
+	page, err := runReport(log)
 	require.NoError(t, err)
 	require.Contains(t, page, `<td>chat</td><td class="n">1</td><td class="n">100ms</td>`)
 	require.Contains(t, page, "Answered 200: 1")
@@ -53,7 +53,7 @@
 		{"no file", nil, "requires at least 1 arg"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			_, err := runReport(t, tt.args...)
+			_, err := runReport(tt.args...)
 			require.ErrorContains(t, err, tt.want)
 		})
 	}
--- a/cmd/savoryloft/edge.go
+++ b/cmd/savoryloft/edge.go
@@ -169,9 +169,9 @@
 // changes returns the names of the settings that differ from the current ones:
 // those that are in force at once, and those from the next start.
 func (r *reloader) changes(d savoryloft.Deployment) (now, later []string) {
-	old, new := reflect.ValueOf(r.current), reflect.ValueOf(d)
+	old, read := reflect.ValueOf(r.current), reflect.ValueOf(d)
 	for i := range old.NumField() {
-		if reflect.DeepEqual(old.Field(i).Interface(), new.Field(i).Interface()) {
+		if reflect.DeepEqual(old.Field(i).Interface(), read.Field(i).Interface()) {
 			continue
 		}
 		switch name := old.Type().Field(i).Name; name {
--- a/summarizer/summarizer_test.go
+++ b/summarizer/summarizer_test.go
@@ -10,8 +10,13 @@
 func TestField(t *testing.T) {
 	const line = `time=2026-03-24T08:31:40Z msg="attempt failed" id=1 error="a \"b\" c=d" route="" last=x`
 	for _, tt := range []struct{ key, want string }{
-		{"time", "2026-03-24T08:31:40Z"}, {"msg", "attempt failed"}, {"error", `a "b" c=d`}, {"route", ""},
-		{"last", "x"}, {"none", ""}, {"ime", ""},
+		{"time", "2026-03-24T08:31:40Z"},
+		{"msg", "attempt failed"},
+		{"error", `a "b" c=d`},
+		{"route", ""},
+		{"last", "x"},
+		{"none", ""},
+		{"ime", ""},
 	} {
 		require.Equal(t, tt.want, Field(line, tt.key), tt.key)
 	}
--- a/uptime.go
+++ b/uptime.go
@@ -50,8 +50,7 @@
 		}
 		// Less than the resolution is the time between the readings.
 		if d := counting - after; d >= int64(suspendedResolution) {
-			for most := m.most.Load(); d > most && !m.most.CompareAndSwap(most, d); most = m.most.Load() {
-			}
+			m.raise(d)
 		}
 		if time.Duration(after-before) < suspendedResolution {
 			break
@@ -60,6 +59,15 @@
 	return time.Duration(m.most.Load())
 }
 
+// raise makes the longest suspension d unless it is longer.
+func (m *suspensionMeter) raise(d int64) {
+	for most := m.most.Load(); d > most; most = m.most.Load() {
+		if m.most.CompareAndSwap(most, d) {
+			return
+		}
+	}
+}
+
 func readClocks() (before, counting, after int64, err error) {
 	var t [3]unix.Timespec
 	for i, clock := range []int32{unix.CLOCK_MONOTONIC, unix.CLOCK_BOOTTIME, unix.CLOCK_MONOTONIC} {
