Hash an upstream's place and preference once, not for each request

The choice hashed each upstream up to five times; kind and preference do not change while an upstream lives.

--- a/placer/engine.go
+++ b/placer/engine.go
@@ -21,6 +21,9 @@
 	probedAt  time.Time
 	seenAt    time.Time
 	unstarted map[*Run]struct{} // Runs without a first token.
+
+	kind       float64 // Place, from 0 to 1, in the order that the border between kinds lies in.
+	preference float64 // Of this instance, from 0 to 1; the lower the sooner.
 }
 
 type partUse struct {
@@ -48,7 +51,10 @@
 	}
 	e := p.engines[u.ID]
 	if e == nil || e.upstream.Born != u.Born {
-		e = &engine{parts: map[string]partUse{}, readRate: initialReadRate, unstarted: map[*Run]struct{}{}}
+		e = &engine{
+			parts: map[string]partUse{}, readRate: initialReadRate, unstarted: map[*Run]struct{}{},
+			kind: unit(rendezvous("short", u.ID)), preference: unit(rendezvous(p.Instance, u.ID)),
+		}
 		p.engines[u.ID] = e
 	}
 	e.upstream = u
--- a/placer/kind.go
+++ b/placer/kind.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"savoryloft.example/savoryloft"
 )
 
 // While an engine reads a long prompt, the streams that run beside it pause.
@@ -46,15 +44,25 @@
 	k.at = now
 }
 
-// suits returns a function that tells whether an upstream is for prompts of a
-// request's length.
-func (k *kindTimes) suits(now time.Time, r Request, upstreams []savoryloft.RegisteredUpstream) func(id string) bool {
-	if r.Engine == nil || len(upstreams) < splitFrom {
-		return func(string) bool { return true }
+// border tells which upstreams are for prompts of a request's length.
+type border struct {
+	none  bool // All are.
+	short bool // The request's prompt is short.
+	at    float64
+}
+
+func (b border) suits(e *engine) bool { return b.none || b.short == (e.kind < b.at) }
+
+// border returns the border between the kinds for a request that some upstreams
+// serve.
+func (k *kindTimes) border(now time.Time, r Request, upstreams int) border {
+	if r.Engine == nil || upstreams < splitFrom {
+		return border{none: true}
+	}
+	return border{
+		short: r.PromptTokens < longPrompt,
+		at:    math.Round(k.shortPart(now)/borderStep) * borderStep,
 	}
-	border := math.Round(k.shortPart(now)/borderStep) * borderStep
-	short := r.PromptTokens < longPrompt
-	return func(id string) bool { return short == (unit(rendezvous("short", id)) < border) }
 }
 
 // shortPart returns the part of the upstreams that are for short prompts.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -94,7 +94,9 @@
 	peersAt time.Time
 	delay   time.Duration // Time that peers' loads take to get here.
 	times   kindTimes
-	fresh   []savoryloft.HeldPart // Parts that engines got and peers were not told of.
+	// candidates are the upstreams of the last choice; kept to be filled again.
+	candidates []*engine
+	fresh      []savoryloft.HeldPart // Parts that engines got and peers were not told of.
 }
 
 // SetPeers takes in the loads of the other instances, and the time that these
@@ -198,23 +200,27 @@
 func (p *Placer) Choose(now time.Time, r Request, upstreams []savoryloft.RegisteredUpstream) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	suits := p.times.suits(now, r, upstreams)
-	first := hashedFirst(r, upstreams, suits)
-	compare := p.sample(upstreams, suits)
-	best := Choice{Cost: math.Inf(1)}
-	suspended := Choice{Cost: math.Inf(1)}
-	passedOver := Choice{Cost: math.Inf(1)}
+	kinds := p.times.border(now, r, len(upstreams))
+	p.candidates = p.candidates[:0]
 	for _, u := range upstreams {
 		if u.Draining || r.Exclude[u.ID] {
 			continue
 		}
 		e := p.engine(u)
 		e.seenAt = now
+		p.candidates = append(p.candidates, e)
+	}
+	first := hashedFirst(r, p.candidates, kinds)
+	compare := p.sample(kinds)
+	best := Choice{Cost: math.Inf(1)}
+	suspended := Choice{Cost: math.Inf(1)}
+	passedOver := Choice{Cost: math.Inf(1)}
+	for _, e := range p.candidates {
 		if r.Connections > 0 && e.running >= r.Connections {
 			continue
 		}
-		c := p.cost(now, e, r, u.ID == first)
-		if !suits(u.ID) {
+		c := p.cost(now, e, r, e == first)
+		if !kinds.suits(e) {
 			c.Cost += otherKindCost
 		}
 		if e.suspended(now) && now.Sub(e.probedAt) < probeEvery {
@@ -225,7 +231,7 @@
 		}
 		switch {
 		case c.Cost >= best.Cost:
-		case u.ID == first || e.holds(r) || compare():
+		case e == first || e.holds(r) || compare():
 			best = c
 		case c.Cost < passedOver.Cost:
 			passedOver = c
@@ -243,13 +249,13 @@
 // sample returns whether to compare an upstream that holds nothing of a prompt.
 // Where peers' loads are told late, instances that all compared all upstreams
 // would meet at the one that was idle last; each compares a few at random.
-func (p *Placer) sample(upstreams []savoryloft.RegisteredUpstream, suits func(id string) bool) func() bool {
+func (p *Placer) sample(b border) func() bool {
 	if p.delay == 0 {
 		return func() bool { return true }
 	}
 	n := 0
-	for _, u := range upstreams {
-		if !u.Draining && suits(u.ID) {
+	for _, e := range p.candidates {
+		if b.suits(e) {
 			n++
 		}
 	}
@@ -295,7 +301,7 @@
 		return 0
 	}
 	most := preferencePart * float64(p.delay) / float64(time.Millisecond)
-	return most * unit(rendezvous(p.Instance, e.upstream.ID))
+	return most * e.preference
 }
 
 // ownTokens returns the tokens that no other request shares.
@@ -316,24 +322,24 @@
 }
 
 // hashedFirst returns the upstream that rendezvous hashing puts first for the
-// last shared part of a request among those that suit it.
-func hashedFirst(r Request, upstreams []savoryloft.RegisteredUpstream, suits func(id string) bool) string {
+// last shared part of a request among those that suit it; nil when there is none.
+func hashedFirst(r Request, engines []*engine, b border) *engine {
 	shared := r.shared()
 	if len(shared) == 0 {
-		return ""
+		return nil
 	}
 	key := shared[len(shared)-1].ID
-	var best uint64
-	var id string
-	for _, u := range upstreams {
-		if u.Draining || !suits(u.ID) {
+	var most uint64
+	var first *engine
+	for _, e := range engines {
+		if !b.suits(e) {
 			continue
 		}
-		if h := rendezvous(key, u.ID); id == "" || h > best {
-			best, id = h, u.ID
+		if h := rendezvous(key, e.upstream.ID); first == nil || h > most {
+			most, first = h, e
 		}
 	}
-	return id
+	return first
 }
 
 // unit maps a hash to a number from 0 up to 1.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -306,3 +306,22 @@
 	}
 	require.InDelta(t, 20, p.engines["engine-0"].readRate, 2)
 }
+
+// BenchmarkChoose measures the choice of an upstream, which each request pays,
+// where peers' loads are told late.
+func BenchmarkChoose(b *testing.B) {
+	for _, upstreams := range []int{24, 120, 3700} {
+		b.Run(fmt.Sprint("upstreams=", upstreams), func(b *testing.B) {
+			p := &Placer{Instance: "entry-1", FailureDomain: "a"}
+			p.SetPeers(start, nil, 500*time.Millisecond)
+			list := engines(upstreams)
+			r := prompt("thing", 300, 1000)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := p.Choose(start, r, list); !ok {
+					b.Fatal("no choice")
+				}
+			}
+		})
+	}
+}
