--- a/uptime.go
+++ b/uptime.go
@@ -46,6 +46,7 @@
 	for range clockReadings {
 		before, counting, after, err := m.read()
 		if err != nil {
+			// Linux has had both clocks since 2.6.39; without one, what was measured stands.
 			break
 		}
 		// Less than the resolution is the time between the readings.
