--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -77,9 +77,12 @@
 			"goal_ms": 1000, "itl_target_ms": 500, "priority": 1, "service": "s", "max_attempts": attempts, "resumable": resumable,
 		}
 	}
+	urgent := route("urgent", "streaming", 1, false)
+	urgent["priority"] = 0
 	value, err := json.Marshal(map[string]any{
 		"version": s.version,
 		"routes": []any{
+			urgent,
 			route("stream", "streaming", 1, false), route("resume", "streaming", 3, true),
 			route("once", "non_idempotent", 1, false), route("twice", "idempotent", 2, false),
 		},
@@ -183,13 +186,19 @@
 
 // request builds a request of the next attempt.
 func (s *site) request(i *instance, route, key string) *http.Request {
+	parts := ""
+	if route == "stream" || route == "resume" {
+		parts = "aa:60,bb:40"
+	}
+	return s.prompt(i, route, key, parts)
+}
+
+// prompt builds a request with some prompt parts.
+func (s *site) prompt(i *instance, route, key, parts string) *http.Request {
 	s.attempts++
 	c := standin.Call{
 		Address: strings.TrimPrefix(i.url, "http://"), Host: host, Route: route, ID: fmt.Sprintf("attempt-%d", s.attempts),
-		Key: key, Patience: 4 * time.Second, Body: "the body",
-	}
-	if route == "stream" || route == "resume" {
-		c.Parts = "aa:60,bb:40"
+		Key: key, Patience: 4 * time.Second, Body: "the body", Parts: parts,
 	}
 	r, err := c.Request()
 	require.NoError(s.t, err)
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -311,3 +314,32 @@
 		require.Contains(t, string(text[:n]), want)
 	}
 }
+
+// Ranks reach the engine, which reads the prompts of the more urgent first.
+func TestUrgentPromptsAreReadFirst(t *testing.T) {
+	const long = 4
+	s := newSite(t)
+	e := s.addEngine(nil)
+	e.ReadRate = 10 // Each long prompt takes 200 ms.
+	i := s.start(5 * time.Second)
+	s.waitUpstreams(i, 1)
+	var mu sync.Mutex
+	var order []string
+	var group sync.WaitGroup
+	send := func(route string, r *http.Request) {
+		group.Go(func() {
+			a := s.do(r)
+			mu.Lock()
+			defer mu.Unlock()
+			require.Equal(t, http.StatusOK, a.status)
+			order = append(order, route)
+		})
+	}
+	for n := range long {
+		send("stream", s.prompt(i, "stream", "key-1", fmt.Sprintf("c%d:2000", n)))
+	}
+	require.Eventually(t, func() bool { return len(e.Requests()) == long }, patient, time.Millisecond)
+	send("urgent", s.prompt(i, "urgent", "key-1", "d0:100"))
+	group.Wait()
+	require.LessOrEqual(t, slices.Index(order, "urgent"), 1, "after the prompt that was being read: %v", order)
+}
