Bring records to all instances of a large fleet within milliseconds

Cause: link writers slept 200 ms for load updates with records queued behind them, at each of three links; all instances passed records back to their hubs; hubs ran on the smallest machines, which stood still for half a second at a time. Ruled out: links down, the log away (no such line in those seconds). Change: the pause is a timer; only hubs pass records on and not back; hubs and readers are the instances with the most processor time, by hash among equals. Tests: a record does not wait for an update; copies of a record with hubs; hubs are the powerful instances. The first two fail on the code before, the third without the order.

--- a/deployment.go
+++ b/deployment.go
@@ -30,6 +30,7 @@
 type DeploymentLimits struct {
 	MemoryBytes int64
 	Cores       int
+	Power       int // Processor time that it may use, in thousandths of a core.
 }
 
 // DeploymentBounds are the bounds of a deployment that decisions depend on.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -163,7 +163,7 @@
 	l.placer = &placer.Placer{Instance: d.Instance, FailureDomain: d.FailureDomain}
 	l.linker = &linker.Linker{
 		Instance: d.Instance, Incarnation: l.incarnation, FailureDomain: d.FailureDomain, Address: d.Listen.Links,
-		Seeds: d.Seeds, Dial: l.Pool.Dial, Logger: l.Logger, Source: source{l},
+		Power: d.Limits.Power, Seeds: d.Seeds, Dial: l.Pool.Dial, Logger: l.Logger, Source: source{l},
 	}
 	l.shared.Store(l.linker)
 	l.watcher = &watcher.Watcher{
@@ -184,12 +184,9 @@
 	}
 }
 
-// passOn sends records to the peers. In a mesh only the instance that read
-// them does.
-func (l *Launcher) passOn(records []savoryloft.ControlRecord, own bool) {
-	if own || !l.linker.InMesh() {
-		l.linker.Send(records)
-	}
+// passOn sends records on that this instance has read or got from a peer.
+func (l *Launcher) passOn(records []savoryloft.ControlRecord, from string) {
+	l.linker.Send(records, from)
 }
 
 // tellPlaced tells the peers at once of a prompt that keeps an engine busy, and
@@ -306,6 +303,7 @@
 	d := l.Deployment
 	me := savoryloft.LinkGreeting{
 		Instance: d.Instance, Incarnation: l.incarnation, FailureDomain: d.FailureDomain, Address: d.Listen.Links,
+		Power: d.Limits.Power,
 	}
 	value, err := json.Marshal(me)
 	if err != nil {
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -51,7 +51,9 @@
 }
 
 // TakeRecords implements linker.Source.
-func (s source) TakeRecords(records []savoryloft.ControlRecord) { s.watcher.Take(records) }
+func (s source) TakeRecords(peer string, records []savoryloft.ControlRecord) {
+	s.watcher.Take(peer, records)
+}
 
 // TakeUsage implements linker.Source.
 func (s source) TakeUsage(counts []savoryloft.UsageCount) { s.counter.Merge(counts) }
--- a/linker/link.go
+++ b/linker/link.go
@@ -189,6 +189,7 @@
 	}
 	t := time.NewTicker(interval)
 	defer t.Stop()
+	var update <-chan time.Time // When to send the update that is due; nil when none is.
 	for {
 		var f savoryloft.LinkFrame
 		select {
@@ -196,7 +197,13 @@
 			return
 		case f = <-k.out:
 		case <-k.urged:
-			f = savoryloft.LinkFrame{Update: k.update(ctx)}
+			if update == nil {
+				update = time.After(k.updatePause())
+			}
+			continue
+		case <-update:
+			update = nil
+			f = savoryloft.LinkFrame{Update: k.update()}
 		case <-k.nudge:
 			f = savoryloft.LinkFrame{Status: k.status()}
 		case <-t.C:
@@ -252,7 +259,7 @@
 		l.mu.Unlock()
 	}
 	if len(f.Records) > 0 {
-		l.Source.TakeRecords(f.Records)
+		l.Source.TakeRecords(k.peer.Instance, f.Records)
 	}
 	if f.Update != nil {
 		k.takeUpdate(f.Update)
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -5,9 +5,9 @@
 // In a small deployment each instance links to each other one. In a larger one
 // two instances of each failure domain are hubs: hubs link to all hubs, and the
 // other instances to the hubs of their failure domain, so that links and bytes
-// at one instance do not grow with the deployment. Hubs are chosen by hash from
-// the live members and need no agreement: a link that only one side wants is
-// kept all the same.
+// at one instance do not grow with the deployment. Hubs are the live members
+// that may use the most processor time, by hash among equals, and need no
+// agreement: a link that only one side wants is kept all the same.
 //
 // # Usage
 //
@@ -64,7 +64,7 @@
 	// TakeRecords, TakeUsage and TakeStatus take in what a peer sent. asOf is the
 	// uptime at which this instance sent what the peer's status answers; it is 0
 	// when the status answers nothing yet.
-	TakeRecords(records []savoryloft.ControlRecord)
+	TakeRecords(peer string, records []savoryloft.ControlRecord)
 	TakeUsage(counts []savoryloft.UsageCount)
 	TakeStatus(peer string, s *savoryloft.LinkStatus, asOf time.Duration)
 	// TakeParts takes in prompt parts that upstreams hold, and returns those that
@@ -81,6 +81,7 @@
 	Incarnation   int
 	FailureDomain string
 	Address       string
+	Power         int // Processor time that this instance may use, in thousandths of a core.
 	Seeds         []string
 	Interval      time.Duration // Between statuses; 250 ms when zero.
 	Dial          func(ctx context.Context, address string) (net.Conn, error)
@@ -122,6 +123,7 @@
 func (l *Linker) greeting() savoryloft.LinkGreeting {
 	return savoryloft.LinkGreeting{
 		Instance: l.Instance, Incarnation: l.Incarnation, FailureDomain: l.FailureDomain, Address: l.Address,
+		Power: l.Power,
 	}
 }
 
@@ -222,12 +224,23 @@
 	return savoryloft.Uptime() - l.leaderAt, l.leaderAt > 0
 }
 
-// Send passes records on to all peers.
-func (l *Linker) Send(records []savoryloft.ControlRecord) {
+// Send passes records on that this instance has read itself, or that came from a
+// peer. Configurations are large, and hubs may have little bandwidth, so nobody
+// sends what the other side has anyway: only hubs pass on what came from a peer,
+// and of what came from a hub only the readers tell other hubs, for the case that
+// the two can not reach each other.
+func (l *Linker) Send(records []savoryloft.ControlRecord, from string) {
 	l.init()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, k := range l.links {
+	t := l.arrange(savoryloft.Uptime())
+	if from != "" && (t.mesh || !t.hub) {
+		return
+	}
+	for name, k := range l.links {
+		if name == from || t.hubs[from] && t.hubs[name] && t.position >= readers {
+			continue
+		}
 		k.send(savoryloft.LinkFrame{Records: records})
 	}
 }
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -24,7 +25,9 @@
 	loads    []savoryloft.LinkLoad
 	taken    []savoryloft.HeldPart
 	statuses int
-	oldest   time.Duration // Largest age of a peer's status answer.
+	copies   int                                                   // Frames with records.
+	relay    func(records []savoryloft.ControlRecord, from string) // Passes on what was new; may be nil.
+	oldest   time.Duration                                         // Largest age of a peer's status answer.
 }
 
 func (p *part) FillStatus(s *savoryloft.LinkStatus) {
@@ -51,12 +54,18 @@
 	return []savoryloft.ControlRecord{{Key: "config", Offset: p.version}}
 }
 
-func (p *part) TakeRecords(records []savoryloft.ControlRecord) {
+func (p *part) TakeRecords(peer string, records []savoryloft.ControlRecord) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	before := p.version
 	for _, r := range records {
 		p.version = max(p.version, r.Offset)
 	}
+	p.copies++
+	fresh := p.version > before && p.relay != nil
+	p.mu.Unlock()
+	if fresh {
+		p.relay(records, peer)
+	}
 }
 
 func (p *part) TakeUsage([]savoryloft.UsageCount) {}
@@ -231,6 +240,67 @@
 	f.eventually(t, "records reach all", func(i int) bool { return f.parts[i].get(func(p *part) bool { return p.version == 9 }) })
 }
 
+// Hubs work for their whole failure domain, so they are the instances that may
+// use the most processor time.
+func TestHubsAreThePowerfulInstances(t *testing.T) {
+	l := &Linker{Instance: "m", FailureDomain: "d0", Power: 200, Logger: logr.Discard(), Source: &part{}}
+	l.init()
+	strong := map[string]bool{"b3": true, "b11": true}
+	var greetings []savoryloft.LinkGreeting
+	for i := range 20 {
+		g := savoryloft.LinkGreeting{Instance: fmt.Sprint("b", i), Incarnation: 1, FailureDomain: "d0", Address: "127.0.0.1:9", Power: 200}
+		if strong[g.Instance] {
+			g.Power = 800
+		}
+		greetings = append(greetings, g)
+	}
+	l.AddMembers(greetings)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	require.Equal(t, strong, l.arrange(savoryloft.Uptime()).hubs)
+}
+
+// Records are large where configurations are: with hubs each instance gets them
+// from those that it relies on, and not from all that have them.
+func TestHubsDoNotRepeatRecords(t *testing.T) {
+	const n, domains = 24, 3
+	f := startFleet(t, n, domains)
+	f.eventually(t, "hubs are settled", func(i int) bool {
+		l := f.linkers[i]
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.members) < n-1 {
+			return false
+		}
+		if l.topology.hub {
+			return len(l.links) == hubsPerDomain*(domains-1)+n/domains-1
+		}
+		return len(l.links) == hubsPerDomain
+	})
+	reader := -1
+	for i, l := range f.linkers {
+		f.parts[i].mu.Lock()
+		f.parts[i].relay = l.Send
+		f.parts[i].mu.Unlock()
+		if l.IsReader() {
+			reader = i
+		}
+	}
+	f.parts[reader].mu.Lock()
+	f.parts[reader].version = 9
+	f.parts[reader].mu.Unlock()
+	f.linkers[reader].Send([]savoryloft.ControlRecord{{Key: "config", Offset: 9}}, "")
+	f.eventually(t, "records reach all", func(i int) bool { return f.parts[i].get(func(p *part) bool { return p.version == 9 }) })
+	time.Sleep(resendAfter * defaultInterval) // Whoever lags is told again by then.
+	for i, p := range f.parts {
+		most := hubsPerDomain
+		if f.linkers[i].IsHub() {
+			most = readers + 1 // From each reader, and once more from one that was told by status.
+		}
+		require.True(t, p.get(func(p *part) bool { return p.copies <= most }), "instance %d got %d copies", i, p.copies)
+	}
+}
+
 // An answered status is never older than one interval and the way.
 func TestStatusesAreAnsweredAtOnce(t *testing.T) {
 	f := startFleet(t, 2, 1)
@@ -320,6 +390,41 @@
 	require.ElementsMatch(t, []string{"10.0.0.2:1", "10.0.0.3:1"}, list, "not this instance itself, and none twice")
 }
 
+// A record does not wait for the pause in which load updates are taken together.
+func TestRecordsDoNotWaitForUpdates(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	l := &Linker{Instance: "a", Interval: time.Minute, Logger: logr.Discard(), Source: &part{}}
+	l.init()
+	// Enough members for hubs, whose updates pause longest.
+	var greetings []savoryloft.LinkGreeting
+	for i := range meshLimit {
+		greetings = append(greetings, savoryloft.LinkGreeting{Instance: fmt.Sprint("b", i), Incarnation: 1, Address: "127.0.0.1:9"})
+	}
+	l.AddMembers(greetings)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.keep(ctx, near, true)
+	reader := bufio.NewReader(far)
+	read := func() (f savoryloft.LinkFrame) {
+		body, err := framer.ReadBody(reader)
+		require.NoError(t, err)
+		require.NoError(t, framer.Decode(body, &f))
+		return f
+	}
+	read()
+	data, err := framer.Encode(&savoryloft.LinkFrame{Greeting: &greetings[0]})
+	require.NoError(t, err)
+	_, err = far.Write(data)
+	require.NoError(t, err)
+	require.NotEmpty(t, read().Members)
+	l.Update(nil)
+	time.Sleep(hubUpdatePause / 10) // The writer has taken the update in.
+	l.Send([]savoryloft.ControlRecord{{Key: "config", Offset: 9}}, "")
+	require.NotEmpty(t, read().Records, "before the update")
+	require.NotNil(t, read().Update)
+}
+
 // An instance that is no hub dials its hubs, so that what they state is as young
 // there as their statuses are frequent.
 func TestOthersDialTheirHubs(t *testing.T) {
--- a/linker/members.go
+++ b/linker/members.go
@@ -11,7 +11,7 @@
 // member is another instance that this one has heard of.
 type member struct {
 	greeting savoryloft.LinkGreeting
-	order    uint32        // Hash of the name.
+	order    uint64        // Its place in the order of hubs.
 	heard    time.Duration // Uptime of the last status; 0 before the first.
 	known    time.Duration // Uptime at which it was heard of.
 	told     bool          // It has sent a status.
@@ -58,7 +58,7 @@
 		if m != nil && m.greeting.Incarnation >= g.Incarnation {
 			continue
 		}
-		l.members[g.Instance] = &member{greeting: g, order: hash(g.Instance), known: savoryloft.Uptime()}
+		l.members[g.Instance] = &member{greeting: g, order: place(g.Instance, g.Power), known: savoryloft.Uptime()}
 		l.topology.stale = true
 		fresh = append(fresh, g)
 	}
--- a/linker/news.go
+++ b/linker/news.go
@@ -1,20 +1,22 @@
 package linker
 
 import (
-	"context"
 	"time"
 
 	"savoryloft.example/savoryloft"
 )
 
-// update returns what changed since the last frame with loads. Updates that
-// follow each other closely are taken together.
-func (k *link) update(ctx context.Context) *savoryloft.LoadUpdate {
-	pause := meshUpdatePause
-	if !k.linker.InMesh() {
-		pause = hubUpdatePause
+// updatePause returns the time for which updates that follow each other closely
+// are taken together.
+func (k *link) updatePause() time.Duration {
+	if k.linker.InMesh() {
+		return meshUpdatePause
 	}
-	savoryloft.Sleep(ctx, pause)
+	return hubUpdatePause
+}
+
+// update returns what changed since the last frame with loads.
+func (k *link) update() *savoryloft.LoadUpdate {
 	loads, _ := k.linker.loadsFor(k)
 	return &savoryloft.LoadUpdate{Loads: k.changedLoads(loads), Parts: k.takeParts()}
 }
--- a/linker/topology.go
+++ b/linker/topology.go
@@ -35,7 +35,7 @@
 		return t
 	}
 	*t = topology{at: now, mesh: len(l.members) < meshLimit, hubs: map[string]bool{}}
-	own := hash(l.Instance)
+	own := place(l.Instance, l.Power)
 	t.hub = t.mesh || l.ahead(l.Instance, own, l.FailureDomain, now) < hubsPerDomain
 	for name, m := range l.members {
 		domain := m.greeting.FailureDomain
@@ -57,9 +57,9 @@
 }
 
 // ahead returns how many present members of a failure domain precede one.
-func (l *Linker) ahead(name string, order uint32, domain string, now time.Duration) int {
+func (l *Linker) ahead(name string, order uint64, domain string, now time.Duration) int {
 	n := 0
-	if name != l.Instance && domain == l.FailureDomain && before(hash(l.Instance), l.Instance, order, name) {
+	if name != l.Instance && domain == l.FailureDomain && before(place(l.Instance, l.Power), l.Instance, order, name) {
 		n++
 	}
 	for other, m := range l.members {
@@ -77,7 +77,7 @@
 		if !t.hubs[name] || k.peer.FailureDomain != l.FailureDomain {
 			continue
 		}
-		if first == "" || before(hash(name), name, hash(first), first) {
+		if first == "" || before(uint64(hash(name)), name, uint64(hash(first)), first) {
 			first = name
 		}
 	}
@@ -138,8 +138,17 @@
 	return l.arrange(savoryloft.Uptime()).position
 }
 
-// before orders instances by the hash of their names.
-func before(orderA uint32, a string, orderB uint32, b string) bool {
+// place returns an instance's place in the order by which hubs and readers are
+// chosen: those that may use the most processor time come first, since a hub
+// works for its whole failure domain, and among them the hash of the name
+// decides.
+func place(name string, power int) uint64 {
+	const mostPower = 1 << 30 // Thousandths of a core; far above any instance.
+	return uint64(mostPower-min(max(power, 0), mostPower))<<32 | uint64(hash(name))
+}
+
+// before orders instances by their places.
+func before(orderA uint64, a string, orderB uint64, b string) bool {
 	return orderA < orderB || orderA == orderB && a < b
 }
 
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -118,6 +118,9 @@
 
 	// Instance corresponds to the JSON schema field "Instance".
 	Instance string `json:"Instance" msgpack:"Instance"`
+
+	// Processor time that the instance may use, in thousandths of a core.
+	Power int `json:"Power" msgpack:"Power"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -138,6 +141,9 @@
 	if _, ok := raw["Instance"]; raw != nil && !ok {
 		return fmt.Errorf("field Instance in LinkGreeting: required")
 	}
+	if _, ok := raw["Power"]; raw != nil && !ok {
+		return fmt.Errorf("field Power in LinkGreeting: required")
+	}
 	type Plain LinkGreeting
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
@@ -146,6 +152,9 @@
 	if utf8.RuneCountInString(string(plain.Instance)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "Instance", 1)
 	}
+	if 0 > plain.Power {
+		return fmt.Errorf("field %s: must be >= %v", "Power", 0)
+	}
 	*j = LinkGreeting(plain)
 	return nil
 }
--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -23,7 +23,7 @@
 	for ctx.Err() == nil {
 		savoryloft.Sleep(ctx, sweepInterval)
 		if changed := w.dropAbsent(); len(changed) > 0 && w.Changed != nil {
-			w.Changed(changed, true)
+			w.Changed(changed, "")
 		}
 	}
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -55,9 +55,9 @@
 	InForce [2]time.Duration
 	// Reader tells whether this instance reads the log for others.
 	Reader func() bool
-	// Changed is called with records that this instance has applied; own tells
-	// whether it read them from the log itself.
-	Changed func(records []savoryloft.ControlRecord, own bool)
+	// Changed is called with records that this instance has applied, and the peer
+	// that passed them on; empty when it read them from the log itself.
+	Changed func(records []savoryloft.ControlRecord, from string)
 
 	table    atomic.Pointer[router.Table]
 	services atomic.Pointer[map[string][]savoryloft.RegisteredUpstream]
@@ -267,12 +267,12 @@
 		w.mu.Unlock()
 	}
 	if len(changed) > 0 && w.Changed != nil {
-		w.Changed(changed, true)
+		w.Changed(changed, "")
 	}
 }
 
 // Take applies records that a peer has passed on.
-func (w *Watcher) Take(records []savoryloft.ControlRecord) {
+func (w *Watcher) Take(from string, records []savoryloft.ControlRecord) {
 	w.init()
 	var changed []savoryloft.ControlRecord
 	for _, r := range records {
@@ -281,7 +281,7 @@
 		}
 	}
 	if len(changed) > 0 && w.Changed != nil {
-		w.Changed(changed, false)
+		w.Changed(changed, from)
 	}
 }
 
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -156,7 +156,7 @@
 		value := string(encode(t, savoryloft.RegisteredUpstream{Service: "s", Address: "10.0.0.1:1"}))
 		w := &Watcher{Log: &faker.Log{}, Decoder: decoder{}, Logger: logr.Discard(), Reader: func() bool { return false }}
 		registry := int(savoryloft.TopicRegistry)
-		w.Take([]savoryloft.ControlRecord{
+		w.Take("peer", []savoryloft.ControlRecord{
 			{Topic: registry, Key: "gone before", Offset: 40},
 			{Topic: registry, Key: "a", Value: value, Offset: 23},
 		})
@@ -164,9 +164,9 @@
 		_, read := w.RegistryOffsets()
 		require.Equal(t, 40, read, "a drop of an unknown key completes the registry too")
 		time.Sleep(5 * time.Second)
-		w.Take([]savoryloft.ControlRecord{{Topic: registry, Key: "a", Offset: 44}})
+		w.Take("peer", []savoryloft.ControlRecord{{Topic: registry, Key: "a", Offset: 44}})
 		require.Empty(t, w.Upstreams("s"))
-		w.Take([]savoryloft.ControlRecord{{Topic: registry, Key: "a", Value: value, Offset: 23}})
+		w.Take("peer", []savoryloft.ControlRecord{{Topic: registry, Key: "a", Value: value, Offset: 23}})
 		require.Empty(t, w.Upstreams("s"), "an older record changes nothing")
 	})
 }
