--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -178,6 +178,20 @@
 	require.Greater(t, small.beside, 0.05)
 }
 
+// Requests of plain services have no prompt and do not move the border.
+func TestPlainRequestsAreOfNoKind(t *testing.T) {
+	p := &Placer{FailureDomain: "a"}
+	list := engines(2)
+	now := start
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		r := Request{Service: "s"}
+		c := choose(t, p, now, r, list)
+		p.Start(now, c, r).End(now.Add(time.Minute), Succeeded)
+	}
+	require.InDelta(t, usualShortPart, p.times.shortPart(now), 0.001)
+}
+
 // The part of the upstreams for short prompts follows the time that they take.
 func TestPartForShortPromptsFollowsTheirTime(t *testing.T) {
 	for _, tt := range []struct {
