--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -267,11 +267,11 @@
 	f := startFleet(t, n, domains)
 	f.eventually(t, "hubs are settled", func(i int) bool {
 		l := f.linkers[i]
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if len(l.members) < n-1 {
+		if len(l.Members()) < n-1 {
 			return false
 		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
 		if l.topology.hub {
 			return len(l.links) == hubsPerDomain*(domains-1)+n/domains-1
 		}
