--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -301,13 +301,19 @@
 	if w.asked.Load() || w.passedOver >= mostPassedOver || p.admitter.Policy.FirstInFirstOut {
 		return w
 	}
-	free := map[string]bool{}
-	for _, u := range p.Upstreams() {
-		if usable(u, w.request) {
-			free[u.Name] = true
+	var usableNames map[string]bool // Made when the first resumed waiter asks; mostly none waits.
+	free := func(name string) bool {
+		if usableNames == nil {
+			usableNames = map[string]bool{}
+			for _, u := range p.Upstreams() {
+				if usable(u, w.request) {
+					usableNames[u.Name] = true
+				}
+			}
 		}
+		return usableNames[name]
 	}
-	if w.request.Resumed && free[w.request.last] {
+	if w.request.Resumed && free(w.request.last) {
 		return w
 	}
 	cached := p.queue.resumedAt(w.class, free)
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -203,14 +203,14 @@
 	return best.waiters.Front().Value.(*waiter)
 }
 
-// resumedAt returns the oldest resumed waiter of a class that ran last on one of
-// some upstreams.
-func (q *queue) resumedAt(c *classQueue, upstreams map[string]bool) *waiter {
+// resumedAt returns the oldest resumed waiter of a class that ran last on an
+// upstream that is free.
+func (q *queue) resumedAt(c *classQueue, free func(upstream string) bool) *waiter {
 	var best *waiter
 	for _, a := range c.accounts {
 		for e := a.waiters.Front(); e != nil; e = e.Next() {
 			w := e.Value.(*waiter)
-			if !w.request.Resumed || !upstreams[w.request.last] {
+			if !w.request.Resumed || !free(w.request.last) {
 				continue
 			}
 			if best == nil || w.request.Arrived.Before(best.request.Arrived) {
--- a/admitter/sharer.go
+++ b/admitter/sharer.go
@@ -117,16 +117,17 @@
 			share.FleetFloors[t] += f
 		}
 	}
+	mine := rank(name, members[self].Name)
 	for _, m := range members {
-		if rank(name, m.Name) < rank(name, members[self].Name) {
+		if rank(name, m.Name) < mine {
 			share.Position++
 		}
 	}
 	p.share.Store(&share)
 	for i, u := range table {
-		mine := portion(u.Name, limits[i], capacity, members, slots, self)
+		part := portion(u.Name, limits[i], capacity, members, slots, self)
 		// Others may run more than their present portions until their requests end.
-		u.allowance.Store(int32(min(mine, free[i])))
+		u.allowance.Store(int32(min(part, free[i])))
 	}
 	p.countSlots()
 	p.dispatch()
--- a/cmd/loftctl/explain.go
+++ b/cmd/loftctl/explain.go
@@ -32,11 +32,9 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			var lines []string
 			for _, file := range args[1:] {
-				more, err := readLines(file)
-				if err != nil {
+				if err := eachLine(file, func(l string) { lines = append(lines, l) }); err != nil {
 					return err
 				}
-				lines = append(lines, more...)
 			}
 			story := explain(args[0], lines)
 			if len(story) == 0 {
@@ -50,19 +48,19 @@
 	}
 }
 
-func readLines(file string) ([]string, error) {
+// eachLine calls do with each line of a log.
+func eachLine(file string, do func(line string)) error {
 	f, err := os.Open(file)
 	if err != nil {
-		return nil, errors.Annotate(err, "read log")
+		return errors.Annotate(err, "read log")
 	}
 	defer f.Close()
-	var lines []string
 	s := bufio.NewScanner(f)
 	s.Buffer(nil, maxLogLine)
 	for s.Scan() {
-		lines = append(lines, s.Text())
+		do(s.Text())
 	}
-	return lines, errors.Annotate(s.Err(), file)
+	return errors.Annotate(s.Err(), file)
 }
 
 // explain returns the lines that tell a request's story, in order of time.
--- a/cmd/loftctl/report.go
+++ b/cmd/loftctl/report.go
@@ -1,13 +1,11 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"html/template"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"time"
 
@@ -50,12 +48,15 @@
 			}
 			s := &summarizer.Summary{Interval: interval}
 			requests := 0
+			add := func(line string) {
+				if s.Add(line) {
+					requests++
+				}
+			}
 			for _, file := range files {
-				n, err := addLog(s, file)
-				if err != nil {
+				if err := eachLine(file, add); err != nil {
 					return err
 				}
-				requests += n
 			}
 			if requests == 0 {
 				return errors.New("no line tells of a request; are these the logs of entry instances?")
@@ -67,24 +68,6 @@
 	return c
 }
 
-// addLog adds the lines of a file and returns how many of them counted.
-func addLog(s *summarizer.Summary, file string) (int, error) {
-	f, err := os.Open(file)
-	if err != nil {
-		return 0, errors.Annotate(err, "read log")
-	}
-	defer f.Close()
-	n := 0
-	lines := bufio.NewScanner(f)
-	lines.Buffer(nil, maxLogLine)
-	for lines.Scan() {
-		if s.Add(lines.Text()) {
-			n++
-		}
-	}
-	return n, errors.Annotate(lines.Err(), file)
-}
-
 // page is what the template shows.
 type page struct {
 	Plots     []template.HTML
--- a/linker/members.go
+++ b/linker/members.go
@@ -14,7 +14,6 @@
 	order    uint64        // Its place in the order of hubs.
 	heard    time.Duration // Uptime of the last status; 0 before the first.
 	known    time.Duration // Uptime at which it was heard of.
-	told     bool          // It has sent a status.
 	leaving  bool
 	leading  bool
 	yielded  time.Duration // Uptime after which its last status says that it has yielded; 0 when it does not.
@@ -33,7 +32,6 @@
 type Member struct {
 	savoryloft.LinkGreeting
 	Live    bool
-	Heard   bool // It has told of itself.
 	Leaving bool
 	Leading bool
 	Yielded time.Duration // Uptime after which it said that it has yielded the lease; 0 when it does not say so.
@@ -89,7 +87,7 @@
 	now := savoryloft.Uptime()
 	list := make([]Member, 0, len(l.members))
 	for _, m := range l.members {
-		list = append(list, Member{LinkGreeting: m.greeting, Live: m.live(now), Heard: m.told, Leaving: m.leaving, Leading: m.leading && m.live(now), Yielded: m.yielded})
+		list = append(list, Member{LinkGreeting: m.greeting, Live: m.live(now), Leaving: m.leaving, Leading: m.leading && m.live(now), Yielded: m.yielded})
 	}
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	return list
--- a/linker/news.go
+++ b/linker/news.go
@@ -199,7 +199,7 @@
 			l.topology.stale = true
 		}
 		m.logLost = s.LogLost
-		m.heard, m.told, m.leaving, m.leading = savoryloft.Uptime(), true, s.Leaving, s.Leading
+		m.heard, m.leaving, m.leading = savoryloft.Uptime(), s.Leaving, s.Leading
 		m.yielded = 0
 		if s.Yielded {
 			m.yielded = asOf
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -41,7 +41,7 @@
 	waited   int     // Prompt tokens that waited before it.
 	expected float64 // Predicted ms to the first token.
 	prefill  bool    // No first token yet.
-	kinded   bool    // It counts for the times of its kind: it has a prompt that an engine reads.
+	prompted bool    // It counts for the times of its kind: it has a prompt that an engine reads.
 	long     bool    // The prompt is long.
 	ended    bool
 }
@@ -206,7 +206,7 @@
 	if r.prefill {
 		r.endPrefill()
 	}
-	if r.kinded {
+	if r.prompted {
 		r.placer.times.add(now, r.long, now.Sub(r.started))
 	}
 	e := r.engine
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -364,7 +364,7 @@
 	defer p.mu.Unlock()
 	e := p.engine(c.Upstream)
 	run := &Run{
-		kinded: r.Engine != nil, long: r.PromptTokens >= longPrompt, placer: p, engine: e, uncached: c.Uncached, tokens: r.PromptTokens + r.OutputTokens, started: now,
+		prompted: r.Engine != nil, long: r.PromptTokens >= longPrompt, placer: p, engine: e, uncached: c.Uncached, tokens: r.PromptTokens + r.OutputTokens, started: now,
 		waited: c.Waiting, expected: float64(c.Waiting+c.Uncached) / e.readRate, prefill: true,
 	}
 	e.running++
