--- a/check.go
+++ b/check.go
@@ -81,29 +81,60 @@
 	if s.VersionAge < -1 || s.RegistryAge < -1 {
 		return errors.New("status has a negative age")
 	}
+	if s.Instances < 0 || s.DomainInstances < 0 {
+		return errors.New("status has a negative number of instances")
+	}
 	for _, u := range s.Usage {
-		if u.Requests < 0 {
-			return errors.Errorf("usage of account %q is negative", u.Account)
+		if err := u.Check(); err != nil {
+			return err
 		}
 	}
 	return checkLoadsAndParts(s.Loads, s.Parts)
 }
 
+// Check returns an error when a batch violates its schema.
+func (u UsageBatch) Check() error {
+	if len(u.Accounts) != len(u.Requests) {
+		return errors.Errorf("usage of %q has %d accounts and %d counts", u.Source, len(u.Accounts), len(u.Requests))
+	}
+	for i, n := range u.Requests {
+		if n < 0 {
+			return errors.Errorf("usage of account %q is negative", u.Accounts[i])
+		}
+	}
+	return nil
+}
+
 // Check returns an error when an update violates its schema.
 func (u LoadUpdate) Check() error {
 	return checkLoadsAndParts(u.Loads, u.Parts)
 }
 
-func checkLoadsAndParts(loads []LinkLoad, parts []HeldPart) error {
+func checkLoadsAndParts(loads *LoadChanges, parts []HeldPart) error {
 	for _, p := range parts {
 		if p.Upstream == "" || p.Part == "" || p.Tokens < 0 {
 			return errors.Errorf("part %q of upstream %q is malformed", p.Part, p.Upstream)
 		}
 	}
-	for _, l := range loads {
-		if l.Upstream == "" || l.Running < 0 || l.Prefill < 0 || l.Tokens < 0 {
-			return errors.Errorf("load of upstream %q is negative", l.Upstream)
-		}
+	if loads == nil {
+		return nil
+	}
+	return loads.Check()
+}
+
+// valuesPerLoad is the number of values that LoadChanges has for each load.
+const valuesPerLoad = 4
+
+// Check returns an error when load changes violate their schema.
+func (c LoadChanges) Check() error {
+	if slices.Contains(c.Names, "") {
+		return errors.New("load of an upstream without a name")
+	}
+	if len(c.Values)%valuesPerLoad != 0 {
+		return errors.Errorf("load changes have %d values, want a multiple of %d", len(c.Values), valuesPerLoad)
+	}
+	if slices.ContainsFunc(c.Values, func(v int) bool { return v < 0 }) {
+		return errors.New("load is negative")
 	}
 	return nil
 }
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -6,12 +6,16 @@
 // of an entry, so merging a message twice has no effect. The counts of a killed
 // instance survive at its peers.
 //
+// Changed entries are kept in the order of their last change, so that the cost of
+// telling a peer depends on the changes and not on the number of entries.
+//
 // # Usage
 //
 //	c := &counter.Counter{Source: "entry-1/1764822000000", Window: 5 * time.Second}
 //	c.Add(now, "tsagaan")
-//	c.Merge(countsFromPeer)
+//	c.Merge(now, batchesFromPeer, true)
 //	totals := c.Totals(c.WindowAt(now))
+//	batches, cursor := c.ChangedSince(cursor, savoryloft.OwnUsage)
 package counter
 
 import (
@@ -23,9 +27,32 @@
 	"savoryloft.example/savoryloft"
 )
 
-// retainedWindows is the number of windows retained before the newest one, so
-// that a new lease holder can report them.
-const retainedWindows = 12
+const (
+	// retainedWindows is the number of windows retained before the newest one, so
+	// that a new lease holder can report them.
+	retainedWindows = 12
+	minCompaction   = 64 // Outdated changes that are kept before the list of changes is compacted.
+)
+
+// key identifies a count.
+type key struct {
+	source  string
+	window  int
+	account string
+}
+
+type count struct {
+	requests int
+	relayed  bool // Merged for relay, see Merge.
+	change   int  // Number of the last change.
+}
+
+// change is one entry of the list of changes. It is outdated if the count has
+// changed since, or is no longer retained.
+type change struct {
+	number int
+	key    key
+}
 
 // Counter stores the counts of all instances. Set the exported fields before
 // calling a method.
@@ -33,10 +60,10 @@
 	Source string // Identifies this incarnation of this instance.
 	Window time.Duration
 
-	mu sync.Mutex
-	// counts holds the number of requests by source, window and account. The
-	// Requests field of the keys is 0.
-	counts       map[savoryloft.UsageCount]int
+	mu           sync.Mutex
+	counts       map[key]*count
+	changes      []change // In ascending order of number.
+	lastChange   int
 	newestWindow int
 }
 
@@ -53,63 +80,108 @@
 	defer c.mu.Unlock()
 	w := c.WindowAt(t)
 	c.advance(w)
-	c.counts[savoryloft.UsageCount{Source: c.Source, Window: w, Account: account}]++
+	k := key{c.Source, w, account}
+	n := c.count(k)
+	n.requests++
+	c.recordChange(k, n)
+}
+
+// count returns the count of a key, which it creates if necessary. The caller must
+// hold c.mu.
+func (c *Counter) count(k key) *count {
+	if c.counts == nil {
+		c.counts = map[key]*count{}
+	}
+	n := c.counts[k]
+	if n == nil {
+		n = &count{}
+		c.counts[k] = n
+	}
+	return n
+}
+
+// recordChange appends a change of a count. The caller must hold c.mu.
+func (c *Counter) recordChange(k key, n *count) {
+	c.lastChange++
+	n.change = c.lastChange
+	c.changes = append(c.changes, change{c.lastChange, k})
+	if len(c.changes) > 2*len(c.counts)+minCompaction {
+		c.changes = slices.DeleteFunc(c.changes, func(ch change) bool { return c.current(ch) == nil })
+	}
+}
+
+// current returns the count of a change, or nil if the change is outdated. The
+// caller must hold c.mu.
+func (c *Counter) current(ch change) *count {
+	if n := c.counts[ch.key]; n != nil && n.change == ch.number {
+		return n
+	}
+	return nil
 }
 
 // advance sets newestWindow to window if that is later, and deletes the counts of
 // windows that are no longer retained. The caller must hold c.mu.
 func (c *Counter) advance(window int) {
-	if c.counts == nil {
-		c.counts = map[savoryloft.UsageCount]int{}
-	}
 	if window <= c.newestWindow {
 		return
 	}
 	c.newestWindow = window
 	for k := range c.counts {
-		if k.Window < c.newestWindow-retainedWindows {
+		if k.window < c.newestWindow-retainedWindows {
 			delete(c.counts, k)
 		}
 	}
 }
 
-// Merge merges the counts received from a peer; the larger value of each count is
-// kept. It ignores windows more than retainedWindows before or after the newest
-// one, which a peer with a wrong clock may send.
-func (c *Counter) Merge(counts []savoryloft.UsageCount) {
+// Merge merges the counts received from a peer at a time of day; the larger value
+// of each count is kept. relay is whether this instance has to relay them. It
+// ignores windows more than retainedWindows away from that time, which a peer with
+// a wrong clock may send.
+func (c *Counter) Merge(t time.Time, batches []savoryloft.UsageBatch, relay bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, u := range counts {
-		if c.newestWindow > 0 && (u.Window < c.newestWindow-retainedWindows || u.Window > c.newestWindow+retainedWindows) {
+	current := c.WindowAt(t)
+	c.advance(current)
+	for _, b := range batches {
+		if b.Window < c.newestWindow-retainedWindows || b.Window > current+retainedWindows {
 			continue
 		}
-		c.advance(u.Window)
-		n := u.Requests
-		u.Requests = 0
-		c.counts[u] = max(c.counts[u], n)
+		for i, account := range b.Accounts {
+			k := key{b.Source, b.Window, account}
+			n := c.count(k)
+			if b.Requests[i] <= n.requests && (n.relayed || !relay) {
+				continue
+			}
+			n.requests = max(n.requests, b.Requests[i])
+			n.relayed = n.relayed || relay
+			c.recordChange(k, n)
+		}
 	}
 }
 
-// Unsent returns the counts that exceed those in sent, and updates sent. sent holds
-// the counts already sent to one peer. Unless allSources is set, only the counts of
-// this incarnation are returned.
-func (c *Counter) Unsent(sent map[savoryloft.UsageCount]int, allSources bool) []savoryloft.UsageCount {
+// ChangedSince returns the counts of a scope that have changed after the cursor,
+// and the cursor for the next call. The first cursor is 0.
+func (c *Counter) ChangedSince(cursor int, scope savoryloft.UsageScope) (batches []savoryloft.UsageBatch, next int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []savoryloft.UsageCount
-	for k, n := range c.counts {
-		if n > sent[k] && (allSources || k.Source == c.Source) {
-			sent[k] = n
-			k.Requests = n
-			list = append(list, k)
+	start, _ := slices.BinarySearchFunc(c.changes, cursor+1, func(ch change, number int) int { return ch.number - number })
+	index := map[key]int{} // Of the batch of a source and window.
+	for _, ch := range c.changes[start:] {
+		n := c.current(ch)
+		if n == nil || scope != savoryloft.AllUsage && ch.key.source != c.Source && (scope == savoryloft.OwnUsage || !n.relayed) {
+			continue
 		}
-	}
-	for k := range sent {
-		if _, ok := c.counts[k]; !ok {
-			delete(sent, k)
+		batchKey := key{source: ch.key.source, window: ch.key.window}
+		i, ok := index[batchKey]
+		if !ok {
+			i = len(batches)
+			index[batchKey] = i
+			batches = append(batches, savoryloft.UsageBatch{Source: ch.key.source, Window: ch.key.window})
 		}
+		batches[i].Accounts = append(batches[i].Accounts, ch.key.account)
+		batches[i].Requests = append(batches[i].Requests, n.requests)
 	}
-	return list
+	return batches, c.lastChange
 }
 
 // Totals returns the requests of each account in a window, summed over all
@@ -119,8 +191,8 @@
 	defer c.mu.Unlock()
 	totals := map[string]int{}
 	for k, n := range c.counts {
-		if k.Window == window && k.Account != "" {
-			totals[k.Account] += n
+		if k.window == window && k.account != "" {
+			totals[k.account] += n.requests
 		}
 	}
 	return totals
@@ -132,8 +204,8 @@
 	defer c.mu.Unlock()
 	seen := map[string]bool{}
 	for k := range c.counts {
-		if k.Window == window {
-			seen[k.Source] = true
+		if k.window == window {
+			seen[k.source] = true
 		}
 	}
 	return slices.Sorted(maps.Keys(seen))
--- /dev/null
+++ b/launcher/fleet_test.go
@@ -0,0 +1,299 @@
+//go:build !race
+
+// The race detector's runtime ends the process when a synctest bubble uses as many
+// timers as these tests do, so scripts/test.sh runs them without it.
+
+package launcher
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/exchanger"
+	"savoryloft.example/savoryloft/faker"
+	"savoryloft.example/savoryloft/placer"
+)
+
+// fleetSize is the size and the traffic of a simulated deployment.
+type fleetSize struct {
+	instances, domains, upstreams, accounts, parts int
+	requestsPerSecond                              float64
+}
+
+// fleet runs the components of many instances that do not serve sockets: links,
+// watcher, lease, counter and placer. Requests are simulated by calls of the
+// placer and the counter. It runs in a synctest bubble.
+type fleet struct {
+	fleetSize
+	t         *testing.T
+	log       *faker.Log
+	launchers []*Launcher
+	rng       *rand.Rand
+	cancel    context.CancelFunc
+	group     sync.WaitGroup
+	requests  int          // Simulated so far.
+	started   atomic.Int64 // Requests whose first token has arrived; they are counted for usage.
+}
+
+func fleetAddress(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/250, i%250) }
+
+// startFleet starts all instances at once.
+func startFleet(t *testing.T, size fleetSize, seed uint64) *fleet {
+	f := &fleet{fleetSize: size, t: t, log: &faker.Log{}, rng: rand.New(rand.NewPCG(seed, 1))}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.writeConfiguration(1)
+	for u := range size.upstreams {
+		f.register(u, 0)
+	}
+	listeners := map[string]chan net.Conn{}
+	dial := func(ctx context.Context, to string) (net.Conn, error) {
+		pipe := fasthttputil.NewPipeConns() // Unlike net.Pipe, it buffers writes.
+		select {
+		case listeners[to] <- pipe.Conn2():
+			return pipe.Conn1(), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	for i := range size.instances {
+		listeners[fleetAddress(i)] = make(chan net.Conn)
+	}
+	for i := range size.instances {
+		millicores := 192
+		if i < 3*size.domains {
+			millicores = 800
+		}
+		l := &Launcher{
+			Deployment: savoryloft.Deployment{
+				Instance: fmt.Sprintf("edge-%d", i), FailureDomain: fmt.Sprint("d", i%size.domains),
+				Seeds:  []string{fleetAddress(0), fleetAddress(1), fleetAddress(2)},
+				Listen: savoryloft.DeploymentListen{Links: fleetAddress(i)},
+				Limits: savoryloft.DeploymentLimits{CPUMillicores: millicores},
+				Bounds: savoryloft.DeploymentBounds{
+					Revocation: 5 * time.Second, ConfigurationInForce: 4 * time.Second, Drain: 4 * time.Second,
+					LeaseTTL: 3 * time.Second, UsageWindow: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 430,
+				},
+				Heartbeat: 1200 * time.Millisecond,
+			},
+			Decoder: fleetDecoder{}, Log: f.log, Pool: &exchanger.Pool{Dial: dial}, Logger: logr.Discard(),
+		}
+		l.build()
+		f.launchers = append(f.launchers, l)
+		listener := &pipeListener{conns: listeners[fleetAddress(i)], done: make(chan struct{})}
+		f.group.Go(func() { _ = l.linker.Serve(ctx, listener) })
+		for _, run := range []func(context.Context) error{l.linker.Run, l.watcher.Run, l.claimer.Run, l.maintainMembership, l.cleanUpPlacer} {
+			f.group.Go(func() { _ = run(ctx) })
+		}
+	}
+	f.group.Go(func() { f.heartbeat(ctx) })
+	return f
+}
+
+// stop ends all instances and waits for their goroutines.
+func (f *fleet) stop() {
+	f.cancel()
+	f.group.Wait()
+	time.Sleep(time.Minute)
+}
+
+// fleetDecoder decodes JSON forms of the domain types.
+type fleetDecoder struct{ versionDecoder }
+
+func (fleetDecoder) Upstream(_ string, value []byte) (u savoryloft.RegisteredUpstream, err error) {
+	var r struct {
+		savoryloft.RegisteredUpstream
+		Beat int
+	}
+	err = json.Unmarshal(value, &r)
+	return r.RegisteredUpstream, err
+}
+
+func (f *fleet) writeConfiguration(version int) {
+	value, err := json.Marshal(savoryloft.Configuration{Version: version})
+	require.NoError(f.t, err)
+	f.log.Set(savoryloft.TopicConfiguration, "config", value)
+}
+
+func fleetUpstream(u int) string { return fmt.Sprintf("i-%08x", u*2654435761) }
+
+// register writes the registry entry of an upstream, which differs between beats
+// only in a field that is not decoded.
+func (f *fleet) register(u, beat int) {
+	value, err := json.Marshal(map[string]any{
+		"ID": fleetUpstream(u), "Service": "s", "Address": fmt.Sprintf("10.1.%d.%d:1", u/250, u%250),
+		"FailureDomain": fmt.Sprint("d", u%f.domains), "Slots": 64, "Beat": beat,
+	})
+	require.NoError(f.t, err)
+	f.log.Set(savoryloft.TopicRegistry, fleetUpstream(u), value)
+}
+
+func (f *fleet) heartbeat(ctx context.Context) {
+	for beat := 1; ctx.Err() == nil; beat++ {
+		for u := range f.upstreams {
+			savoryloft.Sleep(ctx, 1200*time.Millisecond/time.Duration(f.upstreams))
+			f.register(u, beat)
+		}
+	}
+}
+
+// serve simulates traffic for a duration. The upstreams take prefillRate tokens a
+// ms, without regard to queues.
+func (f *fleet) serve(duration time.Duration) {
+	engine := &savoryloft.EngineTraits{Slots: 64, MemoryTokens: 508260}
+	end := time.Now().Add(duration)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(f.rng.ExpFloat64() / f.requestsPerSecond * float64(time.Second)))
+		l := f.launchers[f.rng.IntN(len(f.launchers))]
+		f.requests++
+		shared, own := 13300, 3720
+		switch f.rng.IntN(3) {
+		case 0:
+			shared, own = 6300, 2890
+		case 1:
+			shared, own = 350, 1110
+		}
+		r := placer.Request{
+			Service: "s", PromptTokens: shared + own, OutputTokens: 120, Engine: engine, Parts: []savoryloft.PromptPart{
+				{ID: fmt.Sprintf("%08x", f.rng.IntN(f.parts)*2654435761), Tokens: shared}, {ID: fmt.Sprint("own-", f.requests), Tokens: own},
+			},
+		}
+		l.relayer.RefreshPeerLoads()
+		choice, ok := l.placer.Choose(time.Now(), r, l.watcher.Upstreams("s"))
+		if !ok {
+			continue
+		}
+		run := l.placer.Start(time.Now(), choice, r)
+		l.relayer.PrefillChanged(choice.UncachedTokens)
+		account := fmt.Sprint("account-", f.rng.IntN(f.accounts))
+		time.AfterFunc(choice.TimeToFirstToken+30*time.Millisecond, func() {
+			run.RecordFirstToken(time.Now())
+			l.relayer.PrefillChanged(choice.UncachedTokens)
+			l.countRequest(account)
+			f.started.Add(1)
+		})
+		time.AfterFunc(choice.TimeToFirstToken+800*time.Millisecond, func() { run.End(time.Now(), placer.Succeeded) })
+	}
+}
+
+// linkBytes returns the number of bytes that all instances have sent on links.
+func (f *fleet) linkBytes() (total int) {
+	for _, l := range f.launchers {
+		sent, _ := l.linker.Bytes()
+		total += int(sent)
+	}
+	return total
+}
+
+// hubs returns the instances that are hubs.
+func (f *fleet) hubs() (hubs []*Launcher) {
+	for _, l := range f.launchers {
+		if l.linker.IsHub() {
+			hubs = append(hubs, l)
+		}
+	}
+	return hubs
+}
+
+// Guards against control traffic that grows with the square of the fleet. The size
+// and the rate are those of the largest deployment so far. The users allow 5 KB/s of
+// control traffic for each instance.
+func TestControlTrafficOfALargeFleet(t *testing.T) {
+	const (
+		maxBytesPerSecond = 5000 // For each instance.
+		maxCallsPerSecond = 15   // To the log, by all instances, whatever their number.
+		startup           = 14 * time.Second
+		period            = 10 * time.Second
+		settling          = 1500 * time.Millisecond // Until counts must have reached the lease holder.
+	)
+	size := fleetSize{instances: 195, domains: 6, upstreams: 117, accounts: 40, parts: 2700, requestsPerSecond: 320}
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, size, 1)
+		defer f.stop()
+		time.Sleep(startup)
+		calls := f.log.Calls()
+		require.LessOrEqual(t, calls, 3*size.instances+maxCallsPerSecond*int(startup.Seconds()), "calls to the log while all instances start")
+		require.Len(t, f.hubs(), 2*size.domains)
+		f.serve(time.Second)
+		before := f.linkBytes()
+		f.serve(period)
+		perInstance := float64(f.linkBytes()-before) / period.Seconds() / float64(size.instances)
+		t.Logf("%.0f bytes/s for each instance, %d calls to the log at the start, %.1f/s later", perInstance, calls,
+			float64(f.log.Calls()-calls)/(period.Seconds()+1))
+		require.LessOrEqual(t, perInstance, float64(maxBytesPerSecond))
+		require.LessOrEqual(t, f.log.Calls()-calls, maxCallsPerSecond*int(period.Seconds()+1), "calls to the log, whatever the size")
+		time.Sleep(settling)
+		for _, l := range f.hubs() {
+			total := 0
+			for w := l.counter.WindowAt(time.Now()) - 4; w <= l.counter.WindowAt(time.Now()); w++ {
+				for _, n := range l.usageCounts(w) {
+					total += n
+				}
+			}
+			require.EqualValues(t, f.started.Load(), total, "requests counted at %s", l.Deployment.Instance)
+		}
+		time.Sleep(5 * time.Second) // All requests end.
+		for _, l := range f.launchers {
+			require.Equal(t, size.instances, l.linker.InstanceCount())
+			require.Empty(t, l.linker.PeerLoads(), "no request runs any more")
+		}
+	})
+}
+
+// Instances that are not linked forget each other in time. The number of instances,
+// which divides the budget of repeated sends, must not change by that.
+func TestInstanceCountOfALargeFleetStaysRight(t *testing.T) {
+	size := fleetSize{instances: 36, domains: 3, upstreams: 10, accounts: 1, parts: 1, requestsPerSecond: 1}
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, size, 2)
+		defer f.stop()
+		time.Sleep(2 * time.Minute)
+		for _, l := range f.launchers {
+			require.Equal(t, size.instances, l.linker.InstanceCount(), l.Deployment.Instance)
+		}
+	})
+}
+
+// The loads that an instance knows of its peers must follow the true ones: within
+// the time of a few statuses and, as each frame holds only the largest changes,
+// within a bounded error.
+func TestLoadsReachAllInstancesOfALargeFleet(t *testing.T) {
+	size := fleetSize{instances: 36, domains: 3, upstreams: 100, accounts: 1, parts: 1, requestsPerSecond: 1}
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, size, 3)
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		want := map[string]int{}
+		for i, l := range f.launchers {
+			upstream := savoryloft.RegisteredUpstream{ID: fleetUpstream(i % size.upstreams)}
+			for range 1 + i%3 {
+				l.placer.Start(time.Now(), placer.Choice{Upstream: upstream}, placer.Request{Service: "s"})
+				want[upstream.ID]++
+			}
+		}
+		time.Sleep(3 * time.Second)
+		for i, l := range f.launchers {
+			running := map[string]int{}
+			for id, load := range l.placer.TotalLoads(time.Now()) {
+				running[id] = load.Running
+			}
+			for id, load := range l.linker.PeerLoads() {
+				running[id] += load.Running
+			}
+			require.Equal(t, want, running, "instance %d", i)
+		}
+	})
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -13,6 +13,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -71,6 +72,7 @@
 
 	incarnation      int
 	stopping         atomic.Bool
+	membersKnown     atomic.Bool // The member list has been read, or could not be read.
 	peerLoadsChanged atomic.Bool // Set until the placer has the peers' current loads.
 	registry         metrics.Registry
 	watcher          *watcher.Watcher
@@ -172,23 +174,33 @@
 	}
 	l.sharedLinker.Store(l.linker)
 	l.watcher = &watcher.Watcher{
-		Log: l.Log, Decoder: l.Decoder, Logger: l.Logger, IsReader: l.linker.IsReader, OnChange: l.relayRecords,
+		Log: l.Log, Decoder: l.Decoder, Logger: l.Logger, ReaderRank: l.readerRank, ReadersFail: l.linker.ReadersFail, OnChange: l.relayRecords,
 		PropagationLimits: [2]time.Duration{d.Bounds.ConfigurationInForce, d.Bounds.Drain},
 	}
 	l.claimer = &claimer.Claimer{
 		Log: l.Log, Instance: d.Instance, Incarnation: l.incarnation, TTL: d.Bounds.LeaseTTL,
-		Position: l.linker.ReaderRank, PeerHoldsLease: l.peerHoldsLease, YieldedAt: l.yieldedAt, Partials: l.partialCounts, Logger: l.Logger,
+		Position: l.readerRank, PeerHoldsLease: l.peerHoldsLease, YieldedAt: l.linker.YieldedAt, Partials: l.partialCounts, Logger: l.Logger,
 	}
 	l.relayer = &relayer.Relayer{
 		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
-		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, Instances: l.instanceCount,
+		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, Instances: l.linker.InstanceCount,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
 		Limiter: &limiter.Limiter{
-			Ratio: d.Bounds.RetryRatio, Slack: d.Bounds.RetrySlack, Window: d.Bounds.RetryWindow, Instances: l.instanceCount,
+			Ratio: d.Bounds.RetryRatio, Slack: d.Bounds.RetrySlack, Window: d.Bounds.RetryWindow, Instances: l.linker.InstanceCount,
 		},
 	}
 }
 
+// readerRank returns the rank of this instance among the readers of the log. Until
+// it has looked for other instances in the member list, it leaves the reading to
+// them.
+func (l *Launcher) readerRank() int {
+	if !l.membersKnown.Load() {
+		return math.MaxInt
+	}
+	return l.linker.ReaderRank()
+}
+
 // relayRecords sends control records to the peers that need them. from is the
 // peer that sent the records, or empty when this instance read them from the
 // log.
@@ -212,21 +224,6 @@
 	return ok && age < leaderTimeout
 }
 
-// yieldedAt returns an uptime after which an incarnation of an instance reported
-// that it does not hold the lease and has no claim in flight that could take
-// effect; 0 when it has not reported so.
-func (l *Launcher) yieldedAt(instance string, incarnation int) time.Duration {
-	for _, m := range l.linker.Members() {
-		if m.Instance == instance && m.Incarnation == incarnation {
-			return m.Yielded
-		}
-	}
-	return 0
-}
-
-// instanceCount returns the number of known instances, including this one.
-func (l *Launcher) instanceCount() int { return len(l.linker.Members()) + 1 }
-
 func (l *Launcher) countRequest(account string) {
 	l.counter.Add(l.clusterTime(), account)
 }
@@ -331,7 +328,9 @@
 				l.Logger.V(1).Info("registration in the member list failed, retrying", "step", savoryloft.StepPeer, "error", err.Error())
 			}
 		}
-		if err := l.readMembers(ctx); err != nil {
+		err := l.readMembers(ctx)
+		l.membersKnown.Store(true)
+		if err != nil {
 			l.Logger.V(1).Info("reading the member list failed, retrying", "step", savoryloft.StepPeer, "error", err.Error())
 		} else if registered {
 			savoryloft.Sleep(ctx, memberReadInterval)
--- a/launcher/observed.go
+++ b/launcher/observed.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/observer"
 )
 
 // instrumentedLog wraps a record log and records the number, outcome and
@@ -30,7 +31,7 @@
 	}
 	metrics.GetOrRegisterCounter("log_calls_total."+call+"."+t.String()+"."+outcome, o.registry).Inc(1)
 	if call != "Read" { // The duration of a Read is dominated by its long poll.
-		metrics.GetOrRegisterHistogram("log_call_ms."+call, o.registry, newSample()).Update(time.Since(started).Milliseconds())
+		observer.ObserveMilliseconds(o.registry, "log_call_ms."+call, time.Since(started))
 	}
 }
 
@@ -66,14 +67,6 @@
 	return err
 }
 
-const (
-	// Reservoir size and decay factor as recommended by go-metrics.
-	sampleSize  = 1028
-	sampleAlpha = 0.015
-)
-
-func newSample() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, sampleAlpha) }
-
 // logCounters regularly logs all counters, for operators who have access to the
 // logs but not to the metrics page.
 func (l *Launcher) logCounters(ctx context.Context) error {
@@ -87,7 +80,7 @@
 		})
 		sent, received := l.linker.Bytes()
 		pairs = append(pairs, "link_bytes_sent", sent, "link_bytes_received", received,
-			"position", l.linker.ReaderRank(), "members", l.instanceCount())
+			"position", l.linker.ReaderRank(), "members", l.linker.InstanceCount())
 		l.Logger.Info("counters", pairs...)
 	}
 	return nil
--- a/launcher/pages.go
+++ b/launcher/pages.go
@@ -123,7 +123,7 @@
 	set("lease_held", int64(boolToInt(held)))
 	set("lease_fence", int64(fence))
 	set("configuration_version", int64(l.watcher.Version()))
-	set("members", int64(l.instanceCount()))
+	set("members", int64(l.linker.InstanceCount()))
 	set("requests_active", int64(l.relayer.ActiveRequests()))
 	sent, received := l.linker.Bytes()
 	set("link_bytes.sent", sent)
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -41,8 +41,8 @@
 func (s linkSource) Loads() []savoryloft.LinkLoad { return s.placer.Loads(time.Now()) }
 
 // UsageSince implements linker.Source.
-func (s linkSource) UsageSince(sent map[savoryloft.UsageCount]int, all bool) []savoryloft.UsageCount {
-	return s.counter.Unsent(sent, all)
+func (s linkSource) UsageSince(cursor int, scope savoryloft.UsageScope) (counts []savoryloft.UsageBatch, next int) {
+	return s.counter.ChangedSince(cursor, scope)
 }
 
 // RecordsSince implements linker.Source.
@@ -56,7 +56,9 @@
 }
 
 // MergeUsage implements linker.Source.
-func (s linkSource) MergeUsage(counts []savoryloft.UsageCount) { s.counter.Merge(counts) }
+func (s linkSource) MergeUsage(counts []savoryloft.UsageBatch, relay bool) {
+	s.counter.Merge(s.clusterTime(), counts, relay)
+}
 
 // ApplyStatus implements linker.Source. If this instance has at least the
 // peer's configuration version and registry offset, the ages that the peer
--- a/linker/link.go
+++ b/linker/link.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -14,13 +15,17 @@
 )
 
 const (
-	maxQueuedFrames   = 256                    // Capacity of a link's send queue; the link is closed when it overflows.
-	maxSentTimes      = 64                     // Send times stored per link; echoed statuses are far more recent.
-	meshUpdateDelay   = 5 * time.Millisecond   // Coalesces changes into one update.
-	hubUpdateDelay    = 200 * time.Millisecond // Longer than in a mesh, because one update covers many instances.
-	totalLoadsMaxAge  = 50 * time.Millisecond  // Lifetime of the cached sum of all peers' loads.
-	fullLoadsInterval = 8                      // Every eighth status carries all loads instead of the changed ones.
-	resendThreshold   = 3                      // Consecutive statuses with old versions after which records are sent again.
+	maxQueuedFrames   = 256                  // Capacity of a link's send queue; the link is closed when it overflows.
+	maxSentTimes      = 64                   // Send times stored per link; echoed statuses are far more recent.
+	updateDelay       = 5 * time.Millisecond // Coalesces changes into one update.
+	fullLoadsInterval = 40                   // Every 40th status carries all loads instead of the changed ones.
+	resendThreshold   = 3                    // Consecutive statuses with old versions after which records are sent again.
+	// secondaryIntervalFactor is the interval between statuses on a link that only
+	// serves as a fallback, as a multiple of the usual one.
+	secondaryIntervalFactor = 2
+	// protocol is the version of the frames. Instances of different versions do not
+	// keep a link, since the fields of a frame have no names on the wire.
+	protocol = 1
 )
 
 // link is one connection to a peer.
@@ -49,14 +54,17 @@
 	clockOffsetAt  time.Time             // Local time of the measurement, with its monotonic reading.
 	unneededSince  time.Duration         // Uptime since which neither side needs the link; 0 while one does.
 	pendingParts   []savoryloft.HeldPart // Not yet sent to the peer.
+	decoder        loadDecoder
+	instances      int           // Live instances according to the peer's last status.
+	domainCount    int           // Live instances of the peer's failure domain according to that status.
+	countedAt      time.Duration // Uptime of that status.
 
 	// Used only by the reader.
 	behindCount int // Consecutive statuses in which the peer lacked records.
 
 	// Used only by the writer.
-	usageSent   map[savoryloft.UsageCount]int
-	loadsSent   map[string]savoryloft.LinkLoad
-	statusCount int
+	usageCursor int
+	encoder     loadEncoder
 }
 
 // runLink serves one connection until it ends. dialed is whether this instance
@@ -71,8 +79,7 @@
 		linker: l, conn: conn, reader: bufio.NewReader(conn), dialed: dialed, cancel: cancel,
 		sendQueue: make(chan savoryloft.LinkFrame, maxQueuedFrames), statusDue: make(chan struct{}, 1),
 		updateDue: make(chan struct{}, 1),
-		sentAt:    map[int]time.Duration{}, usageSent: map[savoryloft.UsageCount]int{},
-		loads: map[string]savoryloft.LinkLoad{}, loadsSent: map[string]savoryloft.LinkLoad{},
+		sentAt:    map[int]time.Duration{}, loads: map[string]savoryloft.LinkLoad{},
 	}
 	if err := k.exchangeGreetings(); err != nil {
 		l.Logger.V(1).Info("link handshake failed", "step", savoryloft.StepPeer, "peer", conn.RemoteAddr().String(), "error", err.Error())
@@ -108,9 +115,27 @@
 		return errors.New("first frame is not a greeting from another instance")
 	}
 	k.peer = *f.Greeting
+	if k.peer.Protocol != protocol {
+		k.linker.rejectProtocol(k.peer)
+		return errors.Errorf("%s has version %d of the protocol, want %d", k.peer.Instance, k.peer.Protocol, protocol)
+	}
 	return nil
 }
 
+// rejectProtocol logs, once for each incarnation, that no link is kept to a peer
+// whose build has another version of the protocol.
+func (l *Linker) rejectProtocol(g savoryloft.LinkGreeting) {
+	name := fmt.Sprintf("%s/%d", g.Instance, g.Incarnation)
+	l.mu.Lock()
+	known := l.rejected[name]
+	l.rejected[name] = true
+	l.mu.Unlock()
+	if !known {
+		l.Logger.Info("no link to a peer with another protocol", "step", savoryloft.StepPeer, "peer", g.Instance,
+			"protocol", g.Protocol, "own_protocol", protocol)
+	}
+}
+
 // addLink registers k as the link to its peer and reports whether to use it.
 // When both sides dial at once, the link dialed by the instance with the smaller
 // name is kept. Any other earlier link to the peer is replaced.
@@ -123,6 +148,7 @@
 		if sameIncarnation && preferred && old.dialed != k.dialed {
 			return false
 		}
+		old.dropLoads()
 		old.cancel()
 	}
 	l.addMembers([]savoryloft.LinkGreeting{k.peer}, k)
@@ -131,6 +157,7 @@
 	}
 	l.links[k.peer.Instance] = k
 	l.topology.stale = true
+	l.queueRecentParts(k)
 	others := make([]savoryloft.LinkGreeting, 0, len(l.members))
 	for _, m := range l.members {
 		if m.greeting.Instance != k.peer.Instance {
@@ -148,6 +175,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.links[k.peer.Instance] == k {
+		k.dropLoads()
 		delete(l.links, k.peer.Instance)
 		l.topology.stale = true
 	}
@@ -187,11 +215,7 @@
 // status at each interval and the other side replies immediately, which keeps
 // the ages derived from echoed statuses as small as possible.
 func (k *link) write(ctx context.Context) {
-	interval := k.linker.Interval
-	if !k.dialed {
-		interval = linkTimeout
-	}
-	t := time.NewTicker(interval)
+	t := time.NewTimer(savoryloft.AlignDelay(k.statusInterval()))
 	defer t.Stop()
 	var update <-chan time.Time // Fires when a requested update is due; nil when none is.
 	for {
@@ -202,7 +226,7 @@
 		case f = <-k.sendQueue:
 		case <-k.updateDue:
 			if update == nil {
-				update = time.After(k.updateDelay())
+				update = time.After(updateDelay)
 			}
 			continue
 		case <-update:
@@ -211,6 +235,7 @@
 		case <-k.statusDue:
 			f = savoryloft.LinkFrame{Status: k.newStatus()}
 		case <-t.C:
+			t.Reset(savoryloft.AlignDelay(k.statusInterval()))
 			f = savoryloft.LinkFrame{Status: k.newStatus()}
 		}
 		if k.writeFrame(f) != nil {
@@ -219,6 +244,24 @@
 	}
 }
 
+// statusInterval returns the time between the statuses that the writer sends on its
+// own. The side that did not dial only replies, unless the other one falls silent.
+// The link to a hub that is not the primary one only has to show that it works.
+func (k *link) statusInterval() time.Duration {
+	l := k.linker
+	if !k.dialed {
+		return linkTimeout
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.currentTopology(savoryloft.Uptime())
+	primary := k.child || t.primary == k.peer.Instance
+	if !t.mesh && !primary && (!t.hub || !t.hubs[k.peer.Instance]) {
+		return secondaryIntervalFactor * l.Interval
+	}
+	return l.Interval
+}
+
 func (k *link) writeFrame(f savoryloft.LinkFrame) error {
 	data, err := framer.Encode(&f)
 	if err != nil {
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -32,6 +32,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -49,6 +50,7 @@
 	liveTimeout      = 1200 * time.Millisecond // A member with no status for this long is not considered live.
 	memberTimeout    = 30 * time.Second        // A member with no status for this long is removed.
 	maintainInterval = 100 * time.Millisecond
+	expiryInterval   = time.Second // Between searches for expired members.
 	minRedialBackoff = 200 * time.Millisecond
 	maxRedialBackoff = 3 * time.Second
 	dialTimeout      = time.Second
@@ -58,20 +60,21 @@
 // the data that it receives from them.
 type Source interface {
 	// FillStatus sets the fields of a status except Sequence, Echo, EchoAge, Child,
-	// Loads, Whole, Parts and Usage.
+	// Instances, DomainInstances, Loads, Whole, Parts and Usage.
 	FillStatus(s *savoryloft.LinkStatus)
 	// Loads returns this instance's own loads.
 	Loads() []savoryloft.LinkLoad
-	// UsageSince returns the counts that exceed those in sent and stores them in
-	// sent. Unless all is set, it returns only the counts of this instance.
-	UsageSince(sent map[savoryloft.UsageCount]int, all bool) []savoryloft.UsageCount
+	// UsageSince returns the usage counts of a scope that have changed after a cursor,
+	// and the next cursor. The first cursor is 0.
+	UsageSince(cursor int, scope savoryloft.UsageScope) (counts []savoryloft.UsageBatch, next int)
 	// RecordsSince returns the control records missing at an instance that has
 	// the given configuration version and the registry up to the given offset.
 	RecordsSince(version, registryRead int) []savoryloft.ControlRecord
 	// ApplyRecords applies control records received from a peer.
 	ApplyRecords(peer string, records []savoryloft.ControlRecord)
-	// MergeUsage merges usage counts received from a peer.
-	MergeUsage(counts []savoryloft.UsageCount)
+	// MergeUsage merges usage counts received from a peer. relay is whether this
+	// instance has to relay them to other hubs.
+	MergeUsage(counts []savoryloft.UsageBatch, relay bool)
 	// ApplyStatus processes a status received from a peer. asOf is the local uptime
 	// to which the ages in the status are relative, or 0 if the send time of the
 	// echoed status is not stored; see Ages in the package documentation.
@@ -103,11 +106,15 @@
 	mu           sync.Mutex
 	topology     topology
 	members      map[string]*member
-	totalLoads   map[string]savoryloft.LinkLoad // Cached sum of all peers' loads, by upstream.
-	totalLoadsAt time.Duration                  // Uptime at which totalLoads was computed.
-	leaderSeenAt time.Duration                  // Latest uptime at which another instance is known to have held the lease; 0 if never.
-	seeds        map[string]*dialState          // By address.
-	links        map[string]*link               // By instance.
+	totalLoads   loadSums              // Of all peers.
+	childLoads   loadSums              // Of the instances that rely on this one to relay their loads.
+	recentParts  []timedPart           // Parts that were queued lately, for links that come up.
+	expiredAt    time.Duration         // Uptime of the last search for expired members.
+	expired      map[string]int        // Incarnations of the members that were removed after memberTimeout.
+	rejected     map[string]bool       // Peers whose protocol was found to differ, to log each only once.
+	leaderSeenAt time.Duration         // Latest uptime at which another instance is known to have held the lease; 0 if never.
+	seeds        map[string]*dialState // By address.
+	links        map[string]*link      // By instance.
 	wg           sync.WaitGroup
 	once         sync.Once
 }
@@ -116,6 +123,8 @@
 	l.once.Do(func() {
 		l.members = map[string]*member{}
 		l.links = map[string]*link{}
+		l.totalLoads, l.childLoads = loadSums{}, loadSums{}
+		l.expired, l.rejected = map[string]int{}, map[string]bool{}
 		l.seeds = map[string]*dialState{}
 		for _, s := range l.Seeds {
 			if s != l.Address {
@@ -132,7 +141,7 @@
 func (l *Linker) greeting() savoryloft.LinkGreeting {
 	return savoryloft.LinkGreeting{
 		Instance: l.Instance, Incarnation: l.Incarnation, FailureDomain: l.FailureDomain, Address: l.Address,
-		Power: l.CPUMillicores,
+		Power: l.CPUMillicores, Protocol: protocol,
 	}
 }
 
@@ -161,17 +170,12 @@
 // waits for all dial attempts and links to end. It always returns nil.
 func (l *Linker) Run(ctx context.Context) error {
 	l.init()
-	t := time.NewTicker(maintainInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			l.wg.Wait()
-			return nil
-		case <-t.C:
-			l.maintain(ctx)
-		}
+	for ctx.Err() == nil {
+		savoryloft.Sleep(ctx, maintainInterval)
+		l.maintain(ctx)
 	}
+	l.wg.Wait()
+	return nil
 }
 
 // maintain dials members that are due, removes expired members and closes links
@@ -186,15 +190,26 @@
 			l.dialIfDue(ctx, address, d, now)
 		}
 	}
+	if now-l.expiredAt > expiryInterval {
+		l.expiredAt = now
+		l.removeExpiredMembers(now)
+	}
 	l.pruneLinks(now)
+	for name := range l.currentTopology(now).hubs { // Others are never dialed.
+		if m := l.members[name]; m != nil && l.links[name] == nil && l.shouldDial(name, m, now) {
+			l.dialIfDue(ctx, m.greeting.Address, &m.dialState, now)
+		}
+	}
+}
+
+// removeExpiredMembers removes the members that have been silent for
+// memberTimeout. The caller holds the lock.
+func (l *Linker) removeExpiredMembers(now time.Duration) {
 	for name, m := range l.members {
 		if now-max(m.lastStatusAt, m.addedAt) > memberTimeout {
 			delete(l.members, name)
+			l.expired[name] = max(l.expired[name], m.greeting.Incarnation)
 			l.topology.stale = true
-			continue
-		}
-		if l.links[name] == nil && l.shouldDial(name, m, now) {
-			l.dialIfDue(ctx, m.greeting.Address, &m.dialState, now)
 		}
 	}
 }
@@ -291,27 +306,20 @@
 	}
 }
 
-// BroadcastUpdate sends changed loads and newly cached prompt parts to the peers
-// after the coalescing delay.
+// BroadcastUpdate tells the peers changed loads and newly cached prompt parts. In a
+// mesh they are sent after a short coalescing delay. In a larger deployment, where
+// an update would pass through hubs to all instances, they are sent with the next
+// status.
 func (l *Linker) BroadcastUpdate(parts []savoryloft.HeldPart) {
 	l.init()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.queueParts(parts, nil)
-	for _, k := range l.links {
-		k.requestUpdate()
-	}
-}
-
-// queueParts queues prompt parts on all links except one. The caller holds the lock.
-func (l *Linker) queueParts(parts []savoryloft.HeldPart, except *link) {
-	if len(parts) == 0 {
+	if !l.currentTopology(savoryloft.Uptime()).mesh {
 		return
 	}
 	for _, k := range l.links {
-		if k != except {
-			k.pendingParts = append(k.pendingParts, parts...)
-		}
+		k.requestUpdate()
 	}
 }
 
@@ -320,47 +328,24 @@
 	l.init()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.sumLoads(nil)
+	return maps.Clone(l.totalLoads)
 }
 
 // LoadDelay returns the expected propagation delay of other instances' loads. In a
-// mesh it is zero, because the short coalescing delay is ignored. Otherwise it is
-// the coalescing delay of hubs times the number of links on the longest path.
+// mesh it is zero, because the short coalescing delay is ignored. Otherwise loads
+// travel with the statuses, so it is half of the status interval times the number
+// of links on the longest path.
 func (l *Linker) LoadDelay() time.Duration {
 	if l.InMesh() {
 		return 0
 	}
-	return maxLoadHops * hubUpdateDelay
+	return maxLoadHops * l.Interval / 2
 }
 
 // maxLoadHops is the number of links between two instances that are not hubs and
 // are in different failure domains.
 const maxLoadHops = 3
 
-// sumLoads returns the sum of the loads received from all peers except one. The
-// caller holds the lock.
-func (l *Linker) sumLoads(except *link) map[string]savoryloft.LinkLoad {
-	sum := map[string]savoryloft.LinkLoad{}
-	for _, k := range l.links {
-		if k == except {
-			continue
-		}
-		for _, load := range k.loads {
-			addLoad(sum, load)
-		}
-	}
-	return sum
-}
-
-func addLoad(sum map[string]savoryloft.LinkLoad, load savoryloft.LinkLoad) {
-	s := sum[load.Upstream]
-	s.Upstream = load.Upstream
-	s.Running += load.Running
-	s.Prefill += load.Prefill
-	s.Tokens += load.Tokens
-	sum[load.Upstream] = s
-}
-
 // ClockOffset returns the median offset of the wall clocks of this instance and
 // its live linked peers from this instance's wall clock. The median tolerates
 // wrong clocks at a minority of the instances.
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -43,8 +44,8 @@
 	return append([]savoryloft.LinkLoad(nil), p.loads...)
 }
 
-func (p *fakeSource) UsageSince(map[savoryloft.UsageCount]int, bool) []savoryloft.UsageCount {
-	return nil
+func (p *fakeSource) UsageSince(int, savoryloft.UsageScope) ([]savoryloft.UsageBatch, int) {
+	return nil, 0
 }
 
 func (p *fakeSource) RecordsSince(version, _ int) []savoryloft.ControlRecord {
@@ -70,7 +71,7 @@
 	}
 }
 
-func (p *fakeSource) MergeUsage([]savoryloft.UsageCount) {}
+func (p *fakeSource) MergeUsage([]savoryloft.UsageBatch, bool) {}
 
 func (p *fakeSource) ApplyStatus(_ string, _ *savoryloft.LinkStatus, asOf time.Duration) {
 	p.mu.Lock()
@@ -162,7 +163,7 @@
 	f.eventually(t, "every instance has all members", func(i int) bool { return len(f.linkers[i].Members()) == 4 })
 	f.sources[3].mu.Lock()
 	f.sources[3].version = 7
-	f.sources[3].loads = []savoryloft.LinkLoad{{Upstream: "u", Running: 3, Prefill: 500, Tokens: 10}}
+	f.sources[3].loads = []savoryloft.LinkLoad{{Upstream: "u", Running: 3, Prefill: 500, Tokens: 10 * tokensStep}}
 	f.sources[3].mu.Unlock()
 	f.eventually(t, "records reach all", func(i int) bool { return f.sources[i].withLock(func(p *fakeSource) bool { return p.version == 7 }) })
 	f.eventually(t, "loads reach all others", func(i int) bool { return i == 3 || f.linkers[i].PeerLoads()["u"].Running == 3 })
@@ -217,7 +218,7 @@
 	f.eventually(t, "every instance has all members", func(i int) bool { return len(f.linkers[i].Members()) == n-1 })
 	for i, p := range f.sources {
 		p.mu.Lock()
-		p.loads = []savoryloft.LinkLoad{{Upstream: "u", Running: 1, Tokens: i + 1}}
+		p.loads = []savoryloft.LinkLoad{{Upstream: "u", Running: 1, Tokens: tokensStep * (i + 1)}}
 		p.mu.Unlock()
 	}
 	f.eventually(t, "each instance counts every other one once", func(i int) bool { return f.linkers[i].PeerLoads()["u"].Running == n-1 })
@@ -400,39 +401,157 @@
 	require.ElementsMatch(t, []string{"10.0.0.2:1", "10.0.0.3:1"}, list, "each seed once, except this instance itself")
 }
 
-// A record must be sent without the delay that coalesces load updates.
+// A record must be sent without the delay that coalesces load updates, and without
+// waiting for the next status.
 func TestRecordsDoNotWaitForUpdates(t *testing.T) {
-	local, remote := net.Pipe()
-	defer remote.Close()
-	l := &Linker{Instance: "a", Interval: time.Minute, Logger: logr.Discard(), Source: &fakeSource{}}
-	l.init()
-	// Too many members for a mesh, since hubs delay updates the longest.
-	var greetings []savoryloft.LinkGreeting
-	for i := range maxMeshInstances {
-		greetings = append(greetings, savoryloft.LinkGreeting{Instance: fmt.Sprint("b", i), Incarnation: 1, Address: "127.0.0.1:9"})
+	for _, tt := range []struct {
+		name    string
+		members int
+	}{
+		{"mesh", 1},
+		{"hubs", maxMeshInstances},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var greetings []savoryloft.LinkGreeting
+				for i := range tt.members {
+					greetings = append(greetings, savoryloft.LinkGreeting{Instance: fmt.Sprint("b", i), Incarnation: 1, Address: "127.0.0.1:9", Protocol: protocol})
+				}
+				l := &Linker{Instance: "a", Interval: time.Minute, Logger: logr.Discard(), Source: &fakeSource{}}
+				l.init()
+				l.AddMembers(greetings)
+				p := linkPeer(t, l, greetings[0])
+				if tt.members > 1 {
+					require.NotEmpty(t, p.read().Members)
+				}
+				started := time.Now()
+				l.BroadcastUpdate(nil)
+				synctest.Wait() // The writer has received the update request.
+				l.BroadcastRecords([]savoryloft.ControlRecord{{Key: "config", Offset: 9}}, "")
+				require.NotEmpty(t, p.read().Records, "records are sent before the update")
+				require.Zero(t, time.Since(started))
+				if tt.members == 1 {
+					require.NotNil(t, p.read().Update)
+				}
+			})
+		})
 	}
-	l.AddMembers(greetings)
+}
+
+// testPeer is the other end of a link of a linker under test.
+type testPeer struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// linkPeer opens a link between l and a peer, whose end the test plays in a synctest
+// bubble. The link ends with the test.
+func linkPeer(t *testing.T, l *Linker, g savoryloft.LinkGreeting) *testPeer {
+	local, remote := net.Pipe()
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go l.runLink(ctx, local, true)
-	reader := bufio.NewReader(remote)
-	read := func() (f savoryloft.LinkFrame) {
-		body, err := framer.ReadBody(reader)
-		require.NoError(t, err)
-		require.NoError(t, framer.Decode(body, &f))
-		return f
-	}
-	read()
-	data, err := framer.Encode(&savoryloft.LinkFrame{Greeting: &greetings[0]})
-	require.NoError(t, err)
-	_, err = remote.Write(data)
-	require.NoError(t, err)
-	require.NotEmpty(t, read().Members)
-	l.BroadcastUpdate(nil)
-	time.Sleep(hubUpdateDelay / 10) // Let the writer receive the update request.
-	l.BroadcastRecords([]savoryloft.ControlRecord{{Key: "config", Offset: 9}}, "")
-	require.NotEmpty(t, read().Records, "records are sent before the update")
-	require.NotNil(t, read().Update)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.runLink(ctx, local, true)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		_ = remote.Close()
+		<-done
+	})
+	p := &testPeer{t, remote, bufio.NewReader(remote)}
+	p.read()
+	p.write(savoryloft.LinkFrame{Greeting: &g})
+	synctest.Wait() // The link is registered, unless it was refused.
+	return p
+}
+
+func (p *testPeer) read() (f savoryloft.LinkFrame) {
+	body, err := framer.ReadBody(p.reader)
+	require.NoError(p.t, err)
+	require.NoError(p.t, framer.Decode(body, &f))
+	return f
+}
+
+func (p *testPeer) write(f savoryloft.LinkFrame) {
+	data, err := framer.Encode(&f)
+	require.NoError(p.t, err)
+	_, err = p.conn.Write(data)
+	require.NoError(p.t, err)
+}
+
+// A link may end before it has sent the parts that were queued on it. The link that
+// replaces it must send them, since they are queued only once.
+func TestPartsOfAnEndedLinkAreSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Linker{Instance: "a", Interval: time.Second, Logger: logr.Discard(), Source: &fakeSource{}}
+		l.init()
+		peer := savoryloft.LinkGreeting{Instance: "b", Incarnation: 1, Address: "127.0.0.1:9", Protocol: protocol}
+		first := linkPeer(t, l, peer)
+		held := savoryloft.HeldPart{Upstream: "u", Part: "p", Tokens: 5}
+		l.BroadcastUpdate([]savoryloft.HeldPart{held})
+		_ = first.conn.Close()
+		synctest.Wait()
+		second := linkPeer(t, l, peer)
+		for {
+			f := second.read()
+			if f.Status == nil {
+				continue
+			}
+			require.Equal(t, []savoryloft.HeldPart{held}, f.Status.Parts)
+			return
+		}
+	})
+}
+
+// Instances of builds with other frames must not misread each other's fields.
+func TestLinksBetweenProtocolsAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Linker{Instance: "a", Interval: time.Second, Logger: logr.Discard(), Source: &fakeSource{}}
+		l.init()
+		p := linkPeer(t, l, savoryloft.LinkGreeting{Instance: "b", Incarnation: 1, Address: "127.0.0.1:9"})
+		_, err := framer.ReadBody(p.reader)
+		require.Error(t, err)
+		require.Empty(t, l.Members())
+	})
+}
+
+// Members that have fallen silent must not be told around again by peers that have
+// not noticed it yet, and must not take the place of a live hub when the member list
+// of the log names them again.
+func TestExpiredMembersStayAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Linker{
+			Instance: "z", FailureDomain: "d0", Logger: logr.Discard(), Source: &fakeSource{},
+			Dial: func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed },
+		}
+		l.init()
+		var gone []savoryloft.LinkGreeting
+		for i := range maxMeshInstances + 4 {
+			gone = append(gone, savoryloft.LinkGreeting{
+				Instance: fmt.Sprint("e", i), Incarnation: 1, FailureDomain: "d0", Address: "127.0.0.1:9", Power: 900,
+			})
+		}
+		l.AddMembers(gone)
+		require.False(t, l.IsHub(), "new members count as candidates")
+		time.Sleep(memberTimeout + time.Second)
+		l.maintain(t.Context())
+		require.Empty(t, l.Members())
+		l.mu.Lock()
+		l.addMembers(gone, nil)
+		l.mu.Unlock()
+		require.Empty(t, l.Members(), "a peer's word does not bring them back")
+		l.AddMembers(gone)
+		require.Len(t, l.Members(), len(gone))
+		require.True(t, l.IsHub())
+		gone[0].Incarnation = 2
+		l.AddMembers(gone[:1])
+		l.mu.Lock()
+		require.True(t, l.members["e0"].isHubCandidate(savoryloft.Uptime()), "a new incarnation is a candidate again")
+		l.mu.Unlock()
+		l.wg.Wait()
+	})
 }
 
 // An instance that is not a hub must dial its hubs. As the dialing side it gets an
@@ -495,8 +614,9 @@
 
 func FuzzLinkFrame(f *testing.F) {
 	for _, frame := range []savoryloft.LinkFrame{
-		{Greeting: &savoryloft.LinkGreeting{Instance: "a", Address: "b"}},
-		{Status: &savoryloft.LinkStatus{Loads: []savoryloft.LinkLoad{{Upstream: "u"}}}},
+		{Greeting: &savoryloft.LinkGreeting{Instance: "a", Address: "b", Protocol: protocol}},
+		{Status: &savoryloft.LinkStatus{Loads: &savoryloft.LoadChanges{Names: []string{"u"}, Values: []int{0, 1, 2, 3}}}},
+		{Status: &savoryloft.LinkStatus{Usage: []savoryloft.UsageBatch{{Source: "s", Window: 1, Accounts: []string{"a"}, Requests: []int{1}}}}},
 		{Update: &savoryloft.LoadUpdate{Parts: []savoryloft.HeldPart{{Upstream: "u", Part: "p"}}}},
 	} {
 		data, err := framer.Encode(&frame)
--- a/linker/members.go
+++ b/linker/members.go
@@ -18,6 +18,7 @@
 	leading        bool
 	yielded        time.Duration // Uptime as of which its last status reported the lease as yielded; 0 if it did not.
 	logUnreachable bool          // Whether it cannot read the log.
+	returned       bool          // It had expired and was found again; it counts as a candidate only once it has sent a status.
 	dialState
 }
 
@@ -37,29 +38,47 @@
 	Yielded time.Duration // Uptime as of which its last status reported the lease as yielded; 0 if it did not.
 }
 
-// AddMembers adds instances that were discovered outside the links.
+// AddMembers adds instances that were discovered outside the links. Members that
+// expired are added again, so that they can be dialed, but are not told to peers.
 func (l *Linker) AddMembers(greetings []savoryloft.LinkGreeting) {
 	l.init()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.addMembers(greetings, nil)
+	var unknown []savoryloft.LinkGreeting
+	for _, g := range greetings {
+		if l.expired[g.Instance] < g.Incarnation {
+			unknown = append(unknown, g)
+		} else if l.members[g.Instance] == nil && g.Instance != l.Instance {
+			l.storeMember(g).returned = true
+		}
+	}
+	l.addMembers(unknown, nil)
+}
+
+// storeMember adds or replaces a member. The caller holds the lock.
+func (l *Linker) storeMember(g savoryloft.LinkGreeting) *member {
+	m := &member{greeting: g, hubOrder: hubOrder(g.Instance, g.Power), addedAt: savoryloft.Uptime()}
+	l.members[g.Instance] = m
+	l.topology.stale = true
+	return m
 }
 
 // addMembers adds members and sends the new ones to all peers except from, which
-// may be nil. An entry with a later incarnation replaces an existing member. The
-// caller holds the lock.
+// may be nil. An entry with a later incarnation replaces an existing member.
+// Members that expired are not added again on a peer's word, since the peer may not
+// have noticed their silence yet. The caller holds the lock.
 func (l *Linker) addMembers(greetings []savoryloft.LinkGreeting, from *link) {
 	var added []savoryloft.LinkGreeting
 	for _, g := range greetings {
-		if g.Instance == l.Instance {
+		linked := from != nil && g.Instance == from.peer.Instance
+		if g.Instance == l.Instance || !linked && l.expired[g.Instance] >= g.Incarnation {
 			continue
 		}
 		m := l.members[g.Instance]
 		if m != nil && m.greeting.Incarnation >= g.Incarnation {
 			continue
 		}
-		l.members[g.Instance] = &member{greeting: g, hubOrder: hubOrder(g.Instance, g.Power), addedAt: savoryloft.Uptime()}
-		l.topology.stale = true
+		l.storeMember(g)
 		added = append(added, g)
 	}
 	if len(added) == 0 {
@@ -80,7 +99,89 @@
 // isHubCandidate reports whether a member can be chosen as a hub. A newly added
 // member can be chosen before its first status.
 func (m *member) isHubCandidate(now time.Duration) bool {
-	return !m.leaving && now-max(m.lastStatusAt, m.addedAt) < 2*liveTimeout
+	heardAt := m.lastStatusAt
+	if !m.returned {
+		heardAt = max(heardAt, m.addedAt)
+	}
+	return !m.leaving && heardAt > 0 && now-heardAt < 2*liveTimeout
+}
+
+// InstanceCount returns the number of instances of the deployment, including this
+// one. In a large deployment it is the sum over the failure domains of the live
+// instances that their hubs count, since instances without a link forget each
+// other.
+func (l *Linker) InstanceCount() int {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := savoryloft.Uptime()
+	count := 0
+	if t := l.currentTopology(now); t.hub && !t.mesh {
+		count, _ = l.countInstances(t, now)
+	} else if !t.mesh {
+		count = l.toldInstances(now)
+	}
+	if count > 0 {
+		return count
+	}
+	return len(l.members) + 1
+}
+
+// toldInstances returns the number of live instances according to the linked hubs,
+// or 0 if none has told it. The caller holds the lock.
+func (l *Linker) toldInstances(now time.Duration) (count int) {
+	for _, k := range l.links {
+		if k.countedAt > 0 && now-k.countedAt < linkTimeout {
+			count = max(count, k.instances)
+		}
+	}
+	return count
+}
+
+// countInstances returns the numbers of live instances of the deployment and of
+// this failure domain as this hub counts them. The caller holds the lock.
+func (l *Linker) countInstances(t *topology, now time.Duration) (total, own int) {
+	own = 1
+	for _, m := range l.members {
+		if m.greeting.FailureDomain == l.FailureDomain && m.isLive(now) {
+			own++
+		}
+	}
+	domains := map[string]int{}
+	for name, k := range l.links {
+		if domain := k.peer.FailureDomain; t.hubs[name] && domain != l.FailureDomain && now-k.countedAt < linkTimeout {
+			domains[domain] = max(domains[domain], k.domainCount)
+		}
+	}
+	total = own
+	for _, n := range domains {
+		total += n
+	}
+	return total, own
+}
+
+// hubCounts returns the result of countInstances, or zeros if this instance is no
+// hub.
+func (l *Linker) hubCounts() (total, own int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := savoryloft.Uptime()
+	if t := l.currentTopology(now); t.hub && !t.mesh {
+		return l.countInstances(t, now)
+	}
+	return 0, 0
+}
+
+// YieldedAt returns the uptime as of which the last status of an incarnation of an
+// instance reported the lease as yielded, or 0 if it did not.
+func (l *Linker) YieldedAt(instance string, incarnation int) time.Duration {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m := l.members[instance]; m != nil && m.greeting.Incarnation == incarnation {
+		return m.yielded
+	}
+	return 0
 }
 
 // Members returns the other known instances, sorted by name.
--- a/linker/topology.go
+++ b/linker/topology.go
@@ -35,18 +35,28 @@
 	if t.at != 0 && !t.stale && now-t.at < topologyMaxAge {
 		return t
 	}
-	*t = topology{at: now, mesh: len(l.members) < maxMeshInstances, hubs: map[string]bool{}}
-	own := hubOrder(l.Instance, l.CPUMillicores)
-	t.hub = t.mesh || l.countPreceding(l.Instance, own, l.FailureDomain, now) < hubsPerDomain
-	for name, m := range l.members {
-		domain := m.greeting.FailureDomain
-		if t.mesh || m.isHubCandidate(now) && l.countPreceding(name, m.hubOrder, domain, now) < hubsPerDomain {
+	size := max(len(l.members)+1, l.toldInstances(now))
+	*t = topology{at: now, mesh: size <= maxMeshInstances, hubs: map[string]bool{}}
+	own := ranked{name: l.Instance, order: hubOrder(l.Instance, l.CPUMillicores)}
+	if t.mesh {
+		t.hub = true
+		for name := range l.members {
 			t.hubs[name] = true
 		}
+	} else {
+		for _, first := range l.firstCandidates(own, now) {
+			for _, c := range first {
+				if c.name == l.Instance {
+					t.hub = true
+				} else if c.name != "" {
+					t.hubs[c.name] = true
+				}
+			}
+		}
 	}
 	for name := range t.hubs {
 		m := l.members[name]
-		if m.isLive(now) && !m.leaving && !m.logUnreachable && precedes(m.hubOrder, name, own, l.Instance) {
+		if m.isLive(now) && !m.leaving && !m.logUnreachable && (ranked{name, m.hubOrder, false}).precedes(own) {
 			t.readerRank++
 		}
 	}
@@ -57,19 +67,49 @@
 	return t
 }
 
-// countPreceding returns the number of hub candidates in a failure domain that
-// precede the named instance. The caller holds the lock.
-func (l *Linker) countPreceding(name string, order uint64, domain string, now time.Duration) int {
-	n := 0
-	if name != l.Instance && domain == l.FailureDomain && precedes(hubOrder(l.Instance, l.CPUMillicores), l.Instance, order, name) {
-		n++
+// ranked is an instance with its sort key for choosing hubs.
+type ranked struct {
+	name  string // Empty for no instance.
+	order uint64
+	stale bool // No candidate; chosen only in a failure domain without enough candidates.
+}
+
+// precedes reports whether an instance is to be preferred as a hub. An empty one
+// precedes none.
+func (r ranked) precedes(other ranked) bool {
+	switch {
+	case r.name == "" || other.name == "":
+		return r.name != ""
+	case r.stale != other.stale:
+		return other.stale
+	}
+	return r.order < other.order || r.order == other.order && r.name < other.name
+}
+
+// firstCandidates returns the hubs of each failure domain. In a domain with too few
+// candidates, members that have not been heard of lately fill the places, so that
+// hubs dial them again after a long partition. The caller holds the lock.
+func (l *Linker) firstCandidates(own ranked, now time.Duration) map[string]*[hubsPerDomain]ranked {
+	domains := map[string]*[hubsPerDomain]ranked{}
+	add := func(domain string, r ranked) {
+		first := domains[domain]
+		if first == nil {
+			first = &[hubsPerDomain]ranked{}
+			domains[domain] = first
+		}
+		for i := range first {
+			if r.precedes(first[i]) {
+				first[i], r = r, first[i]
+			}
+		}
 	}
-	for other, m := range l.members {
-		if other != name && m.greeting.FailureDomain == domain && m.isHubCandidate(now) && precedes(m.hubOrder, other, order, name) {
-			n++
+	add(l.FailureDomain, own)
+	for name, m := range l.members {
+		if !m.leaving {
+			add(m.greeting.FailureDomain, ranked{name, m.hubOrder, !m.isHubCandidate(now)})
 		}
 	}
-	return n
+	return domains
 }
 
 // firstLinkedHub returns the linked hub of this instance's failure domain whose
@@ -80,7 +120,7 @@
 		if !t.hubs[name] || k.peer.FailureDomain != l.FailureDomain {
 			continue
 		}
-		if first == "" || precedes(uint64(hash(name)), name, uint64(hash(first)), first) {
+		if first == "" || hash(name) < hash(first) || hash(name) == hash(first) && name < first {
 			first = name
 		}
 	}
@@ -135,6 +175,28 @@
 // are the first live hubs that can read the log.
 func (l *Linker) IsReader() bool { return l.ReaderRank() < readerCount }
 
+// ReadersFail reports whether this instance has a link to a live hub, and all live
+// hubs that it has links to say that they cannot read the log.
+func (l *Linker) ReadersFail() bool {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := savoryloft.Uptime()
+	t := l.currentTopology(now)
+	failing := false
+	for name := range l.links {
+		m := l.members[name]
+		if !t.hubs[name] || m == nil || !m.isLive(now) {
+			continue
+		}
+		if !m.logUnreachable {
+			return false
+		}
+		failing = true
+	}
+	return failing
+}
+
 // ReaderRank returns the rank of this instance among the live hubs that can read the
 // log, starting at 0. It returns math.MaxInt if this instance is not a hub.
 func (l *Linker) ReaderRank() int {
@@ -152,12 +214,6 @@
 	return uint64(maxMillicores-min(max(millicores, 0), maxMillicores))<<32 | uint64(hash(name))
 }
 
-// precedes reports whether instance a sorts before instance b by hub order, then
-// by name.
-func precedes(orderA uint64, a string, orderB uint64, b string) bool {
-	return orderA < orderB || orderA == orderB && a < b
-}
-
 func hash(name string) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(name))
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -121,6 +121,10 @@
 
 	// Processor time that the instance may use, in thousandths of a core.
 	Power int `json:"Power" msgpack:"Power"`
+
+	// Version of the frames that the instance sends and understands; 0 in builds that
+	// did not tell it.
+	Protocol int `json:"Protocol" msgpack:"Protocol"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -144,6 +148,9 @@
 	if _, ok := raw["Power"]; raw != nil && !ok {
 		return fmt.Errorf("field Power in LinkGreeting: required")
 	}
+	if _, ok := raw["Protocol"]; raw != nil && !ok {
+		return fmt.Errorf("field Protocol in LinkGreeting: required")
+	}
 	type Plain LinkGreeting
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
@@ -155,6 +162,9 @@
 	if 0 > plain.Power {
 		return fmt.Errorf("field %s: must be >= %v", "Power", 0)
 	}
+	if 0 > plain.Protocol {
+		return fmt.Errorf("field %s: must be >= %v", "Protocol", 0)
+	}
 	*j = LinkGreeting(plain)
 	return nil
 }
@@ -206,6 +216,9 @@
 	// The sender relies on the receiver to pass its loads on.
 	Child bool `json:"Child" msgpack:"Child"`
 
+	// Live instances of the sender's failure domain; 0 from others than hubs.
+	DomainInstances int `json:"DomainInstances" msgpack:"DomainInstances"`
+
 	// Sequence of the last status received from the peer; 0 before the first.
 	Echo int `json:"Echo" msgpack:"Echo"`
 
@@ -213,6 +226,9 @@
 	// names.
 	EchoAge int `json:"EchoAge" msgpack:"EchoAge"`
 
+	// Live instances of the deployment as a hub counts them; 0 from others.
+	Instances int `json:"Instances" msgpack:"Instances"`
+
 	// Milliseconds since an instance was known to hold the lease; -1 when none was.
 	LeaderAge int `json:"LeaderAge" msgpack:"LeaderAge"`
 
@@ -222,9 +238,8 @@
 	// Leaving corresponds to the JSON schema field "Leaving".
 	Leaving bool `json:"Leaving" msgpack:"Leaving"`
 
-	// Loads that changed since the last frame with loads; one that is gone is told as
-	// zeros.
-	Loads []LinkLoad `json:"Loads,omitempty,omitzero" msgpack:"Loads,omitempty"`
+	// Loads corresponds to the JSON schema field "Loads".
+	Loads *LoadChanges `json:"Loads,omitempty,omitzero" msgpack:"Loads,omitempty"`
 
 	// The sender can not read the log at the moment.
 	LogLost bool `json:"LogLost" msgpack:"LogLost"`
@@ -246,7 +261,7 @@
 	Sequence int `json:"Sequence" msgpack:"Sequence"`
 
 	// Usage corresponds to the JSON schema field "Usage".
-	Usage []UsageCount `json:"Usage,omitempty,omitzero" msgpack:"Usage,omitempty"`
+	Usage []UsageBatch `json:"Usage,omitempty,omitzero" msgpack:"Usage,omitempty"`
 
 	// Version of the configuration in force.
 	Version int `json:"Version" msgpack:"Version"`
@@ -258,7 +273,8 @@
 	// Sender's time of day, Unix milliseconds.
 	Wall int `json:"Wall" msgpack:"Wall"`
 
-	// Loads holds all loads that the sender answers for.
+	// Loads holds all loads that the sender answers for, and the numbering of
+	// upstreams starts anew.
 	Whole bool `json:"Whole" msgpack:"Whole"`
 
 	// The sender does not hold the lease, and nothing that it has sent so far can
@@ -275,12 +291,18 @@
 	if _, ok := raw["Child"]; raw != nil && !ok {
 		return fmt.Errorf("field Child in LinkStatus: required")
 	}
+	if _, ok := raw["DomainInstances"]; raw != nil && !ok {
+		return fmt.Errorf("field DomainInstances in LinkStatus: required")
+	}
 	if _, ok := raw["Echo"]; raw != nil && !ok {
 		return fmt.Errorf("field Echo in LinkStatus: required")
 	}
 	if _, ok := raw["EchoAge"]; raw != nil && !ok {
 		return fmt.Errorf("field EchoAge in LinkStatus: required")
 	}
+	if _, ok := raw["Instances"]; raw != nil && !ok {
+		return fmt.Errorf("field Instances in LinkStatus: required")
+	}
 	if _, ok := raw["LeaderAge"]; raw != nil && !ok {
 		return fmt.Errorf("field LeaderAge in LinkStatus: required")
 	}
@@ -325,32 +347,48 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if 0 > plain.DomainInstances {
+		return fmt.Errorf("field %s: must be >= %v", "DomainInstances", 0)
+	}
 	if 0 > plain.EchoAge {
 		return fmt.Errorf("field %s: must be >= %v", "EchoAge", 0)
 	}
+	if 0 > plain.Instances {
+		return fmt.Errorf("field %s: must be >= %v", "Instances", 0)
+	}
 	*j = LinkStatus(plain)
 	return nil
 }
 
+// Loads that changed since the last frame with loads. Upstreams are numbered in
+// the order in which their names first appear on the link, from 0.
+type LoadChanges struct {
+	// Upstreams without a number so far.
+	Names []string `json:"Names,omitempty,omitzero" msgpack:"Names,omitempty"`
+
+	// Four values for each load: the upstream's number, Running, Prefill in steps of
+	// 100 and Tokens in steps of 1000. A load that is gone has zeros.
+	Values []int `json:"Values,omitempty,omitzero" msgpack:"Values,omitempty"`
+}
+
 // Loads that changed much since the last status, and prompt parts that an upstream
 // has got.
 type LoadUpdate struct {
-	// Loads that changed since the last frame with loads; one that is gone is told as
-	// zeros.
-	Loads []LinkLoad `json:"Loads,omitempty,omitzero" msgpack:"Loads,omitempty"`
+	// Loads corresponds to the JSON schema field "Loads".
+	Loads *LoadChanges `json:"Loads,omitempty,omitzero" msgpack:"Loads,omitempty"`
 
 	// Parts corresponds to the JSON schema field "Parts".
 	Parts []HeldPart `json:"Parts,omitempty,omitzero" msgpack:"Parts,omitempty"`
 }
 
-// Requests of one account that began to run in one window, counted by one
-// incarnation of an instance.
-type UsageCount struct {
-	// Account corresponds to the JSON schema field "Account".
-	Account string `json:"Account" msgpack:"Account"`
+// Requests by account that began to run in one window, counted by one incarnation
+// of an instance.
+type UsageBatch struct {
+	// Accounts corresponds to the JSON schema field "Accounts".
+	Accounts []string `json:"Accounts" msgpack:"Accounts"`
 
-	// Requests corresponds to the JSON schema field "Requests".
-	Requests int `json:"Requests" msgpack:"Requests"`
+	// For each of Accounts.
+	Requests []int `json:"Requests" msgpack:"Requests"`
 
 	// Source corresponds to the JSON schema field "Source".
 	Source string `json:"Source" msgpack:"Source"`
@@ -360,28 +398,28 @@
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (j *UsageCount) UnmarshalJSON(value []byte) error {
+func (j *UsageBatch) UnmarshalJSON(value []byte) error {
 	var raw map[string]interface{}
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
-	if _, ok := raw["Account"]; raw != nil && !ok {
-		return fmt.Errorf("field Account in UsageCount: required")
+	if _, ok := raw["Accounts"]; raw != nil && !ok {
+		return fmt.Errorf("field Accounts in UsageBatch: required")
 	}
 	if _, ok := raw["Requests"]; raw != nil && !ok {
-		return fmt.Errorf("field Requests in UsageCount: required")
+		return fmt.Errorf("field Requests in UsageBatch: required")
 	}
 	if _, ok := raw["Source"]; raw != nil && !ok {
-		return fmt.Errorf("field Source in UsageCount: required")
+		return fmt.Errorf("field Source in UsageBatch: required")
 	}
 	if _, ok := raw["Window"]; raw != nil && !ok {
-		return fmt.Errorf("field Window in UsageCount: required")
+		return fmt.Errorf("field Window in UsageBatch: required")
 	}
-	type Plain UsageCount
+	type Plain UsageBatch
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
-	*j = UsageCount(plain)
+	*j = UsageBatch(plain)
 	return nil
 }
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -108,9 +108,9 @@
 
 // uncachedTokens estimates how many prompt tokens of a request the upstream has
 // to prefill. A prefix cache holds a part only together with all parts before
-// it. The preferred upstream (see preferredUpstream) is likely to have cached
-// the shared parts for requests of other instances.
-func (s *upstreamState) uncachedTokens(now time.Time, r Request, isPreferred bool) int {
+// it. probability is that of a shared part that is not recorded to be cached all
+// the same, for requests of other instances.
+func (s *upstreamState) uncachedTokens(now time.Time, r Request, probability float64) int {
 	tokens := r.PromptTokens
 	for _, part := range r.Parts {
 		cached, ok := s.cachedParts[part.ID]
@@ -119,11 +119,9 @@
 		}
 		tokens -= part.Tokens
 	}
-	if isPreferred {
-		cached := r.PromptTokens - tokens
-		missing := max(r.PromptTokens-r.unsharedTokens()-cached, 0)
-		tokens -= int(float64(missing) * preferredCacheProbability)
-	}
+	cached := r.PromptTokens - tokens
+	missing := max(r.PromptTokens-r.unsharedTokens()-cached, 0)
+	tokens -= int(float64(missing) * probability)
 	return max(tokens, 0)
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -37,6 +37,7 @@
 	cachedPartTTL             = 60 * time.Second       // Time after which an unused part is assumed to be evicted.
 	cachedPartMemoryShare     = 0.6                    // Share of the KV cache that cached parts are assumed to occupy.
 	preferredCacheProbability = 0.6                    // Probability that the preferred upstream has cached a part that is not recorded for it.
+	unreportedProbability     = 0.9                    // The same where parts at preferred upstreams are not reported to peers.
 	runningCostMs             = 3.0                    // For each request that runs on the upstream.
 	interferenceShare         = 0.04                   // Cost per ms of prefill and per request that runs on the upstream, which the prefill delays.
 	recomputeShare            = 0.5                    // Cost per ms of prefill of shared parts, in addition to the wait for it.
@@ -82,6 +83,7 @@
 type Choice struct {
 	Upstream         savoryloft.RegisteredUpstream
 	Cost             float64       // ms.
+	Preferred        bool          // The upstream is the one that all instances prefer for the prompt.
 	UncachedTokens   int           // Prompt tokens of the request to prefill.
 	Running          int           // Requests that run on the upstream.
 	QueuedTokens     int           // Prompt tokens that await prefill on the upstream.
@@ -278,9 +280,13 @@
 // that the cost is based on.
 func (p *Placer) cost(now time.Time, s *upstreamState, r Request, isPreferred bool) Choice {
 	peer := p.peerLoads[s.upstream.ID]
-	c := Choice{Upstream: s.upstream, Running: s.running + peer.Running, QueuedTokens: s.remainingPrefill(now)}
+	c := Choice{Upstream: s.upstream, Running: s.running + peer.Running, QueuedTokens: s.remainingPrefill(now), Preferred: isPreferred}
 	c.QueuedTokens += remainingTokens(peer.Prefill, now.Sub(p.peerLoadsAt), s.prefillRate)
-	c.UncachedTokens = s.uncachedTokens(now, r, isPreferred)
+	probability := 0.0
+	if isPreferred {
+		probability = p.preferredProbability()
+	}
+	c.UncachedTokens = s.uncachedTokens(now, r, probability)
 	prefillMs := float64(c.UncachedTokens) / s.prefillRate
 	c.TimeToFirstToken = time.Duration(float64(c.QueuedTokens+c.UncachedTokens) / s.prefillRate * float64(time.Millisecond))
 	c.Cost = float64(c.QueuedTokens)/s.prefillRate + prefillMs + float64(c.Running)*(runningCostMs+prefillMs*interferenceShare)
@@ -306,6 +312,20 @@
 	return c
 }
 
+// preferredProbability returns the probability that a preferred upstream has cached
+// a part that is not recorded for it.
+func (p *Placer) preferredProbability() float64 {
+	if p.reportsPreferred() {
+		return preferredCacheProbability
+	}
+	return unreportedProbability
+}
+
+// reportsPreferred reports whether parts are also reported to peers when they are
+// cached at the preferred upstream. In large deployments, where peer loads are
+// delayed, only the exceptions are, since a report goes to all instances.
+func (p *Placer) reportsPreferred() bool { return p.peerLoadDelay == 0 }
+
 // jitterCost returns a cost in ms that differs between instances if peer loads
 // are delayed. Without it, all instances would choose the same upstream among
 // those of equal cost, the one that was last reported as idle.
@@ -395,8 +415,9 @@
 	if s.suspended(now) {
 		s.probedAt = now
 	}
+	report := len(r.Parts) > 1 && (!c.Preferred || p.reportsPreferred())
 	for _, part := range r.Parts {
-		if cached, ok := s.cachedParts[part.ID]; len(r.Parts) > 1 && (!ok || now.Sub(cached.lastUsed) > partResendInterval) {
+		if cached, ok := s.cachedParts[part.ID]; report && (!ok || now.Sub(cached.lastUsed) > partResendInterval) {
 			p.unsentParts = append(p.unsentParts, savoryloft.HeldPart{Upstream: c.Upstream.ID, Part: part.ID, Tokens: part.Tokens})
 		}
 		s.cachePart(now, part, r.Engine)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -312,6 +312,29 @@
 	require.Equal(t, c.Upstream.ID, choose(t, b, start, r, list).Upstream.ID)
 }
 
+// In a large deployment each report goes to all instances, so only parts that were
+// sent elsewhere than all instances expect are reported, and what is not reported is
+// assumed to be where it is expected.
+func TestOnlyExceptionalPartsAreReportedInLargeDeployments(t *testing.T) {
+	a, b := &Placer{Instance: "a"}, &Placer{Instance: "b"}
+	list := testUpstreams(30)
+	for _, p := range []*Placer{a, b} {
+		p.SetPeerLoads(start, nil, 400*time.Millisecond)
+	}
+	r := prompt("contract", 13000, 2000)
+	c := choose(t, a, start, r, list)
+	require.True(t, c.Preferred)
+	a.Start(start, c, r)
+	require.Empty(t, a.TakeUnsentParts())
+	require.Equal(t, c.Upstream.ID, choose(t, b, start, r, list).Upstream.ID)
+	require.Less(t, choose(t, b, start, r, list).UncachedTokens, 2000+13000/5)
+	r.Exclude = map[string]bool{c.Upstream.ID: true}
+	elsewhere := choose(t, a, start, r, list)
+	elsewhere.Preferred = false
+	a.Start(start, elsewhere, r)
+	require.Equal(t, []savoryloft.HeldPart{{Upstream: elsewhere.Upstream.ID, Part: "contract", Tokens: 13000}}, a.TakeUnsentParts())
+}
+
 func TestPrefillRateFollowsObservedTimes(t *testing.T) {
 	p := &Placer{}
 	list := testUpstreams(1)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -31,6 +31,7 @@
 	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/exchanger"
 	"savoryloft.example/savoryloft/limiter"
+	"savoryloft.example/savoryloft/observer"
 	"savoryloft.example/savoryloft/placer"
 	"savoryloft.example/savoryloft/router"
 	"savoryloft.example/savoryloft/watcher"
@@ -285,9 +286,9 @@
 	}
 	metrics.GetOrRegisterCounter("requests_total."+route+"."+outcome, m).Inc(1)
 	if x.timeToResponse > 0 {
-		metrics.GetOrRegisterHistogram("first_answer_ms."+route, m, metrics.NewExpDecaySample(1028, 0.015)).Update(x.timeToResponse.Milliseconds())
+		observer.ObserveMilliseconds(m, "first_answer_ms."+route, x.timeToResponse)
 	}
-	metrics.GetOrRegisterHistogram("duration_ms."+route, m, metrics.NewExpDecaySample(1028, 0.015)).Update(time.Since(x.received).Milliseconds())
+	observer.ObserveMilliseconds(m, "duration_ms."+route, time.Since(x.received))
 }
 
 // countUsage counts the request for the account's usage, at most once.
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	readChunkBytes          = 16 << 10
+	streamBufferBytes       = 4 << 10 // Initial size; several events fit.
+	minReadBytes            = 1 << 10 // Free space below which the buffer grows before a read.
 	maxEventBytes           = 4 << 20
 	minEventTimeout         = 1200 * time.Millisecond // Minimum time without data after which a resumable stream counts as broken.
 	eventTimeoutFactor      = 6                       // Time without data after which a resumable stream counts as broken, as a multiple of the route's pause objective.
@@ -52,6 +53,7 @@
 type stream struct {
 	exchange      *exchange
 	attempt       *attempt
+	storage       []byte // Start of the memory that buffer uses.
 	buffer        []byte // Data from the upstream that Read has not returned yet.
 	completeBytes int    // Length of the complete events at the start of buffer.
 	lastEventID   string // ID of the last event that Read has returned.
@@ -69,7 +71,7 @@
 	if e != nil {
 		return e
 	}
-	s.attempt, s.buffer, s.completeBytes, s.upstreamEnded = a, nil, 0, false
+	s.attempt, s.buffer, s.completeBytes, s.upstreamEnded = a, s.storage[:0], 0, false
 	if a.head.StatusCode != http.StatusOK {
 		return s.readBuffered()
 	}
@@ -131,9 +133,9 @@
 // fill reads until at least one complete event is buffered or the stream ends.
 func (s *stream) fill() error {
 	for s.completeBytes == 0 && !s.upstreamEnded {
-		chunk := make([]byte, readChunkBytes)
-		n, err := s.attempt.response.Body.Read(chunk)
-		s.buffer = append(s.buffer, chunk[:n]...)
+		s.reserve()
+		n, err := s.attempt.response.Body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
+		s.buffer = s.buffer[:len(s.buffer)+n]
 		if i := bytes.LastIndex(s.buffer, eventSeparator); i >= 0 {
 			s.completeBytes = i + separatorBytes
 		}
@@ -151,6 +153,18 @@
 	return nil
 }
 
+// reserve makes room in the buffer for the next read. It reuses the memory of data
+// that Read has returned.
+func (s *stream) reserve() {
+	if cap(s.buffer)-len(s.buffer) >= minReadBytes {
+		return
+	}
+	if cap(s.storage) < len(s.buffer)+minReadBytes {
+		s.storage = make([]byte, 0, max(streamBufferBytes, 2*(len(s.buffer)+minReadBytes)))
+	}
+	s.buffer = append(s.storage[:0], s.buffer...)
+}
+
 // Read implements io.Reader. It returns data of complete events, and the rest of
 // the data when the upstream ends the stream. On an error other than io.EOF the
 // server closes the connection, so that the client does not mistake a truncated
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,3 +14,7 @@
   echo "cgo is disabled (no C compiler?): running without the race detector"
 fi
 go test -timeout 8m "${race_flags[@]}" ${skip_pattern:+-skip "$skip_pattern"} "$@" ./...
+if [ "${#race_flags[@]}" -gt 0 ]; then
+  echo "tests of large fleets, without the race detector, which can not run them"
+  go test -timeout 8m -count 1 -run Fleet "$@" ./launcher
+fi
--- /dev/null
+++ b/usage.go
@@ -0,0 +1,11 @@
+package savoryloft
+
+// UsageScope selects the usage counts that an instance tells a peer.
+type UsageScope int
+
+// Values of UsageScope.
+const (
+	OwnUsage     UsageScope = iota // Counts of this incarnation of this instance.
+	RelayedUsage                   // Own counts and those that this instance relays.
+	AllUsage
+)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -2,16 +2,18 @@
 // platform's log and tracks when its copy of each was last known to be up to
 // date.
 //
-// A few instances, the readers, read the log and relay the records. The other
-// instances apply relayed records and read the log themselves when their copy
-// becomes too old. The age of the configuration determines whether API keys may
+// Two instances, the readers, read the log and relay the records; the second one
+// is a standby that polls less often. The other instances apply relayed records and
+// read the log themselves when their copy becomes too old. While their readers
+// report that they cannot read the log, the others only probe it from time to time,
+// so that an outage does not multiply the calls by the size of the fleet. The age of the configuration determines whether API keys may
 // still be accepted: a revoked key must stop working even if this instance, or
 // the peer that relays records to it, was partitioned or suspended.
 //
 // # Usage
 //
 //	w := &watcher.Watcher{Log: store, Decoder: platform.Decoder{}, Logger: log,
-//		IsReader: links.IsReader, OnChange: links.BroadcastRecords}
+//		ReaderRank: links.ReaderRank, OnChange: links.BroadcastRecords}
 //	go w.Run(ctx)
 //	table := w.Table()            // nil before the first configuration.
 //	age, ok := w.Age(savoryloft.TopicConfiguration)
@@ -20,6 +22,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +41,10 @@
 	registryReadPause        = 300 * time.Millisecond  // Between reads of the registry, to batch heartbeats.
 	staleFraction            = 0.6                     // Of a topic's propagation limit; an instance whose copy is older reads the log itself.
 	minStaleAge              = 800 * time.Millisecond  // Lower bound of the age at which an instance reads the log itself.
+	readerCount              = 2                       // Instances that read the log for the others.
+	standbyPollFactor        = 3                       // Long polls of the standby reader, as a multiple of those of the first reader.
+	relayPatience            = time.Second             // After the start, time to get the first copy from a reader.
+	probeInterval            = 5 * time.Second         // Mean time between reads by an instance whose readers cannot read the log.
 	readCheckInterval        = 100 * time.Millisecond  // Between checks of whether to read.
 	minBackoff               = 100 * time.Millisecond  // After a failed read.
 	maxBackoff               = 800 * time.Millisecond  // Limits calls while the log is down, yet detects its recovery soon.
@@ -55,9 +62,12 @@
 	// PropagationLimits is the time, by topic, within which a change must take
 	// effect.
 	PropagationLimits [2]time.Duration
-	// IsReader reports whether this instance reads the log for the others. If nil, it
-	// always reads the log.
-	IsReader func() bool
+	// ReaderRank returns the rank of this instance among those that can read the log
+	// for the others, starting at 0. If nil, the rank is 0.
+	ReaderRank func() int
+	// ReadersFail reports whether the instances that read the log for this one say
+	// that they cannot read it. If nil, they never do.
+	ReadersFail func() bool
 	// OnChange is called with newly applied records and the peer that relayed them,
 	// which is empty if this instance read them from the log. It may be nil.
 	OnChange func(records []savoryloft.ControlRecord, from string)
@@ -185,17 +195,24 @@
 	next := -1
 	backoff := minBackoff
 	unreachable := false
+	own := ownReads{startedAt: savoryloft.Uptime()}
 	for ctx.Err() == nil {
-		if !w.shouldRead(t) {
+		rank := w.readerRank()
+		if rank >= readerCount && !w.mustReadItself(t, &own) {
 			next = -1
 			savoryloft.Sleep(ctx, readCheckInterval)
 			continue
 		}
-		page, err := w.readPage(ctx, t, next, pollTimeout)
+		timeout := pollTimeout
+		if rank > 0 {
+			timeout *= standbyPollFactor
+		}
+		page, err := w.readPage(ctx, t, next, timeout)
 		switch {
 		case err == nil:
 			next = page.Next
 			backoff = minBackoff
+			own.succeededAt = savoryloft.Uptime()
 			if unreachable {
 				unreachable = false
 				w.Logger.Info("log is reachable again", "step", savoryloft.StepFollow, "topic", t.String(), "next", next)
@@ -224,14 +241,44 @@
 	return w.logUnreachable
 }
 
-// shouldRead reports whether this instance should read a topic from the log,
-// because it is a reader or its copy is too old.
-func (w *Watcher) shouldRead(t savoryloft.Topic) bool {
-	if w.IsReader == nil || w.IsReader() {
-		return true
+func (w *Watcher) readerRank() int {
+	if w.ReaderRank == nil {
+		return 0
 	}
+	return w.ReaderRank()
+}
+
+// ownReads is the state that decides when an instance that is no reader reads a
+// topic. Times are uptimes; 0 for never.
+type ownReads struct {
+	startedAt   time.Duration
+	succeededAt time.Duration // Last successful read.
+	probeAt     time.Duration // Next probe while the readers fail; 0 while they do not.
+}
+
+// mustReadItself reports whether this instance, which is no reader, has to read a
+// topic because its copy is too old.
+func (w *Watcher) mustReadItself(t savoryloft.Topic, own *ownReads) bool {
 	age, ok := w.Age(t)
-	return !ok || age > max(time.Duration(staleFraction*float64(w.PropagationLimits[t])), minStaleAge)
+	now := savoryloft.Uptime()
+	switch {
+	case !ok:
+		return now-own.startedAt > relayPatience
+	case age <= max(time.Duration(staleFraction*float64(w.PropagationLimits[t])), minStaleAge):
+		own.probeAt = 0
+		return false
+	case w.ReadersFail == nil || !w.ReadersFail():
+		return true
+	case own.succeededAt > 0 && now-own.succeededAt < 2*probeInterval:
+		return true // The log serves this instance, though not its readers.
+	case own.probeAt == 0:
+		own.probeAt = now + time.Duration(rand.Float64()*float64(probeInterval))
+		return false
+	case now < own.probeAt:
+		return false
+	}
+	own.probeAt = now + time.Duration((0.5+rand.Float64())*float64(probeInterval))
+	return true
 }
 
 // readPage reads one page and applies it. If next is negative, it reads the newest
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,7 +157,7 @@
 func TestRelayedRemovalTakesEffectImmediatelyAtALateJoiner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		value := string(encode(t, savoryloft.RegisteredUpstream{Service: "s", Address: "10.0.0.1:1"}))
-		w := &Watcher{Log: &faker.Log{}, Decoder: decoder{}, Logger: logr.Discard(), IsReader: func() bool { return false }}
+		w := &Watcher{Log: &faker.Log{}, Decoder: decoder{}, Logger: logr.Discard(), ReaderRank: func() int { return math.MaxInt }}
 		registry := int(savoryloft.TopicRegistry)
 		w.ApplyRelayed("peer", []savoryloft.ControlRecord{
 			{Topic: registry, Key: "removed earlier", Offset: 40},
@@ -179,7 +180,7 @@
 		defer cancel()
 		log := &faker.Log{}
 		w := &Watcher{
-			Log: log, Decoder: decoder{}, Logger: logr.Discard(), IsReader: func() bool { return false },
+			Log: log, Decoder: decoder{}, Logger: logr.Discard(), ReaderRank: func() int { return math.MaxInt },
 			PropagationLimits: [2]time.Duration{2 * time.Second, 2 * time.Second},
 		}
 		go func() { _ = w.Run(ctx) }()
@@ -199,6 +200,65 @@
 	})
 }
 
+// In an outage the calls to the log must not grow with the fleet: instances whose
+// readers say that they cannot read it only probe it, and go on reading where it
+// serves them.
+func TestOutageCallsOfNonReaders(t *testing.T) {
+	for _, tt := range []struct {
+		name               string
+		readersFail        bool
+		down               bool
+		minCalls, maxCalls int
+	}{
+		{"readers fail too", true, true, 4, 30},
+		{"readers do not say so", false, true, 60, 1000},
+		{"the log serves this instance", true, false, 20, 1000},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				log := &faker.Log{}
+				log.SetDown(tt.down)
+				w := &Watcher{
+					Log: log, Decoder: decoder{}, Logger: logr.Discard(), ReaderRank: func() int { return math.MaxInt },
+					ReadersFail:       func() bool { return tt.readersFail },
+					PropagationLimits: [2]time.Duration{2 * time.Second, 2 * time.Second},
+				}
+				for _, topic := range []savoryloft.Topic{savoryloft.TopicConfiguration, savoryloft.TopicRegistry} {
+					w.MarkUpToDate(topic, savoryloft.Uptime())
+				}
+				go func() { _ = w.Run(ctx) }()
+				const length = 40 * time.Second
+				time.Sleep(length)
+				require.GreaterOrEqual(t, log.Calls(), tt.minCalls)
+				require.LessOrEqual(t, log.Calls(), tt.maxCalls)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// An instance that has just started waits for the copy of a reader, and reads the
+// log if none comes.
+func TestNewInstanceWaitsForItsReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		log := &faker.Log{}
+		log.Set(savoryloft.TopicConfiguration, "config", encode(t, savoryloft.Configuration{Version: 3}))
+		w := &Watcher{Log: log, Decoder: decoder{}, Logger: logr.Discard(), ReaderRank: func() int { return math.MaxInt }}
+		go func() { _ = w.Run(ctx) }()
+		time.Sleep(relayPatience / 2)
+		require.Zero(t, log.Calls())
+		time.Sleep(relayPatience)
+		require.Equal(t, 3, w.Version())
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestRecordsSinceReturnsMissingRecords(t *testing.T) {
 	runFixture(t, func(w *fixture) {
 		w.setUpstream("a")
