Upstreams that leave, that ask for a pause, and that send without end

Change: limits on head, whole responses (together over all connections) and events; time limits by complete events instead of reads; Server-Leaving counts as draining at this instance at once and at its peers with the next status, until the registry shows a later start; a pause excludes the upstream from all choices of this instance, with a random end; when all pause, callers are told when the first returns. A refusal without an attempt's ID counts only on a connection that has carried no other request.

--- a/call.go
+++ b/call.go
@@ -56,7 +56,9 @@
 	Misdirected bool          // The address is now used by another upstream.
 	KeepAlive   time.Duration // Upstream's timeout for idle connections; 0 when it gave none.
 	Close       bool
-	Length      int64 // Length of the body in bytes; -1 when unknown.
+	Leaving     bool          // The upstream is about to leave and must not get new requests.
+	Pause       time.Duration // Time for which the upstream wants no requests from this instance; 0 when it asks for none.
+	Length      int64         // Length of the body in bytes; -1 when unknown.
 }
 
 // WireFormat decodes requests and answers and encodes requests to upstreams.
--- a/cmd/savoryloft/edge.go
+++ b/cmd/savoryloft/edge.go
@@ -29,6 +29,7 @@
 	connectTimeout      = time.Second
 	idleTimeout         = 20 * time.Second // For connections to upstreams, whose own idle timeout is usually shorter.
 	dutyTimeout         = 800 * time.Millisecond
+	bufferMemoryDivisor = 16  // The part of the memory limit that responses of upstreams may take while they are read as a whole.
 	memoryLimitFraction = 0.5 // Fraction of the memory limit above which the garbage collector runs more often.
 	gcPercent           = 100 // Heap growth between collections, in percent; kept low because small machines have little memory.
 )
@@ -92,7 +93,7 @@
 	log := logger.New(out, verbosity).WithValues("instance", d.Instance)
 	pool := &exchanger.Pool{
 		Dial:        exchanger.Dialer{UserTimeout: userTimeout, ConnectTimeout: connectTimeout}.Dial,
-		IdleTimeout: idleTimeout,
+		IdleTimeout: idleTimeout, MaxBufferedBytes: d.Limits.MemoryBytes / bufferMemoryDivisor,
 	}
 	l := &launcher.Launcher{
 		Deployment: d, Wire: platform.Wire{}, Decoder: platform.Decoder{},
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -48,8 +48,22 @@
 	keepAliveMargin    = 700 * time.Millisecond // The server may close an idle connection while a request is in transit.
 	readBufferBytes    = 16 << 10
 	writeBufferBytes   = 16 << 10
+	// defaultMaxHeadBytes limits the status line and header of a response. Servers
+	// commonly send at most 8 KiB.
+	defaultMaxHeadBytes = 64 << 10
+	// defaultMaxBuffered limits the memory for responses that are being read as a
+	// whole, over all connections of a pool.
+	defaultMaxBuffered = 16 << 20
 )
 
+// errHeadTooLarge is returned when a response has no end of its header within the
+// limit.
+const errHeadTooLarge = errors.ConstError("header of the response exceeds the limit")
+
+// errBufferedTooMuch is returned when the responses that are being read take more
+// memory than the pool allows.
+const errBufferedTooMuch = errors.ConstError("responses that are being read exceed the memory limit")
+
 // DialTCP connects to an address of the form "IP:port".
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
@@ -61,8 +75,11 @@
 	Dial              func(ctx context.Context, address string) (net.Conn, error)
 	MaxIdlePerAddress int           // Maximum number of idle connections per address; 64 when zero.
 	IdleTimeout       time.Duration // Maximum idle time of a connection; 10 s when zero.
+	MaxHeadBytes      int           // Limit on the status line and header of a response; 64 KiB when zero.
+	MaxBufferedBytes  int64         // Limit on the memory for responses that are being read as a whole; 16 MiB when zero.
 
-	idle sync.Map // Maps an address to its *idleList.
+	idle     sync.Map     // Maps an address to its *idleList.
+	buffered atomic.Int64 // Bytes of responses that are being read as a whole.
 }
 
 // idleList holds the idle connections to one address; the last one was used most
@@ -90,6 +107,7 @@
 	closeOnRelease   bool
 	bodyWritten      chan error  // Receives the result of the background body write; nil if there is none.
 	stopCancel       func() bool // Stops the AfterFunc that closes the connection when the context ends.
+	headBytesLeft    int         // Bytes that may still be read before the end of the header; -1 outside of a header.
 }
 
 // Get returns a connection to address. No request data has been sent when it
@@ -104,7 +122,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "dial %s", address)
 	}
-	c := &Conn{Conn: nc, Address: address, pool: p}
+	c := &Conn{Conn: nc, Address: address, pool: p, headBytesLeft: noHead}
 	c.reader = bufio.NewReaderSize(timeoutReader{c}, readBufferBytes)
 	c.writer = bufio.NewWriterSize(countingWriter{c}, writeBufferBytes)
 	return c, nil
@@ -199,7 +217,10 @@
 		return errors.Annotatef(cause(ctx, err), "write request to %s", c.Address)
 	}
 	resp.StreamBody = true
-	if err := resp.ReadLimitBody(c.reader, 0); err != nil {
+	c.beginHead()
+	err := resp.ReadLimitBody(c.reader, 0)
+	c.headBytesLeft = noHead
+	if err != nil {
 		return errors.Annotatef(cause(ctx, err), "read response from %s", c.Address)
 	}
 	return nil
@@ -217,15 +238,63 @@
 		c.reusable = true
 		return nil, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
-	if err != nil {
-		return nil, errors.Annotatef(cause(ctx, err), "read response body from %s", c.Address)
+	body, err := c.readAll(ctx, stream, int64(limit))
+	c.reusable = err == nil
+	return body, err
+}
+
+// readAll reads r to its end, which must come within limit bytes. The memory that
+// it takes meanwhile counts toward the pool's limit, so that servers that send
+// bytes without end cannot exhaust the memory of the process.
+func (c *Conn) readAll(ctx context.Context, r io.Reader, limit int64) ([]byte, error) {
+	body := make([]byte, 0, minReadBytes)
+	var reserved int64
+	defer func() { c.pool.buffered.Add(-reserved) }()
+	for {
+		if len(body) == cap(body) {
+			grown := int64(cap(body))
+			if !c.pool.reserveBuffer(grown) {
+				return nil, errors.Annotatef(errBufferedTooMuch, "read response body from %s", c.Address)
+			}
+			reserved += grown
+			body = append(make([]byte, 0, 2*cap(body)), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, errors.Errorf("response body from %s exceeds %d bytes", c.Address, limit)
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, errors.Annotatef(cause(ctx, err), "read response body from %s", c.Address)
+		}
 	}
-	if len(body) > limit {
-		return nil, errors.Errorf("response body from %s exceeds %d bytes", c.Address, limit)
+}
+
+// minReadBytes is the first size of the buffer of readAll, which does not count
+// toward MaxBufferedBytes. Most responses fit.
+const minReadBytes = 4 << 10
+
+// reserveBuffer adds n bytes to the memory for responses that are being read. It
+// returns false if that would exceed the limit.
+func (p *Pool) reserveBuffer(n int64) bool {
+	for {
+		used := p.buffered.Load()
+		if used+n > p.maxBuffered() {
+			return false
+		}
+		if p.buffered.CompareAndSwap(used, used+n) {
+			return true
+		}
+	}
+}
+
+func (p *Pool) maxBuffered() int64 {
+	if p.MaxBufferedBytes > 0 {
+		return p.MaxBufferedBytes
 	}
-	c.reusable = true
-	return body, nil
+	return defaultMaxBuffered
 }
 
 // Reused reports whether the connection has carried a request before.
@@ -259,12 +328,30 @@
 	return err
 }
 
-// timeoutReader resets the read deadline before each read.
+// timeoutReader resets the read deadline before each read, and limits the bytes
+// that are read in search of the end of a header.
 type timeoutReader struct{ c *Conn }
 
 func (r timeoutReader) Read(b []byte) (int, error) {
+	if r.c.headBytesLeft == 0 {
+		return 0, errHeadTooLarge
+	}
 	_ = r.c.SetReadDeadline(time.Now().Add(r.c.readTimeout))
-	return r.c.Conn.Read(b)
+	n, err := r.c.Conn.Read(b)
+	if r.c.headBytesLeft != noHead {
+		r.c.headBytesLeft = max(r.c.headBytesLeft-n, 0)
+	}
+	return n, err
+}
+
+const noHead = -1 // Value of headBytesLeft outside of a header.
+
+// beginHead starts to count the bytes of a header.
+func (c *Conn) beginHead() {
+	c.headBytesLeft = defaultMaxHeadBytes
+	if c.pool.MaxHeadBytes > 0 {
+		c.headBytesLeft = c.pool.MaxHeadBytes
+	}
 }
 
 // countingWriter counts the bytes written to the connection.
--- a/exchanger/raw.go
+++ b/exchanger/raw.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -46,7 +45,9 @@
 // connection unless ReadResponseBody or MarkComplete is called afterwards.
 func (c *Conn) ReadResponse(ctx context.Context, method string) (*http.Response, error) {
 	for range maxInformationalResponses {
+		c.beginHead()
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.headBytesLeft = noHead
 		if err != nil {
 			return nil, errors.Annotatef(cause(ctx, err), "read response from %s", c.Address)
 		}
@@ -64,15 +65,12 @@
 // response as completely read. It returns an error when the body is longer than
 // limit bytes.
 func (c *Conn) ReadResponseBody(ctx context.Context, resp *http.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return nil, errors.Annotatef(cause(ctx, err), "read response body from %s", c.Address)
+	if resp.ContentLength > limit {
+		return nil, errors.Errorf("response body from %s has %d bytes, want at most %d", c.Address, resp.ContentLength, limit)
 	}
-	if int64(len(body)) > limit {
-		return nil, errors.Errorf("response body from %s exceeds %d bytes", c.Address, limit)
-	}
-	c.reusable = !resp.Close
-	return body, nil
+	body, err := c.readAll(ctx, resp.Body, limit)
+	c.reusable = err == nil && !resp.Close
+	return body, err
 }
 
 // SetKeepAliveTimeout sets the keep-alive timeout that the server has announced.
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -80,6 +80,14 @@
 	return s.placer.MergeParts(time.Now(), parts)
 }
 
+// LeavingSince implements linker.Source.
+func (s linkSource) LeavingSince(cursor int) (list []savoryloft.LeavingUpstream, next int) {
+	return s.watcher.LeavingSince(cursor)
+}
+
+// MergeLeaving implements linker.Source.
+func (s linkSource) MergeLeaving(list []savoryloft.LeavingUpstream) { s.watcher.MergeLeaving(list) }
+
 // LoadsChanged implements linker.Source.
 func (s linkSource) LoadsChanged() { s.peerLoadsChanged.Store(true) }
 
--- a/linker/link.go
+++ b/linker/link.go
@@ -64,6 +64,7 @@
 
 	// Used only by the writer.
 	usageCursor int
+	leaveCursor int
 	encoder     loadEncoder
 }
 
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -60,7 +60,7 @@
 // the data that it receives from them.
 type Source interface {
 	// FillStatus sets the fields of a status except Sequence, Echo, EchoAge, Child,
-	// Instances, DomainInstances, Loads, Whole, Parts and Usage.
+	// Instances, DomainInstances, LeavingUpstreams, Loads, Whole, Parts and Usage.
 	FillStatus(s *savoryloft.LinkStatus)
 	// Loads returns this instance's own loads.
 	Loads() []savoryloft.LinkLoad
@@ -82,6 +82,11 @@
 	// MergeParts stores which prompt parts upstreams have cached and returns the
 	// entries that should be relayed to other peers.
 	MergeParts(parts []savoryloft.HeldPart) []savoryloft.HeldPart
+	// LeavingSince returns the upstreams that became known to leave after a cursor,
+	// and the next cursor. The first cursor is 0.
+	LeavingSince(cursor int) (list []savoryloft.LeavingUpstream, next int)
+	// MergeLeaving stores which upstreams leave according to a peer.
+	MergeLeaving(list []savoryloft.LeavingUpstream)
 	// LoadsChanged is called when the result of PeerLoads may have changed.
 	LoadsChanged()
 }
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -99,6 +99,10 @@
 	return added
 }
 
+func (p *fakeSource) LeavingSince(int) ([]savoryloft.LeavingUpstream, int) { return nil, 0 }
+
+func (p *fakeSource) MergeLeaving([]savoryloft.LeavingUpstream) {}
+
 func (p *fakeSource) LoadsChanged() {}
 
 // withLock calls f with the lock held.
--- a/linker/status.go
+++ b/linker/status.go
@@ -36,6 +36,7 @@
 	s.Loads, s.Child = l.changedLoads(k)
 	s.Parts = k.drainParts()
 	s.Instances, s.DomainInstances = l.hubCounts()
+	s.LeavingUpstreams, k.leaveCursor = l.Source.LeavingSince(k.leaveCursor)
 	if scope, ok := l.usageScope(k, s.Child); ok {
 		s.Usage, k.usageCursor = l.Source.UsageSince(k.usageCursor, scope)
 	}
@@ -127,6 +128,9 @@
 	if len(s.Usage) > 0 {
 		l.Source.MergeUsage(s.Usage, s.Child)
 	}
+	if len(s.LeavingUpstreams) > 0 {
+		l.Source.MergeLeaving(s.LeavingUpstreams)
+	}
 	k.notifySource(s.Parts)
 	l.Source.ApplyStatus(k.peer.Instance, s, asOf)
 	k.resendIfBehind(s)
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -86,6 +86,36 @@
 	return nil
 }
 
+// An upstream that has said in an answer that it leaves.
+type LeavingUpstream struct {
+	// Unix milliseconds of the start after which it said so.
+	StartedAt int `json:"StartedAt" msgpack:"StartedAt"`
+
+	// Upstream corresponds to the JSON schema field "Upstream".
+	Upstream string `json:"Upstream" msgpack:"Upstream"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *LeavingUpstream) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["StartedAt"]; raw != nil && !ok {
+		return fmt.Errorf("field StartedAt in LeavingUpstream: required")
+	}
+	if _, ok := raw["Upstream"]; raw != nil && !ok {
+		return fmt.Errorf("field Upstream in LeavingUpstream: required")
+	}
+	type Plain LeavingUpstream
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = LeavingUpstream(plain)
+	return nil
+}
+
 // One frame on a link between instances of a deployment. Exactly one of the fields
 // is set.
 type LinkFrame struct {
@@ -238,6 +268,9 @@
 	// Leaving corresponds to the JSON schema field "Leaving".
 	Leaving bool `json:"Leaving" msgpack:"Leaving"`
 
+	// Since the last status.
+	LeavingUpstreams []LeavingUpstream `json:"LeavingUpstreams,omitempty,omitzero" msgpack:"LeavingUpstreams,omitempty"`
+
 	// Loads corresponds to the JSON schema field "Loads".
 	Loads *LoadChanges `json:"Loads,omitempty,omitzero" msgpack:"Loads,omitempty"`
 
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -21,6 +21,7 @@
 	failureScore       float64               // Value at failureScoreAt; it decays from then on.
 	failureScoreAt     time.Time
 	probedAt           time.Time // Last request while suspended.
+	pausedUntil        time.Time // End of the pause that the upstream has asked for.
 	lastCandidateAt    time.Time // Last time that the upstream was a candidate.
 	awaitingFirstToken map[*Run]struct{}
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -51,6 +51,9 @@
 	probeInterval             = time.Second            // Between requests to a suspended upstream.
 	firstTokenGrace           = 700 * time.Millisecond // Time by which a first token may exceed its prediction without a cost.
 	warmUpCostMs              = 30.0                   // For an upstream that reports that it is warming up.
+	maxPause                  = 10 * time.Minute       // Of the pause that an upstream asks for; a longer one is taken for a mistake.
+	pauseSpread               = 0.1                    // Maximum random extension of a pause as a share of it, so that instances return one by one.
+	maxPauseSpread            = time.Second            // Upper bound of that extension.
 )
 
 // Outcome is the result of a request to an upstream.
@@ -205,8 +208,39 @@
 	}
 }
 
+// Pause excludes an upstream from all choices of this instance for a while, as the
+// upstream has asked.
+func (p *Placer) Pause(now time.Time, u savoryloft.RegisteredUpstream, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d = min(d, maxPause)
+	d += time.Duration(rand.Float64() * min(pauseSpread*float64(d), float64(maxPauseSpread)))
+	s := p.state(u)
+	if until := now.Add(d); until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
+// PauseLeft returns the time until the first of the paused upstreams may be chosen
+// again, or 0 if none is paused.
+func (p *Placer) PauseLeft(now time.Time, upstreams []savoryloft.RegisteredUpstream) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var left time.Duration
+	for _, u := range upstreams {
+		s := p.states[u.ID]
+		if s == nil || u.Draining || !now.Before(s.pausedUntil) {
+			continue
+		}
+		if d := s.pausedUntil.Sub(now); left == 0 || d < left {
+			left = d
+		}
+	}
+	return left
+}
+
 // Choose returns the upstream with the lowest cost for a request, or false when
-// no upstream is eligible: draining and excluded upstreams and those at the
+// no upstream is eligible: draining, paused and excluded upstreams and those at the
 // connection limit are not. Suspended upstreams are chosen only for probe requests
 // or if no other upstream is eligible.
 func (p *Placer) Choose(now time.Time, r Request, upstreams []savoryloft.RegisteredUpstream) (Choice, bool) {
@@ -220,6 +254,9 @@
 		}
 		s := p.state(u)
 		s.lastCandidateAt = now
+		if now.Before(s.pausedUntil) {
+			continue
+		}
 		p.candidates = append(p.candidates, s)
 	}
 	preferred := preferredUpstream(r, p.candidates, pt)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -282,6 +282,32 @@
 
 // An upstream that accepts requests but never returns a token must be avoided,
 // although no request to it has failed.
+// A pause holds even if no other upstream is eligible, is bounded, and ends at
+// different times for different instances.
+func TestPausedUpstreamsAreNotChosen(t *testing.T) {
+	list := testUpstreams(2)
+	p := &Placer{}
+	r := prompt("p", 100, 100)
+	p.Pause(start, list[0], 4*time.Second)
+	require.Zero(t, p.PauseLeft(start.Add(5*time.Second), list))
+	require.Equal(t, list[1].ID, choose(t, p, start, r, list).Upstream.ID)
+	p.Pause(start, list[1], 2*time.Second)
+	p.Pause(start, list[1], time.Second) // A shorter one does not end it.
+	_, ok := p.Choose(start.Add(2*time.Second-1), r, list)
+	require.False(t, ok)
+	require.InDelta(t, 2, p.PauseLeft(start, list).Seconds(), 0.2)
+	require.Equal(t, list[1].ID, choose(t, p, start.Add(3*time.Second), r, list).Upstream.ID)
+	ends := map[time.Duration]bool{}
+	for range 20 {
+		other := &Placer{}
+		other.Pause(start, list[0], 1000*time.Hour)
+		left := other.PauseLeft(start, list)
+		require.LessOrEqual(t, left, maxPause+maxPauseSpread)
+		ends[left] = true
+	}
+	require.Greater(t, len(ends), 10)
+}
+
 func TestHangingUpstreamsAreAvoided(t *testing.T) {
 	p := &Placer{FailureDomain: "a"}
 	list := testUpstreams(2)
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -18,7 +18,7 @@
 	dialTimeout        = 400 * time.Millisecond // Connecting takes a few ms; an unreachable upstream must not use up the latency objective.
 	maxSends           = 4                      // Of one request, including sends that upstreams refuse.
 	maxStaleResponses  = 2                      // Late responses to earlier requests that an attempt skips on a connection.
-	maxResponseBytes   = 32 << 20
+	maxResponseBytes   = 8 << 20
 	defaultReadTimeout = 60 * time.Second // Of a read on the connection; the request's deadline usually ends the wait earlier.
 )
 
@@ -116,7 +116,11 @@
 	if a.head.NotRun {
 		// Read the body so that the connection can be reused.
 		_, _ = a.conn.ReadResponseBody(a.ctx, a.response, maxResponseBytes)
-		a.release(placer.Refused)
+		outcome := placer.Refused
+		if a.head.Pause > 0 {
+			outcome = placer.Cancelled // The pause itself keeps requests away; it is no sign of failure.
+		}
+		a.release(outcome)
 		return nil, x.recordFailure(choice, &sendError{notExecuted, errors.Errorf("upstream refused with status %d", a.head.StatusCode)})
 	}
 	a.countRun()
@@ -155,7 +159,8 @@
 		}
 		a.response = resp
 		a.head = a.exchange.relayer.Wire.DecodeAnswer(resp)
-		if a.head.ID == a.exchange.call.ID || (a.head.ID == "" && a.head.NotRun) {
+		a.followUpstream()
+		if a.head.ID == a.exchange.call.ID || a.head.ID == "" && a.head.NotRun && !a.conn.Reused() {
 			a.conn.SetKeepAliveTimeout(a.head.KeepAlive)
 			return nil
 		}
@@ -169,6 +174,22 @@
 	return errors.Errorf("upstream %s returned only responses to other requests", a.choice.Upstream.ID)
 }
 
+// followUpstream records what the response says of the upstream itself: that it
+// leaves, or that it wants a pause.
+func (a *attempt) followUpstream() {
+	r := a.exchange.relayer
+	if a.head.Misdirected {
+		return // Another upstream has answered.
+	}
+	if a.head.Leaving && !a.choice.Upstream.Draining {
+		r.Watcher.MarkLeaving(a.choice.Upstream)
+	}
+	if a.head.Pause > 0 {
+		r.Placer.Pause(time.Now(), a.choice.Upstream, a.head.Pause)
+		r.Logger.Info("upstream asks for a pause", "id", a.exchange.call.ID, "upstream", a.choice.Upstream.ID, "pause", a.head.Pause.String())
+	}
+}
+
 // countRun adds the attempt to the exchange's possible runs, once.
 func (a *attempt) countRun() {
 	if !a.runCounted {
@@ -265,7 +286,7 @@
 	case x.possibleRuns > 0 || e.execution == maybeExecuted:
 		x.refuse(http.StatusBadGateway, "UpstreamFailed", "upstream failed; the request may have run", 0)
 	case errors.Is(e.cause, errNoUpstream):
-		x.refuse(http.StatusServiceUnavailable, "NoUpstream", "no upstream is available; the request has not run", noUpstreamRetryAfter)
+		x.refuseNoUpstream()
 	default:
 		x.refuse(http.StatusServiceUnavailable, "UpstreamsFull", "upstreams refused; the request has not run", upstreamsFullRetryAfter)
 	}
--- a/relayer/gate.go
+++ b/relayer/gate.go
@@ -41,6 +41,18 @@
 	return c.TimeToFirstToken > time.Duration(factor*float64(x.route.Objective))
 }
 
+// refuseNoUpstream refuses a request for which no upstream is available. If some
+// upstreams have asked for a pause, Retry-After is the time until the first of them
+// returns.
+func (x *exchange) refuseNoUpstream() {
+	r := x.relayer
+	if left := r.Placer.PauseLeft(time.Now(), r.Watcher.Upstreams(x.service)); left > 0 {
+		x.refuse(http.StatusServiceUnavailable, "Paused", "all upstreams have asked for a pause; the request has not run", max(left, minOverloadRetryAfter))
+		return
+	}
+	x.refuse(http.StatusServiceUnavailable, "NoUpstream", "no upstream is available; the request has not run", noUpstreamRetryAfter)
+}
+
 // refuseOverloaded refuses a request. Retry-After is the time until the predicted
 // time to the first token has dropped to the objective, within bounds.
 func (x *exchange) refuseOverloaded() {
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -47,6 +47,9 @@
 	}
 	a.run.RecordFirstToken(time.Now())
 	x.countUsage()
+	if headTimeout > 0 {
+		defer time.AfterFunc(headTimeout, a.cancel).Stop() // The same time for the body.
+	}
 	body, err := a.conn.ReadResponseBody(a.ctx, a.response, maxResponseBytes)
 	if err != nil {
 		return a.head, nil, a.abort(err)
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -14,7 +14,7 @@
 const (
 	streamBufferBytes       = 4 << 10 // Initial size; several events fit.
 	minReadBytes            = 1 << 10 // Free space below which the buffer grows before a read.
-	maxEventBytes           = 4 << 20
+	maxEventBytes           = 256 << 10
 	minEventTimeout         = 1200 * time.Millisecond // Minimum time without data after which a resumable stream counts as broken.
 	eventTimeoutFactor      = 6                       // Time without data after which a resumable stream counts as broken, as a multiple of the route's pause objective.
 	firstEventTimeoutFactor = 2.5                     // Timeout for the first event of a resumable stream, as a multiple of the route's objective.
@@ -79,10 +79,11 @@
 		a.release(placer.Failed)
 		return x.recordFailure(a.choice, &sendError{maybeExecuted, err})
 	}
-	timer := s.startFirstEventTimer()
-	err := s.fill()
-	timer.Stop()
-	if err != nil {
+	timeout := s.firstEventTimeout()
+	if timeout == 0 {
+		timeout = defaultReadTimeout
+	}
+	if err := s.fill(timeout); err != nil {
 		return a.abort(err)
 	}
 	a.run.RecordFirstToken(time.Now())
@@ -91,16 +92,6 @@
 	return nil
 }
 
-// startFirstEventTimer starts a timer that cancels the attempt when the first
-// event does not arrive in time.
-func (s *stream) startFirstEventTimer() *time.Timer {
-	timeout := s.firstEventTimeout()
-	if timeout == 0 {
-		timeout = defaultReadTimeout
-	}
-	return time.AfterFunc(timeout, s.attempt.cancel)
-}
-
 // firstEventTimeout returns the timeout for the first event while a further
 // attempt is permitted, and 0 otherwise.
 func (s *stream) firstEventTimeout() time.Duration {
@@ -130,9 +121,16 @@
 	return nil
 }
 
-// fill reads until at least one complete event is buffered or the stream ends.
-func (s *stream) fill() error {
-	for s.completeBytes == 0 && !s.upstreamEnded {
+// fill reads until at least one complete event is buffered or the stream ends. It
+// returns an error if that takes longer than timeout: single bytes of an event
+// do not extend the time.
+func (s *stream) fill(timeout time.Duration) error {
+	for end := time.Now().Add(timeout); s.completeBytes == 0 && !s.upstreamEnded; {
+		left := time.Until(end)
+		if left <= 0 {
+			return errors.Errorf("%s sent no complete event for %s", s.attempt.choice.Upstream.ID, timeout)
+		}
+		s.attempt.conn.SetReadTimeout(left)
 		s.reserve()
 		n, err := s.attempt.response.Body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 		s.buffer = s.buffer[:len(s.buffer)+n]
@@ -178,8 +176,7 @@
 			s.finish(nil)
 			return 0, io.EOF
 		}
-		s.attempt.conn.SetReadTimeout(s.eventTimeout())
-		if err := s.fill(); err != nil {
+		if err := s.fill(s.eventTimeout()); err != nil {
 			if e := s.resume(err); e != nil {
 				s.finish(e)
 				return 0, e
--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -87,6 +87,9 @@
 		w.logMalformed(r, err)
 	}
 	e.upstream = u
+	if startedAt, ok := w.leaving[r.Key]; ok && err == nil && u.StartedAtMs > startedAt {
+		delete(w.leaving, r.Key)
+	}
 	if old.usable == e.usable && old.upstream == e.upstream && old.missingSince == 0 && old.value != nil {
 		return false
 	}
@@ -198,7 +201,11 @@
 	services := map[string][]savoryloft.RegisteredUpstream{}
 	for _, e := range w.entries {
 		if e.usable && e.value != nil {
-			services[e.upstream.Service] = append(services[e.upstream.Service], e.upstream)
+			u := e.upstream
+			if w.isLeaving(u) {
+				u.Draining = true
+			}
+			services[u.Service] = append(services[u.Service], u)
 		}
 	}
 	for _, list := range services {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -84,6 +84,9 @@
 	registryReadOffset    int              // Offset up to which all such records have been applied.
 	registryReadFailed    bool             // Whether a read of the registry has failed since the last successful one.
 	recoveredAt           time.Duration    // Uptime of the log's last recovery from an outage; 0 if there was none.
+	leaving               map[string]int   // Start times, by ID, of the upstreams that have said that they leave.
+	leavingAdded          int              // Number of additions to leaving.
+	leavingOrder          []string         // IDs in leaving, in the order in which they became known.
 	malformedOffsets      map[string]int   // Offsets of malformed records by key, to log each only once.
 	once                  sync.Once
 }
@@ -92,6 +95,7 @@
 	w.once.Do(func() {
 		w.entries = map[string]*entry{}
 		w.malformedOffsets = map[string]int{}
+		w.leaving = map[string]int{}
 		w.registryChangedOffset, w.registryReadOffset = -1, -1
 		w.configuration.Offset = -1
 	})
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -259,6 +259,35 @@
 	})
 }
 
+// What an upstream says of its leaving outweighs the registry until that shows a
+// later start under its ID.
+func TestLeavingUpstreamsDrain(t *testing.T) {
+	record := func(startedAt, offset int) []savoryloft.ControlRecord {
+		value := encode(t, savoryloft.RegisteredUpstream{Service: "s", StartedAtMs: startedAt})
+		return []savoryloft.ControlRecord{{Topic: int(savoryloft.TopicRegistry), Key: "u", Value: string(value), Offset: offset}}
+	}
+	w := &Watcher{Decoder: decoder{}, Logger: logr.Discard()}
+	draining := func() bool { return w.Upstreams("s")[0].Draining }
+	w.ApplyRelayed("peer", record(1000, 1))
+	require.False(t, draining())
+	w.MarkLeaving(w.Upstreams("s")[0])
+	require.True(t, draining())
+	w.ApplyRelayed("peer", record(1000, 2))
+	require.True(t, draining())
+	list, cursor := w.LeavingSince(0)
+	require.Equal(t, []savoryloft.LeavingUpstream{{Upstream: "u", StartedAt: 1000}}, list)
+	w.MergeLeaving(list) // Told again by a peer.
+	list, cursor = w.LeavingSince(cursor)
+	require.Empty(t, list)
+	w.ApplyRelayed("peer", record(2000, 3))
+	require.False(t, draining())
+	w.MergeLeaving([]savoryloft.LeavingUpstream{{Upstream: "u", StartedAt: 1000}})
+	require.False(t, draining(), "a peer's word about the earlier start")
+	w.MarkLeaving(w.Upstreams("s")[0])
+	list, _ = w.LeavingSince(cursor)
+	require.Equal(t, []savoryloft.LeavingUpstream{{Upstream: "u", StartedAt: 2000}}, list)
+}
+
 func TestRecordsSinceReturnsMissingRecords(t *testing.T) {
 	runFixture(t, func(w *fixture) {
 		w.setUpstream("a")
