Planned stop: answer requests that have just been accepted

Change: a new connection has 500 ms for its first request; nothing is written to a client that has sent nothing; unread data keeps a connection open; the listener closes after 200 ms without new connections, at most an eighth of the grace period late.

--- a/exchanger/dial.go
+++ b/exchanger/dial.go
@@ -33,9 +33,10 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
-// isIdle reports whether a pooled connection is still open and has no unread
-// data. Unread data would be read as the response to the next request.
-func isIdle(c net.Conn) bool {
+// IsIdle reports whether a connection is still open and has no unread data. It can
+// be called while another goroutine reads from the connection. Connections that are
+// not sockets count as idle.
+func IsIdle(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
@@ -45,11 +46,10 @@
 		return false
 	}
 	idle := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		idle = err == unix.EAGAIN || err == unix.EWOULDBLOCK
-		return true
 	})
 	return err == nil && idle
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -141,7 +141,8 @@
 	for len(l.conns) > 0 {
 		c := l.conns[len(l.conns)-1]
 		l.conns = l.conns[:len(l.conns)-1]
-		if time.Since(c.idleSince) < c.idleTimeout() && isIdle(c.Conn) {
+		// Unread data would be read as the response to the next request.
+		if time.Since(c.idleSince) < c.idleTimeout() && IsIdle(c.Conn) {
 			c.reused = true
 			return c
 		}
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -1,11 +1,13 @@
 package launcher
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -347,3 +349,54 @@
 	group.Wait()
 	require.LessOrEqual(t, slices.Index(order, "urgent"), 1, "at most the prompt in prefill may finish first: %v", order)
 }
+
+// Callers may keep opening connections until the listener is closed, for example
+// when the load balancer has no other instance. A request whose connection was
+// accepted must get its answer, also when it arrives as the instance stops.
+func TestShutdownUnderLoadAnswersAcceptedRequests(t *testing.T) {
+	const callers = 16
+	c := newCluster(t)
+	c.addEngine(nil)
+	i := c.start(longRevocation)
+	c.waitForUpstreams(i, 1)
+	address := strings.TrimPrefix(i.url, "http://")
+	var answered, cut atomic.Int64
+	var group sync.WaitGroup
+	call := func(id string, pause time.Duration) (connected bool) {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return false
+		}
+		defer conn.Close()
+		time.Sleep(pause) // The request follows the connection by a round trip or more.
+		r, err := standin.Call{Address: address, Host: host, Route: "once", ID: id, APIKey: "key-1", Timeout: 4 * time.Second}.Request()
+		require.NoError(t, err)
+		err = r.Write(conn)
+		if err == nil {
+			var resp *http.Response
+			resp, err = http.ReadResponse(bufio.NewReader(conn), r)
+			if err == nil && resp.StatusCode == http.StatusOK {
+				answered.Add(1)
+				return true
+			} else if err == nil {
+				err = fmt.Errorf("status %d", resp.StatusCode)
+			}
+		}
+		cut.Add(1)
+		t.Logf("request %s: %v", id, err)
+		return true
+	}
+	for n := range callers {
+		group.Go(func() {
+			for k := 0; call(fmt.Sprintf("%d-%d", n, k), time.Duration(n%4)*10*time.Millisecond); k++ {
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	i.cancel()
+	group.Wait()
+	require.NoError(t, <-i.done)
+	require.NotZero(t, answered.Load())
+	require.Zero(t, cut.Load(), "%d requests were answered", answered.Load())
+}
--- a/launcher/pages.go
+++ b/launcher/pages.go
@@ -154,15 +154,19 @@
 	}
 	l.linker.BroadcastStatus()
 	time.Sleep(deregistrationDelay)
+	for latest := time.Now().Add(grace / 8); l.listener.SinceAccepted() < quietPeriod && time.Now().Before(latest); {
+		time.Sleep(drainPollInterval)
+	}
 	_ = l.listener.Close()
-	for l.relayer.ActiveRequests() > 0 && time.Now().Before(deadline) {
-		l.listener.CloseIdle()
+	for (l.listener.CloseIdle() > 0 || l.relayer.ActiveRequests() > 0) && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
-	l.listener.CloseIdle()
 	l.linker.BroadcastStatus()
 	time.Sleep(drainPollInterval)
 	l.Logger.Info("drained", "active", l.relayer.ActiveRequests())
 }
 
-const drainPollInterval = 50 * time.Millisecond // Between checks for running requests during shutdown.
+const (
+	drainPollInterval = 50 * time.Millisecond  // Between checks for running requests during shutdown.
+	quietPeriod       = 200 * time.Millisecond // Time without new connections after which the listener is closed.
+)
--- a/relayer/caller.go
+++ b/relayer/caller.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"savoryloft.example/savoryloft/exchanger"
 )
 
 // Listener wraps accepted connections, so that the relayer can detect clients
@@ -12,19 +14,26 @@
 type Listener struct {
 	net.Listener
 
-	mu    sync.Mutex
-	conns map[*clientConn]struct{}
+	mu           sync.Mutex
+	conns        map[*clientConn]struct{}
+	lastAccepted time.Time
 }
 
+// firstRequestTime is the time that a client has to send its first request on a
+// new connection before the connection counts as idle.
+const firstRequestTime = 500 * time.Millisecond
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{Conn: conn, listener: l}
+	now := time.Now()
+	c := &clientConn{Conn: conn, listener: l, acceptedAt: now}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lastAccepted = now
 	if l.conns == nil {
 		l.conns = map[*clientConn]struct{}{}
 	}
@@ -32,8 +41,16 @@
 	return c, nil
 }
 
-// CloseIdle closes the connections that have no request in progress.
-func (l *Listener) CloseIdle() {
+// SinceAccepted returns the time since the last connection was accepted.
+func (l *Listener) SinceAccepted() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.lastAccepted)
+}
+
+// CloseIdle closes the connections that have no request in progress and are not new,
+// and returns the number of the others.
+func (l *Listener) CloseIdle() (open int) {
 	l.mu.Lock()
 	conns := make([]*clientConn, 0, len(l.conns))
 	for c := range l.conns {
@@ -41,17 +58,22 @@
 	}
 	l.mu.Unlock()
 	for _, c := range conns {
-		c.closeIfIdle()
+		if !c.closeIfIdle() {
+			open++
+		}
 	}
+	return open
 }
 
 // clientConn is a client's connection. The HTTP server reads requests from it.
 // While a request is being handled, startDisconnectWatch reads from it instead.
 type clientConn struct {
 	net.Conn
-	listener *Listener
+	listener   *Listener
+	acceptedAt time.Time
 
 	mu        sync.Mutex
+	received  bool          // The client has sent something.
 	readAhead []byte        // Data that the disconnect watch has read and the next Read returns.
 	busy      bool          // A request is being received or handled.
 	watchDone chan struct{} // Closed when the disconnect watch ends; nil while none runs.
@@ -71,12 +93,25 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.mu.Lock()
-		c.busy = true
+		c.busy, c.received = true, true
 		c.mu.Unlock()
 	}
 	return n, err
 }
 
+// Write implements net.Conn. It writes nothing to a client that has not sent
+// anything: the HTTP server answers a connection on which it has waited in vain,
+// and the client would take that for the response to its first request.
+func (c *clientConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	received := c.received
+	c.mu.Unlock()
+	if !received {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
+
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.listener.mu.Lock()
@@ -85,16 +120,19 @@
 	return c.Conn.Close()
 }
 
-// closeIfIdle closes the connection if no request is in progress on it.
-func (c *clientConn) closeIfIdle() {
+// closeIfIdle closes the connection, and returns true, if no request is in progress
+// on it and it is not new.
+func (c *clientConn) closeIfIdle() bool {
 	c.mu.Lock()
-	idle := !c.busy && c.watchDone == nil
+	idle := !c.busy && c.watchDone == nil && (c.received || time.Since(c.acceptedAt) > firstRequestTime)
 	c.mu.Unlock()
-	if idle {
+	// A request may have arrived that the server has not read yet.
+	if idle = idle && exchanger.IsIdle(c.Conn); idle {
 		// The server's pending read fails, and the server closes the connection. A
 		// connection on which a request has begun to arrive is busy and stays open.
 		_ = c.SetReadDeadline(time.Now())
 	}
+	return idle
 }
 
 // startDisconnectWatch starts to read from the connection and calls cancel when
