--- a/biller/biller.go
+++ b/biller/biller.go
@@ -49,6 +49,9 @@
 	// LastWindow returns the highest window with committed counts, or 0 when no
 	// counts are committed.
 	LastWindow() int
+	// UncertainBefore returns the uptime before which another holder may have
+	// reported windows whose committed counts are lost, or 0 if that is excluded.
+	UncertainBefore() time.Duration
 }
 
 // Biller reports usage while this instance holds the lease. Set the exported
@@ -105,6 +108,12 @@
 	}
 }
 
+// settledAt returns the uptime at which a window has settled.
+func (b *Biller) settledAt(window int) time.Duration {
+	settled := time.Unix(0, int64(b.Window)*int64(window+1)).Add(settleDelay)
+	return savoryloft.Uptime() - b.Now().Sub(settled)
+}
+
 // firstDue returns the first window to check for an outstanding report. As long as
 // no counts are committed, windows that had settled before the first call of
 // reportDue are excluded.
@@ -127,6 +136,11 @@
 			b.done[window] = true
 			return nil
 		}
+		if b.settledAt(window) < b.Ledger.UncertainBefore() {
+			b.done[window] = true
+			b.Logger.Info("usage window left unreported; an earlier lease holder may have reported it", "step", savoryloft.StepReport, "window", window)
+			return nil
+		}
 		counts = b.Counts(window)
 		if err := b.Ledger.CommitCounts(ctx, window, counts); err != nil {
 			return errors.Annotate(err, "commit usage counts")
--- a/biller/biller_test.go
+++ b/biller/biller_test.go
@@ -19,6 +19,8 @@
 	held       bool
 	counts     map[int]map[string]int // Committed counts by window and account.
 	lastWindow int
+
+	uncertainBefore time.Duration
 }
 
 func (l *fakeLedger) Held() (int, time.Duration, bool) {
@@ -53,6 +55,12 @@
 	return counts, ok
 }
 
+func (l *fakeLedger) UncertainBefore() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.uncertainBefore
+}
+
 func (l *fakeLedger) LastWindow() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -130,3 +138,29 @@
 		synctest.Wait()
 	})
 }
+
+// A holder that can not know whether an earlier one has reported a window, since the
+// log has lost records, must leave the window. Later windows and those whose counts
+// it knows are reported.
+func TestUncertainWindowsAreLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const window = 5 * time.Second
+		ledger, target := &fakeLedger{held: true, counts: map[int]map[string]int{}}, &fakeTarget{reports: map[int][]map[string]int{}}
+		b := &Biller{
+			Ledger: ledger, Target: target, Window: window, Logger: logr.Discard(), Now: time.Now,
+			Counts: func(int) map[string]int { return map[string]int{"x": 2} },
+		}
+		first := int(time.Now().UnixNano()/int64(window)) + 1
+		ledger.counts[first] = map[string]int{"x": 1}
+		ledger.lastWindow = first
+		ledger.uncertainBefore = savoryloft.Uptime() + time.Duration(int64(first+2)*int64(window)-time.Now().UnixNano()) + 2*settleDelay
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = b.Run(ctx) }()
+		time.Sleep(5 * window)
+		cancel()
+		synctest.Wait()
+		require.Equal(t, []map[string]int{{"x": 1}}, target.reports[first], "known counts, as they were")
+		require.Empty(t, target.reports[first+1], "settled before the time up to which another holder may have acted")
+		require.Equal(t, []map[string]int{{"x": 2}}, target.reports[first+2])
+	})
+}
--- a/check.go
+++ b/check.go
@@ -61,8 +61,13 @@
 		return errors.New("greeting without a name or an address")
 	}
 	for _, r := range f.Records {
-		if r.Offset < 0 {
-			return errors.Errorf("record of %q has a negative offset", r.Key)
+		if r.Position < 0 {
+			return errors.Errorf("record of %q has a negative position", r.Key)
+		}
+	}
+	if f.Duties != nil {
+		if err := f.Duties.Check(); err != nil {
+			return err
 		}
 	}
 	if f.Update != nil {
@@ -76,6 +81,24 @@
 	return nil
 }
 
+// Check returns an error when facts violate their schema.
+func (d DutyFacts) Check() error {
+	for _, f := range d.Figures {
+		if len(f.Accounts) != len(f.Requests) {
+			return errors.Errorf("figures of window %d have %d accounts and %d counts", f.Window, len(f.Accounts), len(f.Requests))
+		}
+		if f.Position < 0 || slices.ContainsFunc(f.Requests, func(n int) bool { return n < 0 }) {
+			return errors.Errorf("figures of window %d are negative", f.Window)
+		}
+	}
+	for _, s := range d.Sizes {
+		if s.Upstreams < 0 || s.Position < 0 {
+			return errors.Errorf("size of service %q is negative", s.Service)
+		}
+	}
+	return nil
+}
+
 // Check returns an error when a status violates its schema.
 func (s LinkStatus) Check() error {
 	if s.VersionAge < -1 || s.RegistryAge < -1 {
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -6,7 +6,7 @@
 // All records of the duties topic are conditional appends: each names the offset
 // at which the topic must end. Of two writers that have read the same prefix, at
 // most one succeeds, and a delayed append cannot take effect after a newer one.
-// The offset of a claim is its fencing token.
+// The position of a claim, its era and offset, is its fencing token.
 //
 // The holder's lease time starts before it sends a record and counts only once
 // the record is known to be appended. A claimant waits for a full TTL, plus an
@@ -20,6 +20,12 @@
 // peers that it does not hold the lease and that no append it has sent so far
 // can make it the holder.
 //
+// When the log is restored from an older copy, which starts a new era, it may have
+// lost claims, committed counts and sizes. Claims of earlier eras are then void: a
+// holder stops when it learns of the new era, and nobody claims for a TTL after it
+// has learned of it. Counts and sizes are told to the peers, so that they outlive a
+// restore; the next holder appends them again.
+//
 // # Usage
 //
 //	c := &claimer.Claimer{Log: store, Instance: "entry-1", Incarnation: startMillis,
@@ -75,6 +81,9 @@
 	// reported that it had yielded, see Leadership, or 0 when its last status does
 	// not report so.
 	YieldedAt func(instance string, incarnation int) time.Duration
+	// OnCommit is called with counts and sizes that this instance has appended, for
+	// peers to learn them. It may be nil.
+	OnCommit func(savoryloft.DutyFacts)
 	// Partials returns the counts so far of windows without committed counts, which
 	// renewals store in the log. It may be nil.
 	Partials func() []savoryloft.PartialCounts
@@ -113,7 +122,80 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f, ok := c.state.figures[window]
-	return f, ok
+	return f.counts, ok
+}
+
+// UncertainBefore returns the uptime before which another holder may have reported
+// windows whose committed counts the log has lost in a restore, or 0 if that is
+// excluded.
+func (c *Claimer) UncertainBefore() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.uncertainBefore()
+}
+
+// ObserveEra processes an era of the log that this instance has heard of otherwise
+// than by its own calls.
+func (c *Claimer) ObserveEra(era int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observeEra(era)
+}
+
+// observeEra processes an era of the log and reports whether it is new. The caller
+// must hold c.mu.
+func (c *Claimer) observeEra(era int) bool {
+	before := c.state.era
+	if !c.state.observeEra(savoryloft.Uptime(), era, c.TTL+maxClockDrift) {
+		return false
+	}
+	if before > 0 {
+		c.Logger.Info("log was restored; claims of earlier eras are void", "step", savoryloft.StepLease, "era", era, "before", before,
+			"held", c.state.heldAtEra)
+	}
+	return true
+}
+
+// Facts returns the sizes and the counts of the last windows, for a peer to learn.
+func (c *Claimer) Facts() savoryloft.DutyFacts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var f savoryloft.DutyFacts
+	for service, size := range c.state.sizes {
+		f.Sizes = append(f.Sizes, savoryloft.SizeFact{Service: service, Upstreams: size.upstreams, Position: size.position})
+	}
+	for w, figures := range c.state.figures {
+		if w > c.state.lastWindow-restoredWindows {
+			f.Figures = append(f.Figures, figuresFact(w, figures))
+		}
+	}
+	return f
+}
+
+func figuresFact(window int, f storedFigures) savoryloft.FiguresFact {
+	fact := savoryloft.FiguresFact{Window: window, Position: f.position}
+	for account, n := range f.counts {
+		fact.Accounts, fact.Requests = append(fact.Accounts, account), append(fact.Requests, n)
+	}
+	return fact
+}
+
+// Learn stores the sizes and counts that a peer knows.
+func (c *Claimer) Learn(f savoryloft.DutyFacts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, size := range f.Sizes {
+		if known, ok := c.state.sizes[size.Service]; !ok || size.Position > known.position {
+			c.state.storeSize(size.Service, storedSize{size.Upstreams, size.Position})
+		}
+	}
+	for _, fact := range f.Figures {
+		counts := map[string]int{}
+		for i, account := range fact.Accounts {
+			counts[account] = fact.Requests[i]
+		}
+		c.state.storeFigures(fact.Window, storedFigures{counts, fact.Position})
+	}
 }
 
 // LastWindow returns the last window with committed counts, or 0 when there is
@@ -148,10 +230,13 @@
 	_, held := c.state.held(now)
 	renew := held && now-c.state.lastSentAt >= c.TTL/renewalsPerTTL
 	inDoubt := c.state.inDoubt
+	lost, hasLost := c.state.lostRecord()
 	c.mu.Unlock()
 	switch {
 	case inDoubt:
 		return c.readToEnd(ctx, 0)
+	case held && hasLost:
+		return c.appendRecord(ctx, lost)
 	case renew:
 		renewal := savoryloft.DutyRecord{Kind: savoryloft.DutyRecordKindRenewal}
 		if c.Partials != nil {
@@ -178,6 +263,12 @@
 	delay := time.Duration(c.Position()) * claimStagger
 	c.mu.Lock()
 	h := c.state.holder
+	switch {
+	case c.state.heldAtEra:
+		delay = 0 // Only the holder at the restore knows which windows it has reported.
+	case c.state.claimableAt > 0:
+		delay += claimStagger
+	}
 	c.mu.Unlock()
 	var yieldedAt time.Duration
 	if h.instance != c.Instance {
@@ -205,6 +296,12 @@
 		c.mu.Lock()
 		now := savoryloft.Uptime()
 		switch {
+		case page.Era > 0 && c.observeEra(page.Era) && from > 0:
+			c.mu.Unlock()
+			continue // Read the restored topic from its start.
+		case page.Era < c.state.era:
+			c.mu.Unlock()
+			return errors.Annotate(savoryloft.ErrUnavailable, "read duties topic: the response is from an earlier era")
 		case errors.Is(err, savoryloft.ErrExpired) && page.Next > from:
 			c.state.advance(now, page.Next)
 			c.mu.Unlock()
@@ -213,6 +310,9 @@
 			c.mu.Unlock()
 			return errors.Annotate(err, "read duties topic")
 		}
+		if c.state.eraEnd < 0 {
+			c.state.eraEnd = page.End
+		}
 		for _, r := range page.Records {
 			c.apply(now, r)
 		}
@@ -236,7 +336,7 @@
 	own := d.Instance == c.Instance && d.Incarnation == c.Incarnation
 	if d.Kind == savoryloft.DutyRecordKindClaim {
 		c.Logger.Info("lease claimed", "step", savoryloft.StepLease, "holder", d.Instance, "incarnation", d.Incarnation,
-			"fence", r.Offset, "mine", own)
+			"fence", savoryloft.Position(c.state.era, r.Offset), "mine", own)
 	}
 	c.state.apply(now, r.Offset, d, own, c.TTL)
 }
@@ -264,8 +364,8 @@
 func (c *Claimer) Size(service string) (upstreams int, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	upstreams, ok = c.state.sizes[service]
-	return upstreams, ok
+	size, ok := c.state.sizes[service]
+	return size.upstreams, ok
 }
 
 // SetSize appends the desired number of upstreams of a service. It returns
@@ -292,22 +392,31 @@
 		c.mu.Unlock()
 		return savoryloft.ErrLeaseLost
 	}
-	at := c.state.end
+	at, era := c.state.end, c.state.era
 	d.Sequence = c.state.beginAppend(sent)
 	if d.Kind == savoryloft.DutyRecordKindRelease {
 		c.state.stepDown()
 	}
 	c.mu.Unlock()
 	value, err := json.Marshal(d)
+	answeredIn := 0
 	if err == nil {
-		err = c.Log.AppendAt(ctx, savoryloft.TopicDuties, at, value)
+		answeredIn, err = c.Log.AppendAt(ctx, savoryloft.TopicDuties, at, value)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state.inFlight = false
+	if answeredIn > 0 {
+		c.observeEra(answeredIn)
+	}
 	switch {
+	case c.state.era != era:
+		// The topic is read again. The record counts for nothing, even if the restored
+		// topic has it.
+		return errors.Annotatef(savoryloft.ErrLeaseLost, "append %s: the log was restored", d.Kind)
 	case err == nil:
 		c.apply(savoryloft.Uptime(), savoryloft.KeyedRecord{Value: value, Offset: at})
+		c.tellCommit(d)
 		return nil
 	case errors.Is(err, savoryloft.ErrUnavailable):
 		return err
@@ -318,6 +427,22 @@
 	return errors.Annotatef(err, "append %s", d.Kind)
 }
 
+// tellCommit tells the peers counts or a size that this instance has appended. The
+// caller must hold c.mu.
+func (c *Claimer) tellCommit(d savoryloft.DutyRecord) {
+	var f savoryloft.DutyFacts
+	if d.Figures != nil {
+		f.Figures = []savoryloft.FiguresFact{figuresFact(d.Figures.Window, c.state.figures[d.Figures.Window])}
+	}
+	if d.Size != nil {
+		size := c.state.sizes[d.Size.Service]
+		f.Sizes = []savoryloft.SizeFact{{Service: d.Size.Service, Upstreams: size.upstreams, Position: size.position}}
+	}
+	if c.OnCommit != nil && (f.Figures != nil || f.Sizes != nil) {
+		c.OnCommit(f)
+	}
+}
+
 // Release releases the lease for a graceful shutdown. It does nothing when this
 // instance does not hold the lease.
 func (c *Claimer) Release(ctx context.Context) error {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -153,18 +153,25 @@
 }
 
 // Guards against two holders at a time and against a fencing token that two
-// instances hold. Appends are lost, delayed or rejected, calls take up to 250 ms,
-// the log has outages, and PeerHoldsLease may return false although a peer holds
-// the lease.
+// instances hold or that is lower than an earlier one. Appends are lost, delayed or
+// rejected, calls take up to 250 ms, the log has outages, and PeerHoldsLease may
+// return false although a peer holds the lease. In half of the runs the log is also
+// restored from copies that are up to some seconds old.
 func TestNeverTwoHolders(t *testing.T) {
-	for seed := range uint64(40) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runWithRandomFaults(t, seed) })
-		})
+	for _, restores := range []bool{false, true} {
+		holding := 0
+		for seed := range uint64(40) {
+			t.Run(fmt.Sprintf("%d/restores=%t", seed, restores), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { holding += runWithRandomFaults(t, seed, restores) })
+			})
+		}
+		require.NotZero(t, holding, "no instance ever held the lease")
 	}
 }
 
-func runWithRandomFaults(t *testing.T, seed uint64) {
+// runWithRandomFaults returns the number of steps in which an instance held the
+// lease.
+func runWithRandomFaults(t *testing.T, seed uint64, restores bool) (holding int) {
 	var mu sync.Mutex
 	rng := rand.New(rand.NewPCG(seed, 1))
 	draw := func(n int) int {
@@ -185,8 +192,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cl := newCluster(ctx, 3, log)
 	fences := map[int]int{}
+	highest := 0
+	copied := log.Copy()
 	for step := range 600 {
 		time.Sleep(50 * time.Millisecond)
+		if restores && draw(40) == 0 {
+			copied = log.Copy()
+		}
+		if restores && draw(200) == 0 {
+			log.Restore(copied)
+		}
 		if step%40 == 0 {
 			cl.peersHidden.Store(draw(2) == 0)
 			log.SetDown(draw(5) == 0)
@@ -197,12 +212,75 @@
 			fence, _, _ := cl.claimers[held[0]].Held()
 			owner, ok := fences[fence]
 			require.True(t, !ok || owner == held[0], "fencing token %d has two holders", fence)
-			fences[fence] = held[0]
+			require.GreaterOrEqual(t, fence, highest)
+			fences[fence], highest = held[0], fence
+			holding++
 		}
 	}
 	cancel()
 	time.Sleep(10 * time.Second)
 	synctest.Wait()
+	return holding
+}
+
+// Counts and sizes that the log has lost in a restore are known to the peers, and
+// the next holder appends them again as they were.
+func TestCommittedRecordsSurviveARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		log := &faker.Log{}
+		cl := newCluster(ctx, 2, log)
+		cl.claimers[0].OnCommit = cl.claimers[1].Learn
+		time.Sleep(2 * time.Second)
+		copied := log.Copy()
+		counts := map[string]int{"x": 3}
+		require.NoError(t, cl.claimers[0].CommitCounts(ctx, 7, counts))
+		require.NoError(t, cl.claimers[0].SetSize(ctx, "s", 5))
+		first, _, _ := cl.claimers[0].Held()
+		log.Restore(copied)
+		cl.cancels[0]()
+		time.Sleep(3 * ttl)
+		second, _, ok := cl.claimers[1].Held()
+		require.True(t, ok)
+		require.Greater(t, second, first)
+		require.Positive(t, cl.claimers[1].UncertainBefore(), "the first holder may have reported windows meanwhile")
+		newcomer := &Claimer{Log: log, Instance: "entry-9", TTL: ttl, Logger: logr.Discard()}
+		require.NoError(t, newcomer.readToEnd(ctx, 0))
+		for _, c := range []*Claimer{cl.claimers[1], newcomer} {
+			got, ok := c.CommittedCounts(7)
+			require.True(t, ok)
+			require.Equal(t, counts, got)
+			size, ok := c.Size("s")
+			require.True(t, ok)
+			require.Equal(t, 5, size)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// The holder stops when it hears of a restore, and claims again before the others,
+// since only it knows what it has reported.
+func TestHolderStopsAtARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		log := &faker.Log{}
+		cl := newCluster(ctx, 3, log)
+		time.Sleep(2 * time.Second)
+		cl.peersHidden.Store(true) // All candidates read the topic.
+		log.Restore(log.Copy())
+		cl.claimers[0].ObserveEra(2)
+		require.Empty(t, cl.holders())
+		for range int(ttl / (100 * time.Millisecond)) {
+			time.Sleep(100 * time.Millisecond)
+			require.Empty(t, cl.holders())
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, []int{0}, cl.holders())
+		require.Zero(t, cl.claimers[0].UncertainBefore())
+		cancel()
+		synctest.Wait()
+	})
 }
 
 // Guards against the loss of counts when all instances lose power between the
--- a/claimer/model_test.go
+++ b/claimer/model_test.go
@@ -33,6 +33,7 @@
 	ticks    int
 	appends  int  // Appends of each instance.
 	restarts int  // Restarts of both instances together.
+	restores int  // Restores of the log from any older copy.
 	usage    bool // Holders commit and report the counts of the window.
 	states   int  // States after which the exploration stops; no limit when zero.
 }
@@ -51,6 +52,9 @@
 	staleYield                      // A yield from before the last record was read is accepted.
 	releaseKeepsLease               // A release is sent without giving up the lease locally.
 	reportUncommitted               // A window is reported before its counts are committed.
+	ignoreEra                       // A restore of the log is not noticed.
+	claimAfterRestore               // A claimant does not wait for a TTL after a restore.
+	commitAfterRestore              // A holder commits counts although another one may have reported the window before a restore.
 )
 
 // modelAppend is an append that was sent.
@@ -62,6 +66,8 @@
 	sequence    int
 	committed   bool
 	conflict    bool // Rejected because the topic did not end at the offset.
+	sentIn      int  // Era that the sender knew.
+	answeredIn  int  // Era in which it was committed or rejected.
 }
 
 type modelRecord struct {
@@ -74,16 +80,23 @@
 	incarnation    int
 	sent           int           // Appends sent.
 	call           *modelAppend  // Waiting for its response.
-	reading        int           // One more than the end of the topic that the read in flight returns; 0 when there is none.
+	reading        *modelRead    // Read in flight; nil when there is none.
 	abandoned      []modelAppend // Timed out before they were committed.
 	statusSentAt   time.Duration // Send time of the status that the peer replies to next; 0 when there is none.
 	yieldedAt      time.Duration // Send time of the status to which the peer last replied with a yield; 0 when there is none.
 	replyInTransit time.Duration // Like yieldedAt, for a reply that has not been received yet.
 }
 
+// modelRead is the result of a read: the topic as it was at its start.
+type modelRead struct {
+	era     int
+	records []modelRecord
+}
+
 type model struct {
 	now       time.Duration
 	restarts  int
+	restores  int
 	reported  [2]int // First and last count reported for the window; 0 when there is none.
 	log       []modelRecord
 	instances [2]modelInstance
@@ -96,6 +109,7 @@
 		in := &c.instances[i]
 		in.state.sentAt = maps.Clone(in.state.sentAt)
 		in.state.figures = maps.Clone(in.state.figures)
+		in.state.sizes = maps.Clone(in.state.sizes)
 		in.abandoned = slices.Clone(in.abandoned)
 		if in.call != nil {
 			call := *in.call
@@ -121,17 +135,30 @@
 	putTick := func(d time.Duration) { putInt(int(d / modelTick)) }
 	putTick(m.now)
 	putInt(m.restarts)
+	putInt(m.restores)
 	putInt(m.reported[0])
 	putInt(m.reported[1])
 	for i := range m.instances {
 		in := &m.instances[i]
 		s := &in.state
-		for _, n := range []int{in.incarnation, in.sent, in.reading, s.end, s.fence, s.sequence, s.holder.incarnation, len(s.holder.instance)} {
+		for _, n := range []int{in.incarnation, in.sent, s.era, s.eraEnd, s.end, s.fence, s.sequence, s.holder.incarnation, len(s.holder.instance)} {
 			putInt(n)
 		}
-		putInt(s.figures[modelWindow]["x"])
+		putInt(s.figures[modelWindow].counts["x"])
 		putTick(s.changedAt)
 		putTick(s.deadline)
+		putTick(s.claimableAt)
+		putBool(s.heldAtEra)
+		putInt(s.figures[modelWindow].position)
+		putBool(in.reading != nil)
+		if in.reading != nil {
+			putInt(in.reading.era)
+			putInt(len(in.reading.records))
+			for _, r := range in.reading.records {
+				putInt(r.instance)
+				r.key(putInt, putBool)
+			}
+		}
 		for n := range s.sequence {
 			putTick(s.sentAt[n+1])
 		}
@@ -167,6 +194,8 @@
 	putInt(a.sequence)
 	putBool(a.committed)
 	putBool(a.conflict)
+	putInt(a.sentIn)
+	putInt(a.answeredIn)
 }
 
 // explorer visits the reachable states in breadth-first order.
@@ -221,10 +250,19 @@
 	if m.now/modelTick < time.Duration(e.ticks) {
 		emit(func(n *model) { n.now = (n.now/modelTick + 1) * modelTick })
 	}
+	if m.restores < e.modelBounds.restores {
+		for kept := range len(m.log) + 1 {
+			emit(func(n *model) {
+				n.restores++
+				n.log = n.log[:kept:kept]
+			})
+		}
+	}
 	for i := range m.instances {
 		e.appendActions(m, i, emit)
 		e.readActions(m, i, emit)
 		e.yieldActions(m, i, emit)
+		e.tellActions(m, i, emit)
 		if m.restarts < e.restarts {
 			emit(func(n *model) {
 				old := n.instances[i]
@@ -243,7 +281,7 @@
 func (e *explorer) appendActions(m *model, i int, emit func(func(n *model))) {
 	in := &m.instances[i]
 	s := in.state
-	if in.call == nil && in.reading == 0 && !s.inDoubt && in.sent < e.modelBounds.appends {
+	if in.call == nil && in.reading == nil && !s.inDoubt && in.sent < e.modelBounds.appends {
 		_, held := s.held(m.now)
 		yieldedAt := in.yieldedAt
 		if e.fault == staleYield && yieldedAt > 0 {
@@ -253,11 +291,15 @@
 		if e.fault == claimEarly {
 			ttl = modelTTL / 2
 		}
+		if e.fault == claimAfterRestore {
+			s.claimableAt = 0
+		}
+		certain := in.state.uncertainBefore() == 0 || e.fault == commitAfterRestore
 		switch {
 		case held:
 			emit(func(n *model) { e.send(n, i, savoryloft.DutyRecordKindRenewal) })
 			emit(func(n *model) { e.send(n, i, savoryloft.DutyRecordKindRelease) })
-			if e.usage && s.figures[modelWindow] == nil {
+			if _, lost := s.lostRecord(); e.usage && (lost || certain && s.figures[modelWindow].counts == nil) {
 				emit(func(n *model) { e.send(n, i, savoryloft.DutyRecordKindFigures) })
 			}
 		case !held && s.canClaim(m.now, ttl, 0, yieldedAt):
@@ -276,8 +318,11 @@
 			if !in.call.committed && !in.call.conflict {
 				in.abandoned = append(in.abandoned, *in.call)
 			}
+			in.state.inFlight = false
+			if in.call.sentIn == in.state.era {
+				in.state.inDoubt = true
+			}
 			in.call = nil
-			in.state.inFlight, in.state.inDoubt = false, true
 		})
 	}
 	for j := range in.abandoned {
@@ -293,9 +338,14 @@
 func (e *explorer) send(n *model, i int, kind savoryloft.DutyRecordKind) {
 	in := &n.instances[i]
 	in.sent++
-	in.call = &modelAppend{at: in.state.end, kind: kind, incarnation: in.incarnation, sequence: in.state.beginAppend(n.now)}
+	in.call = &modelAppend{
+		at: in.state.end, kind: kind, incarnation: in.incarnation, sentIn: in.state.era, sequence: in.state.beginAppend(n.now),
+	}
 	if kind == savoryloft.DutyRecordKindFigures {
 		in.call.count = ownCount(i, in)
+		if known := in.state.figures[modelWindow].counts; known != nil {
+			in.call.count = known["x"]
+		}
 	}
 	if kind == savoryloft.DutyRecordKindRelease && e.fault != releaseKeepsLease {
 		in.state.stepDown()
@@ -305,6 +355,7 @@
 // commit appends the record of instance i to the topic, or marks the append as a
 // conflict if the topic does not end at its offset.
 func (e *explorer) commit(n *model, i int, a *modelAppend) {
+	a.answeredIn = n.era()
 	if a.at != len(n.log) && e.fault != appendAnywhere {
 		a.conflict = true
 		return
@@ -318,6 +369,10 @@
 	in := &n.instances[i]
 	c := in.call
 	in.call, in.state.inFlight = nil, false
+	e.observeEra(n, i, c.answeredIn)
+	if c.sentIn != in.state.era && e.fault != ignoreEra {
+		return
+	}
 	if c.conflict {
 		in.state.inDoubt = true
 		return
@@ -325,12 +380,34 @@
 	if e.fault == deadlineFromResponse {
 		in.state.sentAt[c.sequence] = n.now
 	}
-	e.apply(n, i, c.at)
+	e.apply(n, i, c.at, modelRecord{instance: i, modelAppend: *c})
+}
+
+// era returns the era of the log.
+func (m *model) era() int { return 1 + m.restores }
+
+// observeEra tells instance i of an era of the log.
+func (e *explorer) observeEra(n *model, i, era int) {
+	if s := &n.instances[i].state; e.fault != ignoreEra || s.era == 0 {
+		s.observeEra(n.now, era, modelTTL+modelDrift)
+	}
+}
+
+// tellActions emits the messages from instance i to its peer that tell it of a new
+// era or of committed counts. Either may arrive at any time or never.
+func (e *explorer) tellActions(m *model, i int, emit func(func(n *model))) {
+	s, peer := &m.instances[i].state, &m.instances[1-i].state
+	if s.era > peer.era && peer.era > 0 && e.fault != ignoreEra {
+		emit(func(n *model) { e.observeEra(n, 1-i, n.instances[i].state.era) })
+	}
+	if f, ok := s.figures[modelWindow]; ok && f.counts != nil && m.restores > 0 && peer.figures[modelWindow].position < f.position {
+		emit(func(n *model) { n.instances[1-i].state.storeFigures(modelWindow, f) })
+	}
 }
 
 // apply applies the record at an offset to the state of instance i.
-func (e *explorer) apply(n *model, i, offset int) {
-	in, r := &n.instances[i], n.log[offset]
+func (e *explorer) apply(n *model, i, offset int, r modelRecord) {
+	in := &n.instances[i]
 	own := r.instance == i && r.incarnation == in.incarnation
 	d := savoryloft.DutyRecord{
 		Kind: r.kind, Instance: []string{"a", "b"}[r.instance], Incarnation: r.incarnation, Sequence: r.sequence,
@@ -352,7 +429,7 @@
 	if _, held := in.state.held(m.now); !e.usage || !held {
 		return
 	}
-	count := in.state.figures[modelWindow]["x"]
+	count := in.state.figures[modelWindow].counts["x"]
 	if count == 0 && e.fault == reportUncommitted {
 		count = ownCount(i, in)
 	}
@@ -372,17 +449,26 @@
 func (e *explorer) readActions(m *model, i int, emit func(func(n *model))) {
 	in := &m.instances[i]
 	switch {
-	case in.reading > 0:
+	case in.reading != nil:
 		emit(func(n *model) {
 			in := &n.instances[i]
-			for o := in.state.end; o < in.reading-1; o++ {
-				e.apply(n, i, o)
+			r := in.reading
+			in.reading = nil
+			from, before := in.state.end, in.state.era
+			e.observeEra(n, i, r.era)
+			if in.state.era > before && from > 0 || r.era < in.state.era {
+				return // Read again from the start.
+			}
+			if in.state.eraEnd < 0 {
+				in.state.eraEnd = len(r.records)
+			}
+			for o := in.state.end; o < len(r.records); o++ {
+				e.apply(n, i, o, r.records[o])
 			}
-			in.reading = 0
 			in.state.markCaughtUp(n.now)
 		})
-	case in.call == nil && (in.state.inDoubt || in.state.end < len(m.log) || in.state.caughtUpAt == 0):
-		emit(func(n *model) { n.instances[i].reading = len(n.log) + 1 })
+	case in.call == nil && (in.state.inDoubt || in.state.end < len(m.log) || in.state.caughtUpAt == 0 || in.state.era < m.era()):
+		emit(func(n *model) { n.instances[i].reading = &modelRead{n.era(), slices.Clone(n.log)} })
 	}
 }
 
@@ -441,11 +527,15 @@
 	m := &model{now: modelTick}
 	e := &explorer{}
 	first := &m.instances[0]
+	for i := range m.instances {
+		m.instances[i].state.observeEra(m.now, 1, modelTTL+modelDrift)
+		m.instances[i].state.eraEnd = 0
+	}
 	first.state.markCaughtUp(m.now)
 	e.send(m, 0, savoryloft.DutyRecordKindClaim)
 	e.commit(m, 0, first.call)
 	e.acknowledge(m, 0)
-	e.apply(m, 1, 0)
+	e.apply(m, 1, 0, m.log[0])
 	m.instances[1].state.markCaughtUp(m.now)
 	first.sent = 0
 	m.now = 4 * modelTick
@@ -472,6 +562,22 @@
 	return m
 }
 
+// reportLostByRestore returns a state in which the first instance has reported the
+// window, and the log has then been restored from a copy without its counts. The
+// first instance sends nothing more, and no message from it arrives.
+func reportLostByRestore() *model {
+	m := figuresInFlight()
+	e := &explorer{}
+	e.acknowledge(m, 0)
+	first := &m.instances[0]
+	count := first.state.figures[modelWindow].counts["x"]
+	m.reported = [2]int{count, count}
+	m.restores = 1
+	m.log = m.log[:1:1]
+	m.instances[0] = modelInstance{incarnation: 1, sent: 1 << 10}
+	return m
+}
+
 // Guards against two holders at a time and against two reports of the window with
 // different counts. MODEL_DEEP=1 extends the bounds.
 func TestModelKeepsOneHolderAndOneFigure(t *testing.T) {
@@ -485,6 +591,12 @@
 		{"two appends each, limited states", modelBounds{ticks: 4, appends: 2, states: 30_000}, emptyTopic},
 		{"after an expired claim", modelBounds{ticks: 5, appends: 1}, expiredClaim},
 		{"figures in flight", modelBounds{ticks: 3, appends: 1, usage: true}, figuresInFlight},
+		{"a restore of an empty topic", modelBounds{ticks: 4, appends: 1, restores: 1, states: 150_000}, emptyTopic},
+		{"a restore while one holds", modelBounds{ticks: 5, appends: 1, restores: 1, states: 250_000}, freshHolder},
+		{"a restore and a restart", modelBounds{ticks: 5, appends: 1, restores: 1, restarts: 1, states: 150_000}, freshHolder},
+		{"two restores", modelBounds{ticks: 6, appends: 1, restores: 2, states: 100_000}, freshHolder},
+		{"a restore with figures in flight", modelBounds{ticks: 6, appends: 2, restores: 1, usage: true, states: 150_000}, figuresInFlight},
+		{"a report that the log has lost", modelBounds{ticks: 8, appends: 2, restores: 1, usage: true, states: 150_000}, reportLostByRestore},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			if os.Getenv("MODEL_DEEP") != "" {
@@ -515,9 +627,16 @@
 		{"accepts a stale yield", staleYield, 1, expiredClaim},
 		{"keeps the lease while releasing", releaseKeepsLease, 2, emptyTopic},
 		{"reports before counts are committed", reportUncommitted, 1, freshHolder},
+		{"ignores a restore", ignoreEra, 1, freshHolder},
+		{"claims at once after a restore", claimAfterRestore, 1, freshHolder},
+		{"commits other counts after a restore", commitAfterRestore, 2, reportLostByRestore},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			e := explore(tt.fault, modelBounds{ticks: 4, appends: tt.appends, usage: tt.fault == reportUncommitted, states: 100_000}, tt.start())
+			b := modelBounds{ticks: 4, appends: tt.appends, usage: tt.fault == reportUncommitted || tt.fault == commitAfterRestore, states: 100_000}
+			if tt.fault >= ignoreEra {
+				b.ticks, b.restores, b.states = 6, 1, 400_000
+			}
+			e := explore(tt.fault, b, tt.start())
 			t.Logf("found after %d states", len(e.seen))
 			require.Positive(t, e.violations)
 		})
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -14,12 +14,16 @@
 // lease protocol. Its methods do no I/O and take the current uptime as an
 // argument, so that a test can explore every order of events.
 type stateMachine struct {
+	era         int                              // Era of the log; 0 until it is known.
+	eraEnd      int                              // End of the topic at its first read in this era; offsets below it may come from the copy. -1 before that read.
+	heldAtEra   bool                             // This instance held the lease when it learned of the era.
+	claimableAt time.Duration                    // Uptime before which this instance must not claim, since a holder of an earlier era may still act.
 	end         int                              // Offset after the last record applied.
 	changedAt   time.Duration                    // Uptime of the last apply or skip, or of the first read as a candidate.
 	caughtUpAt  time.Duration                    // Uptime of the last read; 0 when a candidate must read first.
 	released    bool                             // The topic is empty or its last record is a release.
 	ownsClaim   bool                             // The last claim is by this incarnation and has not been released.
-	fence       int                              // Offset of the last claim.
+	fence       int                              // Position of the last claim.
 	deadline    time.Duration                    // Uptime at which this instance must stop acting as the holder.
 	sequence    int                              // Sequence number of the last own append.
 	sentAt      map[int]time.Duration            // Uptime before each own append, by sequence number.
@@ -29,12 +33,24 @@
 	yieldSeenAt time.Duration                    // Uptime at which canClaim first found that the holder had yielded; 0 when it has not.
 	everRead    bool                             // The topic has been read at least once.
 	holder      holder                           // Author of the last claim.
-	sizes       map[string]int                   // Desired number of upstreams by service.
+	sizes       map[string]storedSize            // By service.
 	partials    map[int]savoryloft.PartialCounts // By window; last renewal of another incarnation.
-	figures     map[int]map[string]int           // Committed counts by window and account.
+	figures     map[int]storedFigures            // Committed counts by window.
 	lastWindow  int                              // Last window with committed counts; 0 when there is none.
 }
 
+// storedSize is the desired number of upstreams of a service.
+type storedSize struct {
+	upstreams int
+	position  int // Of the record.
+}
+
+// storedFigures are the committed counts of a window by account.
+type storedFigures struct {
+	counts   map[string]int
+	position int // Of the record.
+}
+
 // holder identifies an incarnation of an instance.
 type holder struct {
 	instance    string
@@ -48,6 +64,45 @@
 	return left, s.ownsClaim && left > 0
 }
 
+// observeEra processes the era of a response of the log, or one that a peer has
+// heard of, and reports whether the era is new. All claims of earlier eras are void:
+// the log may have lost any of them. This instance stops acting as the holder and
+// reads the topic again. Holders that do not know of the new era yet may act for up
+// to a TTL, so nobody claims before that time has passed. In the first era there are
+// none, unless this instance has seen an earlier one.
+func (s *stateMachine) observeEra(now time.Duration, era int, ttl time.Duration) bool {
+	if era <= s.era {
+		return false
+	}
+	_, held := s.held(now)
+	s.heldAtEra = s.era > 0 && held
+	if s.era > 0 || era > 1 {
+		s.claimableAt = now + ttl
+	}
+	s.era, s.eraEnd, s.end = era, -1, 0
+	s.ownsClaim, s.deadline, s.released, s.inDoubt = false, 0, false, false
+	s.caughtUpAt, s.yieldSeenAt, s.holder = 0, 0, holder{}
+	clear(s.sentAt)
+	return true
+}
+
+// uncertainBefore returns the uptime before which an earlier holder may have
+// reported windows whose committed counts the log has lost; 0 if that is excluded.
+func (s *stateMachine) uncertainBefore() time.Duration {
+	if s.heldAtEra {
+		return 0
+	}
+	return s.claimableAt
+}
+
+// isNewer reports whether the record at an offset is newer than one at a known
+// position. In a restored topic, the records before eraEnd may be those that were
+// copied, with the offsets that they had before.
+func (s *stateMachine) isNewer(offset, position int) bool {
+	era, known := savoryloft.SplitPosition(position)
+	return offset > known || era < s.era && s.eraEnd >= 0 && offset >= s.eraEnd
+}
+
 // beginAppend stores the send time of an append that is about to be sent and
 // returns its sequence number.
 func (s *stateMachine) beginAppend(now time.Duration) int {
@@ -70,7 +125,7 @@
 	s.released = d.Kind == savoryloft.DutyRecordKindRelease
 	switch d.Kind {
 	case savoryloft.DutyRecordKindClaim:
-		s.ownsClaim, s.fence = own, offset
+		s.ownsClaim, s.fence = own, savoryloft.Position(s.era, offset)
 		s.holder = holder{d.Instance, d.Incarnation}
 	case savoryloft.DutyRecordKindRelease:
 		s.ownsClaim = false
@@ -79,7 +134,7 @@
 		s.deadline = max(s.deadline, sent+ttl)
 	}
 	if d.Figures != nil {
-		s.storeFigures(d.Figures)
+		s.storeFigures(d.Figures.Window, storedFigures{d.Figures.Counts, savoryloft.Position(s.era, offset)})
 	}
 	if !own {
 		// This incarnation's own counts are at least as recent as those it has
@@ -89,23 +144,31 @@
 		}
 	}
 	if d.Size != nil {
-		if s.sizes == nil {
-			s.sizes = map[string]int{}
+		known, ok := s.sizes[d.Size.Service]
+		if !ok || s.isNewer(offset, known.position) {
+			s.storeSize(d.Size.Service, storedSize{d.Size.Upstreams, savoryloft.Position(s.era, offset)})
 		}
-		s.sizes[d.Size.Service] = d.Size.Upstreams
 	}
 }
 
-// storeFigures stores the committed counts of a window unless it has some
-// already: the first record for a window is final.
-func (s *stateMachine) storeFigures(f *savoryloft.WindowFigures) {
+func (s *stateMachine) storeSize(service string, size storedSize) {
+	if s.sizes == nil {
+		s.sizes = map[string]storedSize{}
+	}
+	s.sizes[service] = size
+}
+
+// storeFigures stores the committed counts of a window. The first counts for a
+// window are final; of later ones only the position is stored.
+func (s *stateMachine) storeFigures(window int, f storedFigures) {
 	if s.figures == nil {
-		s.figures = map[int]map[string]int{}
+		s.figures = map[int]storedFigures{}
 	}
-	if _, ok := s.figures[f.Window]; !ok {
-		s.figures[f.Window] = f.Counts
+	if known, ok := s.figures[window]; ok {
+		f = storedFigures{known.counts, max(known.position, f.position)}
 	}
-	s.lastWindow = max(s.lastWindow, f.Window)
+	s.figures[window] = f
+	s.lastWindow = max(s.lastWindow, window)
 	for w := range s.figures {
 		if w < s.lastWindow-retainedWindows {
 			delete(s.figures, w)
@@ -113,6 +176,32 @@
 	}
 }
 
+// lostRecord returns a record that the log may have lost in a restore, for the holder
+// to append again: a size, or the counts of one of the last windows. ok is false if
+// there is none.
+func (s *stateMachine) lostRecord() (d savoryloft.DutyRecord, ok bool) {
+	for service, size := range s.sizes {
+		if era, _ := savoryloft.SplitPosition(size.position); era < s.era {
+			return savoryloft.DutyRecord{
+				Kind: savoryloft.DutyRecordKindSize, Size: &savoryloft.ServiceSize{Service: service, Upstreams: size.upstreams},
+			}, true
+		}
+	}
+	for w := s.lastWindow - restoredWindows + 1; w <= s.lastWindow; w++ {
+		f, known := s.figures[w]
+		if era, _ := savoryloft.SplitPosition(f.position); known && era < s.era {
+			return savoryloft.DutyRecord{
+				Kind: savoryloft.DutyRecordKindFigures, Figures: &savoryloft.WindowFigures{Window: w, Counts: f.counts},
+			}, true
+		}
+	}
+	return savoryloft.DutyRecord{}, false
+}
+
+// restoredWindows is the number of windows, up to the newest committed one, whose
+// counts are appended again after a restore. Older ones are not reported any more.
+const restoredWindows = 8
+
 // storePartial stores the partial counts of a window.
 func (s *stateMachine) storePartial(p savoryloft.PartialCounts) {
 	if s.partials == nil {
@@ -178,7 +267,7 @@
 // holder's last record was read is ignored, since the holder may have appended
 // that record after the report.
 func (s *stateMachine) canClaim(now, ttl, delay, yieldedAt time.Duration) bool {
-	if s.caughtUpAt == 0 || s.inDoubt {
+	if s.caughtUpAt == 0 || s.inDoubt || now < s.claimableAt+delay {
 		return false
 	}
 	switch {
--- a/faker/log.go
+++ b/faker/log.go
@@ -4,11 +4,15 @@
 //
 //	log := &faker.Log{}
 //	log.SetDown(true)
-//	err := log.Put(ctx, savoryloft.TopicRegistry, "u1", value) // ErrUnavailable
+//	_, err := log.Put(ctx, savoryloft.TopicRegistry, "u1", value) // ErrUnavailable
+//	copied := log.Copy()
+//	log.Restore(copied) // Loses the records appended since, and starts a new era.
 package faker
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,12 +50,49 @@
 	// Latency returns the duration of a call; zero when nil.
 	Latency func() time.Duration
 
-	mu     sync.Mutex
-	down   bool
-	topics map[savoryloft.Topic]*topic
-	calls  int
+	mu       sync.Mutex
+	down     bool
+	topics   map[savoryloft.Topic]*topic
+	calls    int
+	restores int
 }
 
+// Copy is a copy of a log's records.
+type Copy struct {
+	topics map[savoryloft.Topic]topic
+}
+
+// Copy returns a copy of the present records.
+func (l *Log) Copy() Copy {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := Copy{topics: map[savoryloft.Topic]topic{}}
+	for id, t := range l.topics {
+		c.topics[id] = topic{slices.Clone(t.records), t.firstOffset, maps.Clone(t.retained)}
+	}
+	return c
+}
+
+// Restore replaces the records by those of a copy and starts a new era.
+func (l *Log) Restore(c Copy) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.topics = map[savoryloft.Topic]*topic{}
+	for id, t := range c.topics {
+		l.topics[id] = &topic{slices.Clone(t.records), t.firstOffset, maps.Clone(t.retained)}
+	}
+	l.restores++
+}
+
+// Era returns the log's era, which starts at 1.
+func (l *Log) Era() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era()
+}
+
+func (l *Log) era() int { return 1 + l.restores }
+
 type topic struct {
 	records     []savoryloft.KeyedRecord // Indexed by offset minus firstOffset.
 	firstOffset int
@@ -147,10 +188,10 @@
 	switch {
 	case l.down:
 		return savoryloft.RecordPage{}, savoryloft.ErrUnavailable
-	case from < top.firstOffset:
-		return savoryloft.RecordPage{Next: top.firstOffset}, savoryloft.ErrExpired
+	case from < top.firstOffset || from > top.end():
+		return savoryloft.RecordPage{Next: top.firstOffset, Era: l.era()}, savoryloft.ErrExpired
 	}
-	page := savoryloft.RecordPage{Next: top.end(), End: top.end()}
+	page := savoryloft.RecordPage{Next: top.end(), End: top.end(), Era: l.era()}
 	page.Records = append(page.Records, top.records[min(from-top.firstOffset, len(top.records)):]...)
 	return page, nil
 }
@@ -163,7 +204,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	top := l.topic(t)
-	page := savoryloft.RecordPage{Next: top.end(), End: top.end()}
+	page := savoryloft.RecordPage{Next: top.end(), End: top.end(), Era: l.era()}
 	for _, r := range top.newest() {
 		page.Records = append(page.Records, r)
 	}
@@ -171,9 +212,9 @@
 }
 
 // AppendAt implements savoryloft.RecordLog.
-func (l *Log) AppendAt(ctx context.Context, t savoryloft.Topic, at int, value []byte) error {
+func (l *Log) AppendAt(ctx context.Context, t savoryloft.Topic, at int, value []byte) (era int, err error) {
 	if err := l.beginCall(ctx); err != nil {
-		return err
+		return 0, err
 	}
 	outcome := Acknowledged
 	if l.ChooseOutcome != nil {
@@ -181,35 +222,35 @@
 	}
 	switch outcome {
 	case Refused:
-		return savoryloft.ErrUnavailable
+		return 0, savoryloft.ErrUnavailable
 	case Delayed:
-		time.AfterFunc(l.Delay, func() { _ = l.appendNow(t, at, value) })
-		return ErrLost
+		time.AfterFunc(l.Delay, func() { _, _ = l.appendNow(t, at, value) })
+		return 0, ErrLost
 	case ResponseLost:
-		_ = l.appendNow(t, at, value)
-		return ErrLost
+		_, _ = l.appendNow(t, at, value)
+		return 0, ErrLost
 	}
 	return l.appendNow(t, at, value)
 }
 
-func (l *Log) appendNow(t savoryloft.Topic, at int, value []byte) error {
+func (l *Log) appendNow(t savoryloft.Topic, at int, value []byte) (era int, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	top := l.topic(t)
 	if top.end() != at {
-		return savoryloft.ErrConflict
+		return l.era(), savoryloft.ErrConflict
 	}
 	top.records = append(top.records, savoryloft.KeyedRecord{Offset: at, Value: value})
-	return nil
+	return l.era(), nil
 }
 
 // Put implements savoryloft.RecordLog.
-func (l *Log) Put(ctx context.Context, t savoryloft.Topic, key string, value []byte) error {
+func (l *Log) Put(ctx context.Context, t savoryloft.Topic, key string, value []byte) (era int, err error) {
 	if err := l.beginCall(ctx); err != nil {
-		return err
+		return 0, err
 	}
 	l.Set(t, key, value)
-	return nil
+	return l.Era(), nil
 }
 
 // Set writes a record as an operator or an upstream does, regardless of outages.
--- a/launcher/freshness_test.go
+++ b/launcher/freshness_test.go
@@ -246,7 +246,7 @@
 	change := func() {
 		value, err := json.Marshal(savoryloft.Configuration{Version: len(accepted) + 1})
 		require.NoError(t, err)
-		require.NoError(t, log.Put(ctx, savoryloft.TopicConfiguration, "config", value))
+		log.Set(savoryloft.TopicConfiguration, "config", value)
 		accepted = append(accepted, savoryloft.Uptime())
 	}
 	// check fails the test when an instance reports an age by which its version was
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -174,12 +174,12 @@
 	}
 	l.sharedLinker.Store(l.linker)
 	l.watcher = &watcher.Watcher{
-		Log: l.Log, Decoder: l.Decoder, Logger: l.Logger, ReaderRank: l.readerRank, ReadersFail: l.linker.ReadersFail, OnChange: l.relayRecords,
+		Log: l.Log, Decoder: l.Decoder, Logger: l.Logger, ReaderRank: l.readerRank, ReadersFail: l.linker.ReadersFail, OnChange: l.relayRecords, OnEra: l.observeEra,
 		PropagationLimits: [2]time.Duration{d.Bounds.ConfigurationInForce, d.Bounds.Drain},
 	}
 	l.claimer = &claimer.Claimer{
 		Log: l.Log, Instance: d.Instance, Incarnation: l.incarnation, TTL: d.Bounds.LeaseTTL,
-		Position: l.readerRank, PeerHoldsLease: l.peerHoldsLease, YieldedAt: l.linker.YieldedAt, Partials: l.partialCounts, Logger: l.Logger,
+		Position: l.readerRank, PeerHoldsLease: l.peerHoldsLease, YieldedAt: l.linker.YieldedAt, Partials: l.partialCounts, OnCommit: l.linker.BroadcastDuties, Logger: l.Logger,
 	}
 	l.relayer = &relayer.Relayer{
 		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
@@ -201,6 +201,13 @@
 	return l.linker.ReaderRank()
 }
 
+// observeEra processes a new era of the log: the lease of an earlier one is void, and
+// peers are told at once.
+func (l *Launcher) observeEra(era int) {
+	l.claimer.ObserveEra(era)
+	l.linker.BroadcastStatus()
+}
+
 // relayRecords sends control records to the peers that need them. from is the
 // peer that sent the records, or empty when this instance read them from the
 // log.
@@ -320,10 +327,14 @@
 	if err != nil {
 		return errors.Annotate(err, "encode member record")
 	}
-	for registered := false; ctx.Err() == nil; {
+	registeredIn := -1 // Era of the log in which this instance is registered; -1 before.
+	for ctx.Err() == nil {
+		registered := registeredIn >= 0 && registeredIn >= l.watcher.Era()
 		if !registered {
-			err := l.Log.Put(ctx, savoryloft.TopicMembers, d.Instance, value)
-			registered = err == nil
+			era, err := l.Log.Put(ctx, savoryloft.TopicMembers, d.Instance, value)
+			if registered = err == nil; registered {
+				registeredIn = era
+			}
 			if err != nil {
 				l.Logger.V(1).Info("registration in the member list failed, retrying", "step", savoryloft.StepPeer, "error", err.Error())
 			}
@@ -334,7 +345,7 @@
 			l.Logger.V(1).Info("reading the member list failed, retrying", "step", savoryloft.StepPeer, "error", err.Error())
 		} else if registered {
 			savoryloft.Sleep(ctx, memberReadInterval)
-			for !l.linker.IsReader() && ctx.Err() == nil {
+			for !l.linker.IsReader() && registeredIn >= l.watcher.Era() && ctx.Err() == nil {
 				savoryloft.Sleep(ctx, memberReadInterval)
 			}
 			continue
--- a/launcher/observed.go
+++ b/launcher/observed.go
@@ -52,19 +52,19 @@
 }
 
 // AppendAt implements savoryloft.RecordLog.
-func (o instrumentedLog) AppendAt(ctx context.Context, t savoryloft.Topic, at int, value []byte) error {
+func (o instrumentedLog) AppendAt(ctx context.Context, t savoryloft.Topic, at int, value []byte) (era int, err error) {
 	started := time.Now()
-	err := o.RecordLog.AppendAt(ctx, t, at, value)
+	era, err = o.RecordLog.AppendAt(ctx, t, at, value)
 	o.record("Append", t, started, err)
-	return err
+	return era, err
 }
 
 // Put implements savoryloft.RecordLog.
-func (o instrumentedLog) Put(ctx context.Context, t savoryloft.Topic, key string, value []byte) error {
+func (o instrumentedLog) Put(ctx context.Context, t savoryloft.Topic, key string, value []byte) (era int, err error) {
 	started := time.Now()
-	err := o.RecordLog.Put(ctx, t, key, value)
+	era, err = o.RecordLog.Put(ctx, t, key, value)
 	o.record("Put", t, started, err)
-	return err
+	return era, err
 }
 
 // logCounters regularly logs all counters, for operators who have access to the
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -22,7 +22,8 @@
 	st.Wall = int(time.Now().UnixMilli())
 	st.Version = s.watcher.Version()
 	st.VersionAge = s.age(savoryloft.TopicConfiguration)
-	st.RegistryOffset, st.RegistryRead = s.watcher.RegistryOffsets()
+	st.RegistryOffset, st.RegistryRead = s.watcher.RegistryPositions()
+	st.Era = s.watcher.Era()
 	st.RegistryAge = s.age(savoryloft.TopicRegistry)
 	st.Leaving = s.stopping.Load()
 }
@@ -64,13 +65,15 @@
 // peer's configuration version and registry offset, the ages that the peer
 // reports hold for this instance's data too; they are counted back from asOf.
 func (s linkSource) ApplyStatus(_ string, st *savoryloft.LinkStatus, asOf time.Duration) {
+	s.watcher.ObserveEra(st.Era)
+	s.watcher.ObserveVersion(st.Version)
 	if asOf == 0 {
 		return
 	}
 	if st.VersionAge >= 0 && s.watcher.Version() >= st.Version {
 		s.watcher.MarkUpToDate(savoryloft.TopicConfiguration, asOf-time.Duration(st.VersionAge)*time.Millisecond)
 	}
-	if _, read := s.watcher.RegistryOffsets(); st.RegistryAge >= 0 && read >= st.RegistryOffset {
+	if _, read := s.watcher.RegistryPositions(); st.RegistryAge >= 0 && read >= st.RegistryOffset {
 		s.watcher.MarkUpToDate(savoryloft.TopicRegistry, asOf-time.Duration(st.RegistryAge)*time.Millisecond)
 	}
 }
@@ -88,6 +91,12 @@
 // MergeLeaving implements linker.Source.
 func (s linkSource) MergeLeaving(list []savoryloft.LeavingUpstream) { s.watcher.MergeLeaving(list) }
 
+// DutyFacts implements linker.Source.
+func (s linkSource) DutyFacts() savoryloft.DutyFacts { return s.claimer.Facts() }
+
+// LearnDuties implements linker.Source.
+func (s linkSource) LearnDuties(f savoryloft.DutyFacts) { s.claimer.Learn(f) }
+
 // LoadsChanged implements linker.Source.
 func (s linkSource) LoadsChanged() { s.peerLoadsChanged.Store(true) }
 
--- a/linker/link.go
+++ b/linker/link.go
@@ -90,6 +90,9 @@
 		return
 	}
 	l.Logger.Info("link up", "step", savoryloft.StepPeer, "peer", k.peer.Instance, "incarnation", k.peer.Incarnation, "dialled", dialed)
+	if f := l.Source.DutyFacts(); len(f.Figures)+len(f.Sizes) > 0 && l.isHub(k.peer.Instance) {
+		k.send(savoryloft.LinkFrame{Duties: &f})
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -309,6 +312,9 @@
 	if len(f.Records) > 0 {
 		l.Source.ApplyRecords(k.peer.Instance, f.Records)
 	}
+	if f.Duties != nil {
+		l.Source.LearnDuties(*f.Duties)
+	}
 	if f.Update != nil {
 		k.handleUpdate(f.Update)
 	}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -68,7 +68,7 @@
 	// and the next cursor. The first cursor is 0.
 	UsageSince(cursor int, scope savoryloft.UsageScope) (counts []savoryloft.UsageBatch, next int)
 	// RecordsSince returns the control records missing at an instance that has
-	// the given configuration version and the registry up to the given offset.
+	// the given configuration version and the registry up to the given position.
 	RecordsSince(version, registryRead int) []savoryloft.ControlRecord
 	// ApplyRecords applies control records received from a peer.
 	ApplyRecords(peer string, records []savoryloft.ControlRecord)
@@ -87,6 +87,11 @@
 	LeavingSince(cursor int) (list []savoryloft.LeavingUpstream, next int)
 	// MergeLeaving stores which upstreams leave according to a peer.
 	MergeLeaving(list []savoryloft.LeavingUpstream)
+	// DutyFacts returns the records of the duties topic that a hub is told when a link
+	// to it comes up.
+	DutyFacts() savoryloft.DutyFacts
+	// LearnDuties stores the records of the duties topic that a peer knows.
+	LearnDuties(f savoryloft.DutyFacts)
 	// LoadsChanged is called when the result of PeerLoads may have changed.
 	LoadsChanged()
 }
@@ -280,6 +285,20 @@
 	}
 }
 
+// BroadcastDuties tells records of the duties topic to the hubs, which are the
+// instances that may act on them.
+func (l *Linker) BroadcastDuties(f savoryloft.DutyFacts) {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.currentTopology(savoryloft.Uptime())
+	for name, k := range l.links {
+		if t.hubs[name] {
+			k.send(savoryloft.LinkFrame{Duties: &f})
+		}
+	}
+}
+
 // AddSeeds adds addresses to dial while there is no link or no known member.
 func (l *Linker) AddSeeds(addresses []string) {
 	l.init()
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -54,14 +54,14 @@
 	if p.version <= version {
 		return nil
 	}
-	return []savoryloft.ControlRecord{{Key: "config", Offset: p.version}}
+	return []savoryloft.ControlRecord{{Key: "config", Position: p.version}}
 }
 
 func (p *fakeSource) ApplyRecords(peer string, records []savoryloft.ControlRecord) {
 	p.mu.Lock()
 	before := p.version
 	for _, r := range records {
-		p.version = max(p.version, r.Offset)
+		p.version = max(p.version, r.Position)
 	}
 	p.recordFrames++
 	changed := p.version > before && p.relay != nil
@@ -103,6 +103,10 @@
 
 func (p *fakeSource) MergeLeaving([]savoryloft.LeavingUpstream) {}
 
+func (p *fakeSource) DutyFacts() savoryloft.DutyFacts { return savoryloft.DutyFacts{} }
+
+func (p *fakeSource) LearnDuties(savoryloft.DutyFacts) {}
+
 func (p *fakeSource) LoadsChanged() {}
 
 // withLock calls f with the lock held.
@@ -300,7 +304,7 @@
 	f.sources[reader].mu.Lock()
 	f.sources[reader].version = 9
 	f.sources[reader].mu.Unlock()
-	f.linkers[reader].BroadcastRecords([]savoryloft.ControlRecord{{Key: "config", Offset: 9}}, "")
+	f.linkers[reader].BroadcastRecords([]savoryloft.ControlRecord{{Key: "config", Position: 9}}, "")
 	f.eventually(t, "records reach all", func(i int) bool { return f.sources[i].withLock(func(p *fakeSource) bool { return p.version == 9 }) })
 	time.Sleep(resendThreshold * defaultInterval) // Records are resent to lagging peers by then.
 	for i, p := range f.sources {
@@ -431,7 +435,7 @@
 				started := time.Now()
 				l.BroadcastUpdate(nil)
 				synctest.Wait() // The writer has received the update request.
-				l.BroadcastRecords([]savoryloft.ControlRecord{{Key: "config", Offset: 9}}, "")
+				l.BroadcastRecords([]savoryloft.ControlRecord{{Key: "config", Position: 9}}, "")
 				require.NotEmpty(t, p.read().Records, "records are sent before the update")
 				require.Zero(t, time.Since(started))
 				if tt.members == 1 {
--- a/linker/topology.go
+++ b/linker/topology.go
@@ -171,6 +171,13 @@
 	return l.currentTopology(savoryloft.Uptime()).hub
 }
 
+// isHub reports whether another instance is currently a hub.
+func (l *Linker) isHub(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.currentTopology(savoryloft.Uptime()).hubs[name]
+}
+
 // IsReader reports whether this instance reads the log for the others. The readers
 // are the first live hubs that can read the log.
 func (l *Linker) IsReader() bool { return l.ReaderRank() < readerCount }
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -13,8 +13,8 @@
 	// Key corresponds to the JSON schema field "Key".
 	Key string `json:"Key" msgpack:"Key"`
 
-	// Offset corresponds to the JSON schema field "Offset".
-	Offset int `json:"Offset" msgpack:"Offset"`
+	// Era and offset of the record, see savoryloft.Position.
+	Position int `json:"Position" msgpack:"Position"`
 
 	// Topic by its number.
 	Topic int `json:"Topic" msgpack:"Topic"`
@@ -32,8 +32,8 @@
 	if _, ok := raw["Key"]; raw != nil && !ok {
 		return fmt.Errorf("field Key in ControlRecord: required")
 	}
-	if _, ok := raw["Offset"]; raw != nil && !ok {
-		return fmt.Errorf("field Offset in ControlRecord: required")
+	if _, ok := raw["Position"]; raw != nil && !ok {
+		return fmt.Errorf("field Position in ControlRecord: required")
 	}
 	if _, ok := raw["Topic"]; raw != nil && !ok {
 		return fmt.Errorf("field Topic in ControlRecord: required")
@@ -50,6 +50,57 @@
 	return nil
 }
 
+// Records of the duties topic that must outlive a restore of the log.
+type DutyFacts struct {
+	// Figures corresponds to the JSON schema field "Figures".
+	Figures []FiguresFact `json:"Figures,omitempty,omitzero" msgpack:"Figures,omitempty"`
+
+	// Sizes corresponds to the JSON schema field "Sizes".
+	Sizes []SizeFact `json:"Sizes,omitempty,omitzero" msgpack:"Sizes,omitempty"`
+}
+
+// Committed counts of a usage window.
+type FiguresFact struct {
+	// Accounts corresponds to the JSON schema field "Accounts".
+	Accounts []string `json:"Accounts" msgpack:"Accounts"`
+
+	// Of the record, see savoryloft.Position.
+	Position int `json:"Position" msgpack:"Position"`
+
+	// For each of Accounts.
+	Requests []int `json:"Requests" msgpack:"Requests"`
+
+	// Window corresponds to the JSON schema field "Window".
+	Window int `json:"Window" msgpack:"Window"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *FiguresFact) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Accounts"]; raw != nil && !ok {
+		return fmt.Errorf("field Accounts in FiguresFact: required")
+	}
+	if _, ok := raw["Position"]; raw != nil && !ok {
+		return fmt.Errorf("field Position in FiguresFact: required")
+	}
+	if _, ok := raw["Requests"]; raw != nil && !ok {
+		return fmt.Errorf("field Requests in FiguresFact: required")
+	}
+	if _, ok := raw["Window"]; raw != nil && !ok {
+		return fmt.Errorf("field Window in FiguresFact: required")
+	}
+	type Plain FiguresFact
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = FiguresFact(plain)
+	return nil
+}
+
 // A prompt part that an upstream holds or is about to hold.
 type HeldPart struct {
 	// Part corresponds to the JSON schema field "Part".
@@ -119,6 +170,9 @@
 // One frame on a link between instances of a deployment. Exactly one of the fields
 // is set.
 type LinkFrame struct {
+	// Duties corresponds to the JSON schema field "Duties".
+	Duties *DutyFacts `json:"Duties,omitempty,omitzero" msgpack:"Duties,omitempty"`
+
 	// Greeting corresponds to the JSON schema field "Greeting".
 	Greeting *LinkGreeting `json:"Greeting,omitempty,omitzero" msgpack:"Greeting,omitempty"`
 
@@ -256,6 +310,9 @@
 	// names.
 	EchoAge int `json:"EchoAge" msgpack:"EchoAge"`
 
+	// Latest era of the log that the sender has heard of; 0 when none.
+	Era int `json:"Era" msgpack:"Era"`
+
 	// Live instances of the deployment as a hub counts them; 0 from others.
 	Instances int `json:"Instances" msgpack:"Instances"`
 
@@ -284,10 +341,11 @@
 	// that was never known.
 	RegistryAge int `json:"RegistryAge" msgpack:"RegistryAge"`
 
-	// Highest offset of a registry record that changed something.
+	// Highest position of a registry record that changed something.
 	RegistryOffset int `json:"RegistryOffset" msgpack:"RegistryOffset"`
 
-	// Offset up to which the sender has all registry records that changed something.
+	// Position up to which the sender has all registry records that changed
+	// something.
 	RegistryRead int `json:"RegistryRead" msgpack:"RegistryRead"`
 
 	// Sequence corresponds to the JSON schema field "Sequence".
@@ -333,6 +391,9 @@
 	if _, ok := raw["EchoAge"]; raw != nil && !ok {
 		return fmt.Errorf("field EchoAge in LinkStatus: required")
 	}
+	if _, ok := raw["Era"]; raw != nil && !ok {
+		return fmt.Errorf("field Era in LinkStatus: required")
+	}
 	if _, ok := raw["Instances"]; raw != nil && !ok {
 		return fmt.Errorf("field Instances in LinkStatus: required")
 	}
@@ -386,6 +447,9 @@
 	if 0 > plain.EchoAge {
 		return fmt.Errorf("field %s: must be >= %v", "EchoAge", 0)
 	}
+	if 0 > plain.Era {
+		return fmt.Errorf("field %s: must be >= %v", "Era", 0)
+	}
 	if 0 > plain.Instances {
 		return fmt.Errorf("field %s: must be >= %v", "Instances", 0)
 	}
@@ -414,6 +478,42 @@
 	Parts []HeldPart `json:"Parts,omitempty,omitzero" msgpack:"Parts,omitempty"`
 }
 
+// Desired number of upstreams of a service.
+type SizeFact struct {
+	// Of the record, see savoryloft.Position.
+	Position int `json:"Position" msgpack:"Position"`
+
+	// Service corresponds to the JSON schema field "Service".
+	Service string `json:"Service" msgpack:"Service"`
+
+	// Upstreams corresponds to the JSON schema field "Upstreams".
+	Upstreams int `json:"Upstreams" msgpack:"Upstreams"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *SizeFact) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Position"]; raw != nil && !ok {
+		return fmt.Errorf("field Position in SizeFact: required")
+	}
+	if _, ok := raw["Service"]; raw != nil && !ok {
+		return fmt.Errorf("field Service in SizeFact: required")
+	}
+	if _, ok := raw["Upstreams"]; raw != nil && !ok {
+		return fmt.Errorf("field Upstreams in SizeFact: required")
+	}
+	type Plain SizeFact
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = SizeFact(plain)
+	return nil
+}
+
 // Requests by account that began to run in one window, counted by one incarnation
 // of an instance.
 type UsageBatch struct {
--- a/recordlog.go
+++ b/recordlog.go
@@ -28,6 +28,21 @@
 	return names[t]
 }
 
+// eraShift is the number of bits of a position that hold the offset.
+const eraShift = 40
+
+// Position combines an era of the log and an offset. After the log has been
+// restored from an older copy, which starts a new era, it gives out offsets again.
+// Positions of a later era are greater than those of an earlier one. Up to 2^12
+// eras, a position fits into the 53 bits that JSON numbers hold exactly.
+func Position(era, offset int) int { return era<<eraShift + offset }
+
+// SplitPosition returns the era and the offset of a position.
+func SplitPosition(position int) (era, offset int) {
+	era = position >> eraShift
+	return era, position - era<<eraShift
+}
+
 // KeyedRecord is a record of a topic. Value is nil when the key was deleted.
 type KeyedRecord struct {
 	Key    string
@@ -40,13 +55,18 @@
 	Records []KeyedRecord // In topics without keys, Key is empty.
 	Next    int           // Offset at which the next read starts.
 	End     int           // Offset of the next record to be appended.
+	Era     int           // Era of the log that answered; 0 when it told none.
 }
 
-// RecordLog is the platform's log of topics with conditional appends.
+// RecordLog is the platform's log of topics with conditional appends. When it is
+// restored from an older copy, it loses the records appended since, gives out their
+// offsets again, and its era rises by one. At other times it loses no record that
+// it has acknowledged.
 type RecordLog interface {
 	// Read returns records, starting at the offset from. It waits up to wait for
-	// the first one. When the records at from are no longer retained, it returns
-	// ErrExpired and a page whose Next is the first retained offset.
+	// the first one. When there is no record at from, because it is no longer
+	// retained or lies beyond the end of a restored topic, it returns ErrExpired and a
+	// page whose Next is the first retained offset.
 	Read(ctx context.Context, topic Topic, from int, wait time.Duration) (RecordPage, error)
 	// Newest returns the newest record of each key and the offset at which the
 	// next read starts.
@@ -54,10 +74,12 @@
 	// AppendAt appends a record if the topic ends at the offset at. It returns
 	// ErrConflict when the topic ends at another offset, ErrUnavailable when
 	// nothing was appended, and any other error when the record may have been
-	// appended or may still be.
-	AppendAt(ctx context.Context, topic Topic, at int, value []byte) error
-	// Put appends a record of a keyed topic.
-	Put(ctx context.Context, topic Topic, key string, value []byte) error
+	// appended or may still be. era is that of the log that answered, also with an
+	// error; 0 when it told none.
+	AppendAt(ctx context.Context, topic Topic, at int, value []byte) (era int, err error)
+	// Put appends a record of a keyed topic. It returns the era of the log that
+	// answered; 0 when it told none.
+	Put(ctx context.Context, topic Topic, key string, value []byte) (era int, err error)
 }
 
 // ErrConflict means that a topic does not end at the offset of a conditional
--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -11,7 +11,7 @@
 
 // entry is one key of the registry.
 type entry struct {
-	offset       int
+	position     int
 	value        []byte // nil after the key was removed.
 	upstream     savoryloft.RegisteredUpstream
 	usable       bool
@@ -62,10 +62,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !fromLog {
-		w.registryReadOffset = max(w.registryReadOffset, r.Offset)
+		w.registryRead = max(w.registryRead, r.Position)
 	}
 	e := w.entries[r.Key]
-	if e != nil && r.Offset <= e.offset {
+	if e != nil && (r.Position <= e.position || fromLog && w.isCopied(r.Position, e.position)) {
 		return false
 	}
 	if r.Value == "" && e == nil {
@@ -76,7 +76,7 @@
 		w.entries[r.Key] = e
 	}
 	old := *e
-	e.offset = r.Offset
+	e.position = r.Position
 	if r.Value == "" {
 		return w.applyRemoval(r.Key, e, fromLog)
 	}
@@ -93,7 +93,7 @@
 	if old.usable == e.usable && old.upstream == e.upstream && old.missingSince == 0 && old.value != nil {
 		return false
 	}
-	w.registryChangedOffset = max(w.registryChangedOffset, r.Offset)
+	w.registryChanged = max(w.registryChanged, r.Position)
 	w.logEntry(r.Key, e)
 	w.publish()
 	return true
@@ -112,7 +112,7 @@
 		e.missingSince = w.recoveredAt
 		return false
 	}
-	w.removeEntry(key, e, e.offset)
+	w.removeEntry(key, e, e.position)
 	return true
 }
 
@@ -122,12 +122,12 @@
 	return w.recoveredAt > 0 && savoryloft.Uptime()-w.recoveredAt < recoveryGrace
 }
 
-// removeEntry marks an entry as removed at an offset and publishes the change. The
+// removeEntry marks an entry as removed at a position and publishes the change. The
 // caller holds the lock.
-func (w *Watcher) removeEntry(key string, e *entry, offset int) {
+func (w *Watcher) removeEntry(key string, e *entry, position int) {
 	e.value, e.usable, e.missingSince = nil, false, 0
-	e.offset = max(e.offset, offset)
-	w.registryChangedOffset = max(w.registryChangedOffset, e.offset)
+	e.position = max(e.position, position)
+	w.registryChanged = max(w.registryChanged, e.position)
 	w.logEntry(key, e)
 	w.publish()
 }
@@ -145,15 +145,16 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var changed []savoryloft.ControlRecord
+	end := savoryloft.Position(page.Era, page.End)
 	for key, e := range w.entries {
-		if e.value == nil || present[key] || e.offset >= page.End || e.missingSince != 0 {
+		if e.value == nil || present[key] || e.position >= end || e.missingSince != 0 {
 			continue
 		}
 		if w.inRecoveryGrace() {
 			e.missingSince = w.recoveredAt
 			continue
 		}
-		w.removeEntry(key, e, page.End-1)
+		w.removeEntry(key, e, end-1)
 		changed = append(changed, removalRecord(key, e))
 	}
 	return changed
@@ -161,7 +162,7 @@
 
 // removalRecord returns the record that relays the removal of an entry to peers.
 func removalRecord(key string, e *entry) savoryloft.ControlRecord {
-	return savoryloft.ControlRecord{Topic: int(savoryloft.TopicRegistry), Key: key, Offset: e.offset}
+	return savoryloft.ControlRecord{Topic: int(savoryloft.TopicRegistry), Key: key, Position: e.position}
 }
 
 // removeMissing removes the entries that are still missing when recoveryGrace has
@@ -175,7 +176,7 @@
 		if e.missingSince == 0 || now-e.missingSince < recoveryGrace {
 			continue
 		}
-		w.removeEntry(key, e, e.offset)
+		w.removeEntry(key, e, e.position)
 		changed = append(changed, removalRecord(key, e))
 	}
 	return changed
@@ -191,7 +192,7 @@
 	case e.upstream.Draining:
 		state = "draining"
 	}
-	w.Logger.Info("upstream changed", "step", savoryloft.StepFollow, "upstream", key, "state", state, "offset", e.offset,
+	w.Logger.Info("upstream changed", "step", savoryloft.StepFollow, "upstream", key, "state", state, "position", e.position,
 		"address", e.upstream.Address, "domain", e.upstream.FailureDomain, "reclaimable", e.upstream.Reclaimable)
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -10,6 +10,12 @@
 // still be accepted: a revoked key must stop working even if this instance, or
 // the peer that relays records to it, was partitioned or suspended.
 //
+// The log may be restored from an older copy, which starts a new era. Records are
+// ordered by era and offset. What was known before a restore holds until it is
+// written again: the copy is not a newer truth. Reads of the restored log confirm the
+// configuration only once the version in force has been seen there and the operator
+// has had time to write later ones again.
+//
 // # Usage
 //
 //	w := &watcher.Watcher{Log: store, Decoder: platform.Decoder{}, Logger: log,
@@ -72,32 +78,39 @@
 	// which is empty if this instance read them from the log. It may be nil.
 	OnChange func(records []savoryloft.ControlRecord, from string)
 
+	// OnEra is called when this instance learns of a new era of the log. It may be nil.
+	OnEra func(era int)
+
 	table    atomic.Pointer[router.Table]
 	services atomic.Pointer[map[string][]savoryloft.RegisteredUpstream]
 
-	mu                    sync.Mutex
-	logUnreachable        bool                     // Whether the last read of the configuration failed.
-	configuration         savoryloft.ControlRecord // Newest applied configuration record.
-	entries               map[string]*entry
-	upToDateAt            [2]time.Duration // Latest uptime, by topic, at which the copy was known to be up to date; 0 if never.
-	registryChangedOffset int              // Highest offset of a registry record that changed an entry.
-	registryReadOffset    int              // Offset up to which all such records have been applied.
-	registryReadFailed    bool             // Whether a read of the registry has failed since the last successful one.
-	recoveredAt           time.Duration    // Uptime of the log's last recovery from an outage; 0 if there was none.
-	leaving               map[string]int   // Start times, by ID, of the upstreams that have said that they leave.
-	leavingAdded          int              // Number of additions to leaving.
-	leavingOrder          []string         // IDs in leaving, in the order in which they became known.
-	malformedOffsets      map[string]int   // Offsets of malformed records by key, to log each only once.
-	once                  sync.Once
+	mu                 sync.Mutex
+	era                int                      // Latest era of the log that this instance has heard of; 0 for none.
+	eraSeenAt          time.Duration            // Uptime at which it heard of that era; 0 if none can have preceded it.
+	registryEraEnd     int                      // End of the registry at the first own read in that era; -1 before.
+	heardVersion       int                      // Highest version of the configuration that a peer has had.
+	logUnreachable     bool                     // Whether the last read of the configuration failed.
+	configuration      savoryloft.ControlRecord // Newest applied configuration record.
+	entries            map[string]*entry
+	upToDateAt         [2]time.Duration // Latest uptime, by topic, at which the copy was known to be up to date; 0 if never.
+	registryChanged    int              // Highest position of a registry record that changed an entry.
+	registryRead       int              // Position up to which all such records have been applied.
+	registryReadFailed bool             // Whether a read of the registry has failed since the last successful one.
+	recoveredAt        time.Duration    // Uptime of the log's last recovery from an outage; 0 if there was none.
+	leaving            map[string]int   // Start times, by ID, of the upstreams that have said that they leave.
+	leavingAdded       int              // Number of additions to leaving.
+	leavingOrder       []string         // IDs in leaving, in the order in which they became known.
+	malformedPositions map[string]int   // Positions of malformed records by key, to log each only once.
+	once               sync.Once
 }
 
 func (w *Watcher) init() {
 	w.once.Do(func() {
 		w.entries = map[string]*entry{}
-		w.malformedOffsets = map[string]int{}
+		w.malformedPositions = map[string]int{}
 		w.leaving = map[string]int{}
-		w.registryChangedOffset, w.registryReadOffset = -1, -1
-		w.configuration.Offset = -1
+		w.registryChanged, w.registryRead, w.registryEraEnd = -1, -1, -1
+		w.configuration.Position = -1
 	})
 }
 
@@ -143,18 +156,18 @@
 	return 0
 }
 
-// RegistryOffsets returns the highest offset of a registry record that changed an
-// entry, and the offset up to which all such records have been applied. Each is -1
-// before the first record.
-func (w *Watcher) RegistryOffsets() (changed, read int) {
+// RegistryPositions returns the highest position of a registry record that changed
+// an entry, and the position up to which all such records have been applied. Each is
+// -1 before the first record.
+func (w *Watcher) RegistryPositions() (changed, read int) {
 	w.init()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.registryChangedOffset, w.registryReadOffset
+	return w.registryChanged, w.registryRead
 }
 
 // RecordsSince returns the records missing at an instance that has the given
-// configuration version and the registry up to the given offset.
+// configuration version and the registry up to the given position.
 func (w *Watcher) RecordsSince(version, registryRead int) []savoryloft.ControlRecord {
 	w.init()
 	w.mu.Lock()
@@ -164,9 +177,9 @@
 		records = append(records, w.configuration)
 	}
 	for key, e := range w.entries {
-		if e.offset > registryRead {
+		if e.position > registryRead {
 			records = append(records, savoryloft.ControlRecord{
-				Topic: int(savoryloft.TopicRegistry), Key: key, Value: string(e.value), Offset: e.offset,
+				Topic: int(savoryloft.TopicRegistry), Key: key, Value: string(e.value), Position: e.position,
 			})
 		}
 	}
@@ -196,7 +209,7 @@
 // follow reads one topic until ctx ends. When it starts or resumes reading, it
 // reads the newest record of each key and then continues page by page.
 func (w *Watcher) follow(ctx context.Context, t savoryloft.Topic, pollTimeout, pause time.Duration) {
-	next := -1
+	next, era := -1, 0 // Offset of the next read, and the era that it belongs to.
 	backoff := minBackoff
 	unreachable := false
 	own := ownReads{startedAt: savoryloft.Uptime()}
@@ -211,10 +224,10 @@
 		if rank > 0 {
 			timeout *= standbyPollFactor
 		}
-		page, err := w.readPage(ctx, t, next, timeout)
+		page, err := w.readPage(ctx, t, next, era, timeout)
 		switch {
 		case err == nil:
-			next = page.Next
+			next, era = page.Next, page.Era
 			backoff = minBackoff
 			own.succeededAt = savoryloft.Uptime()
 			if unreachable {
@@ -222,6 +235,10 @@
 				w.Logger.Info("log is reachable again", "step", savoryloft.StepFollow, "topic", t.String(), "next", next)
 			}
 			savoryloft.Sleep(ctx, pause)
+		case errors.Is(err, errEarlierEra):
+			next = -1
+			savoryloft.Sleep(ctx, backoff)
+			backoff = min(2*backoff, maxBackoff)
 		case errors.Is(err, savoryloft.ErrExpired):
 			w.Logger.Info("records have expired; reading the newest record of each key", "step", savoryloft.StepFollow, "topic", t.String(), "from", next)
 			next = -1
@@ -286,9 +303,9 @@
 }
 
 // readPage reads one page and applies it. If next is negative, it reads the newest
-// record of each key. Once the end of the topic is reached, the copy counts as up
+// record of each key; otherwise next is an offset of the given era. Once the end of the topic is reached, the copy counts as up
 // to date as of the time before the call was sent.
-func (w *Watcher) readPage(ctx context.Context, t savoryloft.Topic, next int, wait time.Duration) (savoryloft.RecordPage, error) {
+func (w *Watcher) readPage(ctx context.Context, t savoryloft.Topic, next, era int, wait time.Duration) (savoryloft.RecordPage, error) {
 	sent := savoryloft.Uptime()
 	var page savoryloft.RecordPage
 	var err error
@@ -298,12 +315,18 @@
 	} else {
 		page, err = w.Log.Read(ctx, t, next, wait)
 	}
-	if err != nil {
+	stale := w.observePage(page)
+	switch {
+	case err != nil:
 		return page, err
+	case stale:
+		return page, errEarlierEra
+	case !all && page.Era != era:
+		return page, errors.Annotate(savoryloft.ErrExpired, "the log was restored")
 	}
 	w.handleReadSuccess(t)
 	w.applyPage(t, page, all)
-	if all || page.Next >= page.End {
+	if (all || page.Next >= page.End) && w.confirms(t, sent) {
 		w.MarkUpToDate(t, sent)
 	}
 	return page, nil
@@ -312,9 +335,18 @@
 // applyPage applies records read from the log. all is whether page holds the
 // newest record of every key.
 func (w *Watcher) applyPage(t savoryloft.Topic, page savoryloft.RecordPage, all bool) {
+	if t == savoryloft.TopicRegistry {
+		w.mu.Lock()
+		if w.registryEraEnd < 0 {
+			w.registryEraEnd = page.End
+		}
+		w.mu.Unlock()
+	}
 	var changed []savoryloft.ControlRecord
 	for _, r := range page.Records {
-		c := savoryloft.ControlRecord{Topic: int(t), Key: r.Key, Value: string(r.Value), Offset: r.Offset}
+		c := savoryloft.ControlRecord{
+			Topic: int(t), Key: r.Key, Value: string(r.Value), Position: savoryloft.Position(page.Era, r.Offset),
+		}
 		if w.applyRecord(c, true) {
 			changed = append(changed, c)
 		}
@@ -324,7 +356,7 @@
 			changed = append(changed, w.removeUnlisted(page)...)
 		}
 		w.mu.Lock()
-		w.registryReadOffset = max(w.registryReadOffset, page.Next-1)
+		w.registryRead = max(w.registryRead, savoryloft.Position(page.Era, page.Next)-1)
 		w.mu.Unlock()
 	}
 	if len(changed) > 0 && w.OnChange != nil {
@@ -359,12 +391,13 @@
 }
 
 // applyConfiguration puts a configuration into force and reports whether it did. It
-// skips malformed records and those whose offset or version is not newer than that
-// of the configuration in force.
+// skips malformed records and those whose position or version is not newer than that
+// of the configuration in force. If only the position is, the log still has the
+// configuration in force.
 func (w *Watcher) applyConfiguration(r savoryloft.ControlRecord) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if r.Offset <= w.configuration.Offset {
+	if r.Position <= w.configuration.Position {
 		return false
 	}
 	c, err := w.Decoder.Configuration([]byte(r.Value))
@@ -373,22 +406,25 @@
 		return false
 	}
 	if old := w.table.Load(); old != nil && c.Version <= old.Version {
+		if c.Version == old.Version {
+			w.configuration = r
+		}
 		return false
 	}
 	w.configuration = r
 	w.table.Store(router.New(c))
-	w.Logger.Info("configuration in force", "step", savoryloft.StepFollow, "version", c.Version, "offset", r.Offset,
+	w.Logger.Info("configuration in force", "step", savoryloft.StepFollow, "version", c.Version, "position", r.Position,
 		"routes", len(c.Routes), "accounts", len(c.Accounts))
 	return true
 }
 
 // logMalformed logs a malformed record: once for each key of the registry and once
-// for each offset of the configuration. The caller holds the lock.
+// for each position of the configuration. The caller holds the lock.
 func (w *Watcher) logMalformed(r savoryloft.ControlRecord, err error) {
-	if at, ok := w.malformedOffsets[r.Key]; ok && (at == r.Offset || savoryloft.Topic(r.Topic) == savoryloft.TopicRegistry) {
+	if at, ok := w.malformedPositions[r.Key]; ok && (at == r.Position || savoryloft.Topic(r.Topic) == savoryloft.TopicRegistry) {
 		return
 	}
-	w.malformedOffsets[r.Key] = r.Offset
+	w.malformedPositions[r.Key] = r.Position
 	w.Logger.Info("malformed record skipped", "step", savoryloft.StepFollow, "topic", savoryloft.Topic(r.Topic).String(),
-		"key", r.Key, "offset", r.Offset, "error", err.Error())
+		"key", r.Key, "position", r.Position, "error", err.Error())
 }
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -50,11 +50,13 @@
 }
 
 // runFixture runs f in a synctest bubble with a watcher that reads the log itself.
-func runFixture(t *testing.T, f func(w *fixture)) {
+func runFixture(t *testing.T, f func(w *fixture)) { runFixtureOn(t, &faker.Log{}, f) }
+
+// runFixtureOn is runFixture with a log that has records already.
+func runFixtureOn(t *testing.T, log *faker.Log, f func(w *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		log := &faker.Log{}
 		w := &Watcher{Log: log, Decoder: decoder{}, Logger: logr.Discard()}
 		go func() { _ = w.Run(ctx) }()
 		f(&fixture{t, log, w})
@@ -160,16 +162,16 @@
 		w := &Watcher{Log: &faker.Log{}, Decoder: decoder{}, Logger: logr.Discard(), ReaderRank: func() int { return math.MaxInt }}
 		registry := int(savoryloft.TopicRegistry)
 		w.ApplyRelayed("peer", []savoryloft.ControlRecord{
-			{Topic: registry, Key: "removed earlier", Offset: 40},
-			{Topic: registry, Key: "a", Value: value, Offset: 23},
+			{Topic: registry, Key: "removed earlier", Position: 40},
+			{Topic: registry, Key: "a", Value: value, Position: 23},
 		})
 		require.Len(t, w.Upstreams("s"), 1)
-		_, read := w.RegistryOffsets()
+		_, read := w.RegistryPositions()
 		require.Equal(t, 40, read, "the removal of an unknown key advances the read offset")
 		time.Sleep(5 * time.Second)
-		w.ApplyRelayed("peer", []savoryloft.ControlRecord{{Topic: registry, Key: "a", Offset: 44}})
+		w.ApplyRelayed("peer", []savoryloft.ControlRecord{{Topic: registry, Key: "a", Position: 44}})
 		require.Empty(t, w.Upstreams("s"))
-		w.ApplyRelayed("peer", []savoryloft.ControlRecord{{Topic: registry, Key: "a", Value: value, Offset: 23}})
+		w.ApplyRelayed("peer", []savoryloft.ControlRecord{{Topic: registry, Key: "a", Value: value, Position: 23}})
 		require.Empty(t, w.Upstreams("s"), "an older record changes nothing")
 	})
 }
@@ -264,7 +266,7 @@
 func TestLeavingUpstreamsDrain(t *testing.T) {
 	record := func(startedAt, offset int) []savoryloft.ControlRecord {
 		value := encode(t, savoryloft.RegisteredUpstream{Service: "s", StartedAtMs: startedAt})
-		return []savoryloft.ControlRecord{{Topic: int(savoryloft.TopicRegistry), Key: "u", Value: string(value), Offset: offset}}
+		return []savoryloft.ControlRecord{{Topic: int(savoryloft.TopicRegistry), Key: "u", Value: string(value), Position: offset}}
 	}
 	w := &Watcher{Decoder: decoder{}, Logger: logr.Discard()}
 	draining := func() bool { return w.Upstreams("s")[0].Draining }
@@ -295,7 +297,7 @@
 		w.log.Set(savoryloft.TopicConfiguration, "config", encode(t, savoryloft.Configuration{Version: 5}))
 		time.Sleep(time.Second)
 		require.Len(t, w.watcher.RecordsSince(0, -1), 3)
-		require.Len(t, w.watcher.RecordsSince(5, 0), 1)
-		require.Empty(t, w.watcher.RecordsSince(5, 1))
+		require.Len(t, w.watcher.RecordsSince(5, savoryloft.Position(1, 0)), 1)
+		require.Empty(t, w.watcher.RecordsSince(5, savoryloft.Position(1, 1)))
 	})
 }
