Only candidates hold the lease; a new deployment's instances wait for each other

Change: instances of a deployment that starts for the first time read the member list after 0.4 s, claim and read the log only then; a holder that has been no candidate for 2 s releases the lease.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -58,6 +58,7 @@
 	// candidate.
 	claimStagger    = 400 * time.Millisecond
 	maxPosition     = 5                      // Highest position at which an instance claims.
+	handoverDelay   = 2 * time.Second        // Time without being a candidate after which the holder releases the lease.
 	longPollWait    = 500 * time.Millisecond // Wait of a candidate's read for a new record.
 	minBackoff      = 200 * time.Millisecond // After a failed call to the log.
 	maxBackoff      = time.Second
@@ -89,6 +90,8 @@
 	Partials func() []savoryloft.PartialCounts
 	Logger   logr.Logger
 
+	candidateAt time.Duration // Uptime at which this instance was last a candidate or did not hold the lease.
+
 	callMu sync.Mutex // Serializes calls to the log.
 	mu     sync.Mutex
 	state  stateMachine
@@ -235,6 +238,9 @@
 	switch {
 	case inDoubt:
 		return c.readToEnd(ctx, 0)
+	case c.mustHandOver(now, held):
+		c.Logger.Info("handing over the lease; this instance is no candidate any more", "step", savoryloft.StepLease)
+		return c.Release(ctx)
 	case held && hasLost:
 		return c.appendRecord(ctx, lost)
 	case renew:
@@ -254,6 +260,15 @@
 	return c.tryClaim(ctx)
 }
 
+// mustHandOver reports whether this instance holds the lease and has been no
+// candidate for handoverDelay. Only candidates receive what the duties need.
+func (c *Claimer) mustHandOver(now time.Duration, held bool) bool {
+	if !held || c.Position() <= maxPosition {
+		c.candidateAt = now
+	}
+	return now-c.candidateAt > handoverDelay
+}
+
 // tryClaim reads the topic and claims the lease if the holder's lease time has
 // ended and the stagger delay of this instance has passed since then.
 func (c *Claimer) tryClaim(ctx context.Context) error {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -283,6 +283,34 @@
 	})
 }
 
+// A holder that is no candidate any more, since others have joined that come first,
+// hands the lease over. The counts that the duties need reach only candidates.
+func TestHolderThatIsNoCandidateHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cl := newCluster(ctx, 2, &faker.Log{})
+		var demoted atomic.Bool
+		cl.claimers[0].Position = func() int {
+			if demoted.Load() {
+				return maxPosition + 1
+			}
+			return 0
+		}
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []int{0}, cl.holders())
+		demoted.Store(true)
+		time.Sleep(handoverDelay / 2)
+		demoted.Store(false) // Not for long enough.
+		time.Sleep(handoverDelay)
+		require.Equal(t, []int{0}, cl.holders())
+		demoted.Store(true)
+		time.Sleep(handoverDelay + 1500*time.Millisecond)
+		require.Equal(t, []int{1}, cl.holders())
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against the loss of counts when all instances lose power between the
 // end of a window and its report. The next holder must find the counts in the
 // last renewal.
--- a/deployment.go
+++ b/deployment.go
@@ -15,6 +15,7 @@
 	LogAddress    string // Address of the platform's log.
 	DutyAddress   string // Address that receives orders and usage reports; empty when neither is sent.
 	Duties        DeploymentDuties
+	Bootstrap     bool          // All instances start now, for the first time.
 	Heartbeat     time.Duration // Interval at which upstreams renew their registration.
 }
 
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -50,7 +50,10 @@
 
 func fleetAddress(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/250, i%250) }
 
-// startFleet starts all instances at once.
+// startSpread is the time within which all instances start.
+const startSpread = 300 * time.Millisecond
+
+// startFleet starts all instances within startSpread.
 func startFleet(t *testing.T, size fleetSize, seed uint64) *fleet {
 	f := &fleet{fleetSize: size, t: t, log: &faker.Log{}, rng: rand.New(rand.NewPCG(seed, 1))}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -87,7 +90,7 @@
 					Revocation: 5 * time.Second, ConfigurationInForce: 4 * time.Second, Drain: 4 * time.Second,
 					LeaseTTL: 3 * time.Second, UsageWindow: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 430,
 				},
-				Heartbeat: 1200 * time.Millisecond,
+				Bootstrap: true, Heartbeat: 1200 * time.Millisecond,
 			},
 			Decoder: fleetDecoder{}, Log: f.log, Pool: &exchanger.Pool{Dial: dial}, Logger: logr.Discard(),
 		}
@@ -95,8 +98,12 @@
 		f.launchers = append(f.launchers, l)
 		listener := &pipeListener{conns: listeners[fleetAddress(i)], done: make(chan struct{})}
 		f.group.Go(func() { _ = l.linker.Serve(ctx, listener) })
+		delay := time.Duration(f.rng.Int64N(int64(startSpread)))
 		for _, run := range []func(context.Context) error{l.linker.Run, l.watcher.Run, l.claimer.Run, l.maintainMembership, l.cleanUpPlacer} {
-			f.group.Go(func() { _ = run(ctx) })
+			f.group.Go(func() {
+				time.Sleep(delay)
+				_ = run(ctx)
+			})
 		}
 	}
 	f.group.Go(func() { f.heartbeat(ctx) })
@@ -208,6 +215,18 @@
 	return hubs
 }
 
+// holder returns the instance that holds the lease.
+func (f *fleet) holder() (holder *Launcher) {
+	for _, l := range f.launchers {
+		if _, _, ok := l.claimer.Held(); ok {
+			require.Nil(f.t, holder, "two instances hold the lease")
+			holder = l
+		}
+	}
+	require.NotNil(f.t, holder, "no instance holds the lease")
+	return holder
+}
+
 // Guards against control traffic that grows with the square of the fleet. The size
 // and the rate are those of the largest deployment so far. The users allow 5 KB/s of
 // control traffic for each instance.
@@ -236,7 +255,9 @@
 		require.LessOrEqual(t, perInstance, float64(maxBytesPerSecond))
 		require.LessOrEqual(t, f.log.Calls()-calls, maxCallsPerSecond*int(period.Seconds()+1), "calls to the log, whatever the size")
 		time.Sleep(settling)
-		for _, l := range f.hubs() {
+		holder := f.holder()
+		require.True(t, holder.linker.IsHub(), "usage counts reach only hubs")
+		for _, l := range append(f.hubs(), holder) {
 			total := 0
 			for w := l.counter.WindowAt(time.Now()) - 4; w <= l.counter.WindowAt(time.Now()); w++ {
 				for _, n := range l.usageCounts(w) {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -52,7 +52,8 @@
 	leaseReleaseTimeout   = 400 * time.Millisecond
 	leaderTimeout         = 1500 * time.Millisecond // Six status intervals without a report of a lease holder.
 	registerRetryInterval = time.Second
-	memberReadInterval    = 10 * time.Second // Between reads of the member list by an instance that reads the log.
+	bootstrapSpread       = 400 * time.Millisecond // Time within which all instances of a new deployment register.
+	memberReadInterval    = 10 * time.Second       // Between reads of the member list by an instance that reads the log.
 )
 
 // Launcher runs one instance. Set the exported fields before Run.
@@ -339,6 +340,9 @@
 				l.Logger.V(1).Info("registration in the member list failed, retrying", "step", savoryloft.StepPeer, "error", err.Error())
 			}
 		}
+		if d.Bootstrap && !l.membersKnown.Load() {
+			savoryloft.Sleep(ctx, bootstrapSpread)
+		}
 		err := l.readMembers(ctx)
 		l.membersKnown.Store(true)
 		if err != nil {
