--- a/launcher/upstream_test.go
+++ b/launcher/upstream_test.go
@@ -55,7 +55,7 @@
 			if tt.logDown {
 				c.log.SetDown(true)
 			}
-			leaving.SetLeaving()
+			leaving.SetLeaving(true)
 			require.Eventually(t, func() bool {
 				require.Equal(t, http.StatusOK, c.call(first, "once", "key-1").status)
 				return first.launcher.watcher.Upstreams("s")[0].Draining
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -34,6 +34,9 @@
 	revocationBound = 3 * time.Second // Withdrawn keys must be rejected after this time.
 	recoveryTime    = 6 * time.Second // Recovery time allowed after the last fault.
 	minServedShare  = 0.9             // Minimum share of requests served after recovery.
+	drainBound      = 2 * time.Second // An upstream that leaves gets no new requests after this time.
+	tellTime        = time.Second     // Time until all instances have got an answer of a leaving upstream, or heard of it.
+	memoryLimit     = 200 << 20       // Of an instance, as in its settings.
 	eventsPerStream = 8               // Events in each streamed response.
 )
 
@@ -73,18 +76,26 @@
 	dir       string
 	binary    string
 	log       *faker.Log
+	ipPrefix  string // Of the instances; differs between soaks that run at the same time.
 	duties    *standin.DutyServer
 	engines   []*standin.Engine
 	proxies   []*Proxy // One in front of each engine, then one for each instance's connection to the store.
 	instances []*instance
+	addresses []string // Of the engines' proxies.
 
-	mu           sync.Mutex
-	rng          *rand.Rand
-	version      int
-	keys         map[string]time.Time // Time of withdrawal by key; zero for valid keys.
-	requests     map[string]*request
-	lastID       atomic.Int64
-	faultsActive atomic.Bool // Engines and the log inject faults.
+	mu            sync.Mutex
+	rng           *rand.Rand
+	version       int
+	configuration []byte // Newest one.
+	registered    [engineCount]string
+	leaving       [engineCount]time.Time // Time at which an engine began to say so; zero if it does not leave.
+	copied        faker.Copy             // A restore of the log starts from it.
+	lateArrivals  int                    // Requests that reached leaving engines too late.
+	peakMemory    int64                  // Of any instance, in bytes.
+	keys          map[string]time.Time   // Time of withdrawal by key; zero for valid keys.
+	requests      map[string]*request
+	lastID        atomic.Int64
+	faultsActive  atomic.Bool // Engines and the log inject faults.
 }
 
 // instance is an instance under test, which runs as a separate process.
@@ -113,9 +124,14 @@
 
 func soak(t *testing.T, binary string, seed uint64, d time.Duration) {
 	s := &soakRun{
-		t: t, dir: t.TempDir(), binary: binary, duties: &standin.DutyServer{}, rng: rand.New(rand.NewPCG(seed, 7)),
+		t: t, dir: t.TempDir(), binary: binary, ipPrefix: fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, os.Getpid()/200%250), duties: &standin.DutyServer{}, rng: rand.New(rand.NewPCG(seed, 7)),
 		keys: map[string]time.Time{"key-0": {}, "key-1": {}, "key-2": {}, "key-3": {}}, requests: map[string]*request{},
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			s.saveLogs(seed)
+		}
+	})
 	s.startAll()
 	stop := make(chan struct{})
 	var group sync.WaitGroup
@@ -125,6 +141,7 @@
 	s.faultsActive.Store(true)
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		s.injectFault(&group)
+		s.sampleMemory()
 		time.Sleep(time.Duration(100+s.randomInt(500)) * time.Millisecond)
 	}
 	s.faultsActive.Store(false)
@@ -133,9 +150,10 @@
 	group.Wait()
 	s.checkRequests()
 	s.checkRecovery()
-	if t.Failed() {
-		s.saveLogs(seed)
-	}
+	// Instances that were killed or stopped may send one more request each.
+	require.LessOrEqual(t, s.lateArrivals, 2*instanceCount, "requests reached upstreams that leave")
+	require.Less(t, s.peakMemory, int64(memoryLimit))
+	t.Logf("peak memory of an instance: %d MiB", s.peakMemory>>20)
 }
 
 // startAll starts the emulated back ends, the proxies and the instances.
@@ -151,13 +169,13 @@
 	}}
 	s.publishConfiguration()
 	for i := range engineCount {
-		e := &standin.Engine{ID: fmt.Sprintf("i-%d", i), EventCount: eventsPerStream, EventInterval: 20 * time.Millisecond, Decide: s.engineBehaviour}
+		e := &standin.Engine{ID: fmt.Sprintf("i-%d", i), EventCount: eventsPerStream, EventInterval: 20 * time.Millisecond, Pause: time.Second, Decide: s.engineBehaviour}
 		server := httptest.NewServer(e)
 		s.t.Cleanup(server.Close)
 		s.t.Cleanup(server.CloseClientConnections)
 		s.engines = append(s.engines, e)
-		s.log.Set(savoryloft.TopicRegistry, e.ID, []byte(fmt.Sprintf(
-			`{"service":"s","address":%q,"zone":"a","slots":64,"state":"ready","seq_no":1}`, s.startProxy(server.Listener.Addr().String()))))
+		s.addresses = append(s.addresses, s.startProxy(server.Listener.Addr().String()))
+		s.register(i)
 	}
 	store := httptest.NewServer(&standin.LogServer{Log: s.log})
 	s.t.Cleanup(store.Close)
@@ -166,8 +184,8 @@
 	s.t.Cleanup(target.Close)
 	s.t.Cleanup(target.CloseClientConnections)
 	for i := range instanceCount {
-		n := &instance{ip: fmt.Sprintf("127.0.9.%d", i+1), settings: filepath.Join(s.dir, fmt.Sprintf("entry-%d.toml", i))}
-		text := fmt.Sprintf(settingsTemplate, i, n.ip, s.startProxy(store.Listener.Addr().String()), target.Listener.Addr().String())
+		n := &instance{ip: s.ipPrefix + strconv.Itoa(i+1), settings: filepath.Join(s.dir, fmt.Sprintf("entry-%d.toml", i))}
+		text := fmt.Sprintf(settingsTemplate, i, n.ip, s.ipPrefix, s.startProxy(store.Listener.Addr().String()), target.Listener.Addr().String())
 		require.NoError(s.t, os.WriteFile(n.settings, []byte(text), 0o600))
 		file, err := os.Create(n.settings + ".log")
 		require.NoError(s.t, err)
@@ -176,6 +194,7 @@
 		n.start(s)
 		s.t.Cleanup(n.kill)
 	}
+	s.copied = s.log.Copy()
 	for _, n := range s.instances {
 		require.Eventually(s.t, n.ready, 15*time.Second, 20*time.Millisecond)
 	}
@@ -184,7 +203,7 @@
 const settingsTemplate = `node_name = "entry-%[1]d"
 ip = "%[2]s"
 zone = "a"
-seeds = ["127.0.9.1:7103", "127.0.9.2:7103"]
+seeds = ["%[3]s1:7103", "%[3]s2:7103"]
 heartbeat_ms = 1000
 [listen]
 frontend = "%[2]s:7101"
@@ -204,10 +223,10 @@
 retry_slack = 200
 fencing_enforced = true
 [platform]
-address = "%[3]s"
+address = "%[4]s"
 form = "log"
 [cloud]
-address = "%[4]s"
+address = "%[5]s"
 duties = ["usage_report"]
 `
 
@@ -236,11 +255,86 @@
 		return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":"/%s/","route_kind":%q,"timeout_ms":3000,"goal_ms":500,`+
 			`"itl_target_ms":200,"priority":1,"service":"s","max_attempts":%d,"resumable":%t}`, name, host, name, kind, attempts, resumable)
 	}
-	s.log.Set(savoryloft.TopicConfiguration, "config", []byte(fmt.Sprintf(
+	s.configuration = []byte(fmt.Sprintf(
 		`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"s","max_conns":500,"inference_engine":{"slots":64,"kv_capacity":1000000}}],`+
 			`"tenants":[{"name":"account","api_keys":[%s]}]}`, s.version,
 		route("stream", "streaming", 1, false), route("resume", "streaming", 4, true),
-		route("once", "non_idempotent", 1, false), route("twice", "idempotent", 3, false), strings.Join(keys, ","))))
+		route("once", "non_idempotent", 1, false), route("twice", "idempotent", 3, false), strings.Join(keys, ",")))
+	s.log.Set(savoryloft.TopicConfiguration, "config", s.configuration)
+}
+
+// register registers an engine as started now.
+func (s *soakRun) register(i int) {
+	s.registered[i] = fmt.Sprintf(`{"service":"s","address":%q,"zone":"a","slots":64,"state":"ready","born":%d}`, s.addresses[i], time.Now().UnixMilli())
+	s.log.Set(savoryloft.TopicRegistry, s.engines[i].ID, []byte(s.registered[i]))
+}
+
+// leave makes an engine say that it leaves, for long enough that all instances must
+// know, and then start anew.
+func (s *soakRun) leave(i int) {
+	s.mu.Lock()
+	busy := !s.leaving[i].IsZero()
+	if !busy {
+		s.leaving[i] = time.Now()
+	}
+	s.mu.Unlock()
+	if busy {
+		return
+	}
+	e := s.engines[i]
+	e.SetLeaving(true)
+	time.Sleep(drainBound + tellTime)
+	from := time.Now()
+	time.Sleep(time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range e.Requests() {
+		if r.At.After(from) {
+			s.lateArrivals++
+		}
+	}
+	e.SetLeaving(false)
+	s.leaving[i] = time.Time{}
+	s.register(i)
+}
+
+// restore makes the log come back from the last copy. The operator and the engines
+// write again what they wrote since.
+func (s *soakRun) restore(away time.Duration) {
+	s.log.SetDown(true)
+	time.Sleep(away)
+	s.mu.Lock()
+	s.log.Restore(s.copied)
+	s.log.SetDown(false)
+	s.mu.Unlock()
+	time.Sleep(away)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log.Set(savoryloft.TopicConfiguration, "config", s.configuration)
+	for i, e := range s.engines {
+		s.log.Set(savoryloft.TopicRegistry, e.ID, []byte(s.registered[i]))
+	}
+	s.copied = s.log.Copy()
+}
+
+// sampleMemory reads the resident memory of the instances.
+func (s *soakRun) sampleMemory() {
+	for _, n := range s.instances {
+		n.mu.Lock()
+		pid := n.cmd.Process.Pid
+		n.mu.Unlock()
+		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+		if err != nil {
+			continue // It has just ended.
+		}
+		fields := strings.Fields(string(data))
+		if len(fields) < 2 {
+			continue
+		}
+		pages, err := strconv.ParseInt(fields[1], 10, 64)
+		require.NoError(s.t, err)
+		s.peakMemory = max(s.peakMemory, pages*int64(os.Getpagesize()))
+	}
 }
 
 func (s *soakRun) engineBehaviour(*http.Request) standin.Behaviour {
@@ -256,6 +350,10 @@
 		return standin.DropResponse
 	case n < 16:
 		return standin.TruncateStream
+	case n < 18:
+		return standin.RejectWithPause
+	case n < 20:
+		return []standin.Behaviour{standin.EndlessHead, standin.EndlessEvent, standin.Dribble}[s.randomInt(3)]
 	}
 	return standin.Normal
 }
@@ -302,7 +400,15 @@
 func (s *soakRun) injectFault(group *sync.WaitGroup) {
 	length := time.Duration(300+s.randomInt(2500)) * time.Millisecond
 	n := s.instances[s.randomInt(len(s.instances))]
-	switch s.randomInt(8) {
+	switch s.randomInt(11) {
+	case 8:
+		s.mu.Lock()
+		s.copied = s.log.Copy()
+		s.mu.Unlock()
+	case 9:
+		group.Go(func() { s.restore(length / 4) })
+	case 10:
+		group.Go(func() { s.leave(s.randomInt(engineCount)) })
 	case 0, 1:
 		p, m := s.proxies[s.randomInt(len(s.proxies))], Mode(1+s.randomInt(int(modeCount)-1))
 		p.SetMode(m)
