Streams cut in an event, links of replaced processes, and other loose ends

A connection of a replaced process does not take its successor's place. A read of the duties topic settles the outcome of appends only at its end. An instance that stops reading the log forgets its last failure. Windows that are skipped are logged. A settings file that changes before the first check is noticed.

--- a/biller/biller.go
+++ b/biller/biller.go
@@ -134,6 +134,7 @@
 			// A later window is already committed, so the local counts of this window
 			// are incomplete. It is not reported.
 			b.done[window] = true
+			b.Logger.Info("usage window left unreported; a later one is committed already", "step", savoryloft.StepReport, "window", window)
 			return nil
 		}
 		if b.settledAt(window) < b.Ledger.UncertainBefore() {
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -331,9 +331,12 @@
 		for _, r := range page.Records {
 			c.apply(now, r)
 		}
-		c.state.markCaughtUp(now)
+		atEnd := page.Next >= page.End
+		if atEnd {
+			c.state.markCaughtUp(now)
+		}
 		c.mu.Unlock()
-		if page.Next >= page.End {
+		if atEnd {
 			return nil
 		}
 	}
--- a/cmd/savoryloft/edge.go
+++ b/cmd/savoryloft/edge.go
@@ -83,6 +83,7 @@
 func runEdge(file string, verbosity int) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	modified := modificationTime(file)
 	d, err := platform.ReadSettings(file)
 	if err != nil {
 		return err
@@ -102,7 +103,7 @@
 		Pool:       pool, Logger: log, Tracer: tracer.Noop(),
 		ReadinessPath: platform.ReadinessPath, MetricsPath: platform.MetricsPath,
 	}
-	reload := &reloader{file: file, current: d, logger: log, addSeeds: l.AddSeeds}
+	reload := &reloader{file: file, modified: modified, current: d, logger: log, addSeeds: l.AddSeeds}
 	go reload.run(ctx)
 	return l.Run(ctx)
 }
@@ -126,6 +127,7 @@
 // effect.
 type reloader struct {
 	file     string
+	modified time.Time // Modification time of the file before current was read; zero if it is unknown.
 	current  savoryloft.Deployment
 	logger   logr.Logger
 	addSeeds func(addresses []string) // Adds addresses of instances to connect to.
@@ -138,7 +140,6 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
-	var modified time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -146,18 +147,30 @@
 		case <-hup:
 			r.reload("SIGHUP")
 		case <-t.C:
-			info, err := os.Stat(r.file)
-			if err != nil || info.ModTime().Equal(modified) {
-				continue
-			}
-			if !modified.IsZero() {
-				r.reload("file changed")
-			}
-			modified = info.ModTime()
+			r.reloadIfChanged()
 		}
 	}
 }
 
+// reloadIfChanged reloads the settings if the file has been modified since it was
+// last read.
+func (r *reloader) reloadIfChanged() {
+	if modified := modificationTime(r.file); !modified.IsZero() && !modified.Equal(r.modified) {
+		r.modified = modified
+		r.reload("file changed")
+	}
+}
+
+// modificationTime returns the modification time of a file, or the zero time if it
+// can not be read.
+func modificationTime(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 func (r *reloader) reload(trigger string) {
 	d, err := platform.ReadSettings(r.file)
 	if err != nil {
--- a/cmd/savoryloft/edge_test.go
+++ b/cmd/savoryloft/edge_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
@@ -45,3 +46,28 @@
 	r.reload("test")
 	require.Equal(t, current, r.current)
 }
+
+// The settings file may change after it was read and before the first check.
+func TestReloaderNoticesAnEarlyChange(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "boot.toml")
+	require.NoError(t, os.WriteFile(file, []byte(`
+node_name = "entry-1"
+ip = "10.0.0.1"
+seeds = ["10.0.0.2:1"]
+[listen]
+frontend = "10.0.0.1:1"
+readiness = "10.0.0.1:2"
+control = "10.0.0.1:3"
+[platform]
+address = "10.0.0.9:1"
+`), 0o600))
+	var seeds []string
+	r := &reloader{
+		file: file, modified: time.Unix(1, 0), logger: logr.Discard(), addSeeds: func(list []string) { seeds = list },
+	}
+	r.reloadIfChanged()
+	require.Equal(t, []string{"10.0.0.2:1"}, seeds)
+	seeds = nil
+	r.reloadIfChanged()
+	require.Empty(t, seeds, "the file has not changed again")
+}
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -115,10 +115,23 @@
 }
 
 func TestBrokenStreams(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		behaviour standin.Behaviour
+		passed    int // Events that arrive before the end.
+	}{
+		{"chunked", standin.TruncateStream, 2},
+		{"without a length", standin.TruncateUnframed, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) { testBrokenStreams(t, tt.behaviour, tt.passed) })
+	}
+}
+
+func testBrokenStreams(t *testing.T, behaviour standin.Behaviour, passed int) {
 	c := newCluster(t)
 	decide := func(r *http.Request) standin.Behaviour {
 		if !standin.IsResumption(r) {
-			return standin.TruncateStream
+			return behaviour
 		}
 		return standin.Normal
 	}
@@ -131,7 +144,7 @@
 	require.Equal(t, fullStream(6), resp.body, "no duplicate, missing or partial event")
 	resp = c.call(i, "stream", "key-1")
 	require.Error(t, resp.err, "a truncated response must not look complete")
-	require.Equal(t, fullStream(2), resp.body)
+	require.Equal(t, fullStream(passed), resp.body)
 }
 
 func TestClientDisconnectCancelsUpstreamRequest(t *testing.T) {
--- a/linker/link.go
+++ b/linker/link.go
@@ -147,6 +147,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if old := l.links[k.peer.Instance]; old != nil {
+		if old.peer.Incarnation > k.peer.Incarnation {
+			return false // A connection of the process that the peer has replaced.
+		}
 		sameIncarnation := old.peer.Incarnation == k.peer.Incarnation
 		preferred := old.dialed == (l.Instance < k.peer.Instance)
 		if sameIncarnation && preferred && old.dialed != k.dialed {
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -513,6 +513,23 @@
 	})
 }
 
+// A delayed connection of a process that has been replaced must not take the place
+// of its successor's.
+func TestLinkOfAnEarlierIncarnationIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Linker{Instance: "a", Interval: time.Second, Logger: logr.Discard(), Source: &fakeSource{}}
+		l.init()
+		peer := savoryloft.LinkGreeting{Instance: "b", Incarnation: 2, Address: "127.0.0.1:9", Protocol: protocol}
+		current := linkPeer(t, l, peer)
+		peer.Incarnation = 1
+		late := linkPeer(t, l, peer)
+		_, err := framer.ReadBody(late.reader)
+		require.Error(t, err)
+		require.NotNil(t, current.read().Status)
+		require.Equal(t, 2, l.links["b"].peer.Incarnation)
+	})
+}
+
 // Instances of builds with other frames must not misread each other's fields.
 func TestLinksBetweenProtocolsAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -67,7 +67,7 @@
 	if s := x.table.LookupService(x.service); s != nil {
 		req.Engine = s.Engine
 		if s.MaxConnections > 0 {
-			req.MaxConnections = max(s.MaxConnections/max(x.relayer.Instances()+1, 1), minConnections)
+			req.MaxConnections = max(s.MaxConnections/(x.relayer.Instances()+1), minConnections)
 		}
 	}
 	return req
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -58,6 +58,7 @@
 	completeBytes int    // Length of the complete events at the start of buffer.
 	lastEventID   string // ID of the last event that Read has returned.
 	upstreamEnded bool   // The upstream has ended the stream.
+	truncated     bool   // The upstream has ended the stream in the middle of an event.
 	notStream     bool   // The response is not a stream; body holds it.
 	body          []byte
 	readErr       error // Returned by Read after the stream has failed.
@@ -71,7 +72,7 @@
 	if e != nil {
 		return e
 	}
-	s.attempt, s.buffer, s.completeBytes, s.upstreamEnded = a, s.storage[:0], 0, false
+	s.attempt, s.buffer, s.completeBytes, s.upstreamEnded, s.truncated = a, s.storage[:0], 0, false, false
 	if a.head.StatusCode != http.StatusOK {
 		return s.readBuffered()
 	}
@@ -126,6 +127,9 @@
 // do not extend the time.
 func (s *stream) fill(timeout time.Duration) error {
 	for end := time.Now().Add(timeout); s.completeBytes == 0 && !s.upstreamEnded; {
+		if s.truncated {
+			return io.ErrUnexpectedEOF
+		}
 		left := time.Until(end)
 		if left <= 0 {
 			return errors.Errorf("%s sent no complete event for %s", s.attempt.choice.Upstream.ID, timeout)
@@ -141,9 +145,15 @@
 			return errors.Errorf("event from %s exceeds %d bytes", s.attempt.choice.Upstream.ID, maxEventBytes)
 		}
 		switch {
+		case errors.Is(err, io.EOF) && s.completeBytes < len(s.buffer):
+			// Without a length, a connection that ends in the middle of an event looks
+			// like the end of the response.
+			if s.completeBytes == 0 {
+				return io.ErrUnexpectedEOF
+			}
+			s.truncated = true
 		case errors.Is(err, io.EOF):
 			s.upstreamEnded = true
-			s.completeBytes = len(s.buffer)
 		case err != nil && s.completeBytes == 0:
 			return err
 		}
--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// forgetReadFailure records that this instance does not read a topic any more, so
+// that an earlier failure says nothing about the log.
+func (w *Watcher) forgetReadFailure(t savoryloft.Topic) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t == savoryloft.TopicConfiguration {
+		w.logUnreachable = false
+	}
+}
+
 // handleReadSuccess records that reading a topic succeeded. It must be called
 // before the records are applied, since a recovery of the log delays the removal
 // of registry entries.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -217,6 +217,10 @@
 		rank := w.readerRank()
 		if rank >= readerCount && !w.mustReadItself(t, &own) {
 			next = -1
+			if unreachable {
+				unreachable = false
+				w.forgetReadFailure(t)
+			}
 			savoryloft.Sleep(ctx, readCheckInterval)
 			continue
 		}
