An instance that restarts reads its first configuration itself

Change: only the instances of a deployment that starts for the first time wait for a reader's copy; a request that meets an instance without a configuration waits up to 100 ms for it.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -53,6 +53,7 @@
 	leaderTimeout         = 1500 * time.Millisecond // Six status intervals without a report of a lease holder.
 	registerRetryInterval = time.Second
 	bootstrapSpread       = 400 * time.Millisecond // Time within which all instances of a new deployment register.
+	relayPatience         = time.Second            // Time in which a new deployment's instances get their first configuration from a reader.
 	memberReadInterval    = 10 * time.Second       // Between reads of the member list by an instance that reads the log.
 )
 
@@ -174,8 +175,15 @@
 		CPUMillicores: d.Limits.CPUMillicores, Seeds: d.Seeds, Dial: l.Pool.Dial, Logger: l.Logger, Source: linkSource{l},
 	}
 	l.sharedLinker.Store(l.linker)
+	// When all instances start for the first time, each gets its first copy from a
+	// reader. Later, service must not wait for the links of an instance that starts.
+	patience := time.Duration(0)
+	if d.Bootstrap {
+		patience = relayPatience
+	}
 	l.watcher = &watcher.Watcher{
 		Log: l.Log, Decoder: l.Decoder, Logger: l.Logger, ReaderRank: l.readerRank, ReadersFail: l.linker.ReadersFail, OnChange: l.relayRecords, OnEra: l.observeEra,
+		RelayPatience:     patience,
 		PropagationLimits: [2]time.Duration{d.Bounds.ConfigurationInForce, d.Bounds.Drain},
 	}
 	l.claimer = &claimer.Claimer{
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -47,6 +47,7 @@
 	maxAuthoritativeAge     = 1500 * time.Millisecond
 	defaultRouteTimeout     = 30 * time.Second // For routes without a timeout.
 	staleConfigRetryAfter   = 500 * time.Millisecond
+	firstConfigWait         = 100 * time.Millisecond // An instance that starts usually has a configuration by then.
 	noUpstreamRetryAfter    = 700 * time.Millisecond // Registrations arrive about once a second.
 	upstreamsFullRetryAfter = 300 * time.Millisecond // About the duration of one request.
 	retryJitter             = 0.5                    // Maximum random extension of Retry-After as a share of it, so that retries spread out.
@@ -164,7 +165,7 @@
 // match or the configuration is too old.
 func (x *exchange) resolve() bool {
 	w := x.relayer.Watcher
-	x.table = w.Table()
+	x.table = w.AwaitTable(x.ctx, firstConfigWait)
 	age, known := w.Age(savoryloft.TopicConfiguration)
 	x.configAge = age
 	if x.table == nil || !known {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -49,7 +49,6 @@
 	minStaleAge              = 800 * time.Millisecond  // Lower bound of the age at which an instance reads the log itself.
 	readerCount              = 2                       // Instances that read the log for the others.
 	standbyPollFactor        = 3                       // Long polls of the standby reader, as a multiple of those of the first reader.
-	relayPatience            = time.Second             // After the start, time to get the first copy from a reader.
 	probeInterval            = 5 * time.Second         // Mean time between reads by an instance whose readers cannot read the log.
 	readCheckInterval        = 100 * time.Millisecond  // Between checks of whether to read.
 	minBackoff               = 100 * time.Millisecond  // After a failed read.
@@ -74,6 +73,9 @@
 	// ReadersFail reports whether the instances that read the log for this one say
 	// that they cannot read it. If nil, they never do.
 	ReadersFail func() bool
+	// RelayPatience is the time after the start that this instance waits for a first
+	// copy from a reader before it reads the log itself.
+	RelayPatience time.Duration
 	// OnChange is called with newly applied records and the peer that relayed them,
 	// which is empty if this instance read them from the log. It may be nil.
 	OnChange func(records []savoryloft.ControlRecord, from string)
@@ -97,6 +99,7 @@
 	registryRead       int              // Position up to which all such records have been applied.
 	registryReadFailed bool             // Whether a read of the registry has failed since the last successful one.
 	recoveredAt        time.Duration    // Uptime of the log's last recovery from an outage; 0 if there was none.
+	first              chan struct{}    // Closed when the first configuration is in force.
 	leaving            map[string]int   // Start times, by ID, of the upstreams that have said that they leave.
 	leavingAdded       int              // Number of additions to leaving.
 	leavingOrder       []string         // IDs in leaving, in the order in which they became known.
@@ -109,6 +112,7 @@
 		w.entries = map[string]*entry{}
 		w.malformedPositions = map[string]int{}
 		w.leaving = map[string]int{}
+		w.first = make(chan struct{})
 		w.registryChanged, w.registryRead, w.registryEraEnd = -1, -1, -1
 		w.configuration.Position = -1
 	})
@@ -117,6 +121,23 @@
 // Table returns the configuration in force, or nil before the first one.
 func (w *Watcher) Table() *router.Table { return w.table.Load() }
 
+// AwaitTable returns the configuration in force. It waits up to d for the first one,
+// and returns nil if there is none then.
+func (w *Watcher) AwaitTable(ctx context.Context, d time.Duration) *router.Table {
+	if t := w.Table(); t != nil {
+		return t
+	}
+	w.init()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-w.first:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return w.Table()
+}
+
 // Upstreams returns the registered upstreams of a service, sorted by ID. The slice
 // must not be modified.
 func (w *Watcher) Upstreams(service string) []savoryloft.RegisteredUpstream {
@@ -288,7 +309,7 @@
 	now := savoryloft.Uptime()
 	switch {
 	case !ok:
-		return now-own.startedAt > relayPatience
+		return now-own.startedAt >= w.RelayPatience
 	case age <= max(time.Duration(staleFraction*float64(w.PropagationLimits[t])), minStaleAge):
 		own.probeAt = 0
 		return false
@@ -416,7 +437,9 @@
 		return false
 	}
 	w.configuration = r
-	w.table.Store(router.New(c))
+	if w.table.Swap(router.New(c)) == nil {
+		close(w.first)
+	}
 	w.Logger.Info("configuration in force", "step", savoryloft.StepFollow, "version", c.Version, "position", r.Position,
 		"routes", len(c.Routes), "accounts", len(c.Accounts))
 	return true
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -250,12 +250,16 @@
 		defer cancel()
 		log := &faker.Log{}
 		log.Set(savoryloft.TopicConfiguration, "config", encode(t, savoryloft.Configuration{Version: 3}))
-		w := &Watcher{Log: log, Decoder: decoder{}, Logger: logr.Discard(), ReaderRank: func() int { return math.MaxInt }}
+		const patience = time.Second
+		w := &Watcher{
+			Log: log, Decoder: decoder{}, Logger: logr.Discard(), ReaderRank: func() int { return math.MaxInt }, RelayPatience: patience,
+		}
 		go func() { _ = w.Run(ctx) }()
-		time.Sleep(relayPatience / 2)
+		require.Nil(t, w.AwaitTable(ctx, patience/2))
 		require.Zero(t, log.Calls())
-		time.Sleep(relayPatience)
-		require.Equal(t, 3, w.Version())
+		started := time.Now()
+		require.Equal(t, 3, w.AwaitTable(ctx, time.Minute).Version)
+		require.Less(t, time.Since(started), patience)
 		cancel()
 		synctest.Wait()
 	})
