Reclaimed domains of a large service get on-demand upstreams

Change: what the spare upstreams do not make up for is ordered on demand until reclaimable ones have replaced it.

--- a/provisioner/plan.go
+++ b/provisioner/plan.go
@@ -59,39 +59,51 @@
 // Plan distributes total upstreams evenly over the failure domains and returns
 // the desired counts of each domain, in the order of domains. The share of a
 // domain is rounded up and limited to s.Min and s.Max. If the service allows
-// reclaimable upstreams, the whole share is ordered as reclaimable. If more than
-// half of the domains lack capacity for reclaimable upstreams, those domains also
-// get on-demand ones; for fewer domains the spare upstreams suffice. noRequests
-// reports that the service has not had a request yet.
+// reclaimable upstreams, the whole share is ordered as reclaimable. Domains that lack
+// capacity for reclaimable upstreams also get on-demand ones, as far as the spare
+// upstreams do not make up for what is missing, and at least half of their share if
+// they are more than half of the domains. noRequests reports that the service has
+// not had a request yet.
 func Plan(s savoryloft.ScalingTraits, total int, domains []DomainState, noRequests bool) []UpstreamCounts {
 	plan := make([]UpstreamCounts, len(domains))
-	withoutCapacity := 0
+	share := clamp(ceilDiv(total, len(domains)), s.Min, s.Max)
+	withoutCapacity, missing := 0, 0
 	for _, d := range domains {
 		if d.NoCapacity {
 			withoutCapacity++
+			missing += max(share-d.Current.Reclaimable, 0)
 		}
 	}
+	excess := max(missing-spareUpstreams(len(domains)), 0)
 	for i, d := range domains {
-		share := clamp(ceilDiv(total, len(domains)), s.Min, s.Max)
 		switch {
 		case s.ReclaimablePriceRatio <= 0:
 			plan[i].OnDemand = share
-		case d.NoCapacity && 2*withoutCapacity > len(domains):
-			plan[i] = UpstreamCounts{Reclaimable: share, OnDemand: ceilDiv(share, 2)}
 		default:
 			// On-demand upstreams are kept until reclaimable ones have replaced them.
 			// Their number is limited by Max and, before the first request, by
 			// idleOnDemand.
-			missing := clamp(share-d.Current.Reclaimable, 0, s.Max-share)
+			lacking := max(share-d.Current.Reclaimable, 0)
+			limit := min(lacking, s.Max-share)
 			if noRequests {
-				missing = min(missing, idleOnDemand)
+				limit = min(limit, idleOnDemand)
 			}
-			plan[i] = UpstreamCounts{Reclaimable: share, OnDemand: min(d.Current.OnDemand, missing)}
+			onDemand := min(d.Current.OnDemand, limit)
+			if d.NoCapacity && 2*withoutCapacity > len(domains) {
+				onDemand = max(onDemand, ceilDiv(share, 2))
+			}
+			if d.NoCapacity && missing > 0 {
+				onDemand = max(onDemand, min(ceilDiv(excess*lacking, missing), limit))
+			}
+			plan[i] = UpstreamCounts{Reclaimable: share, OnDemand: onDemand}
 		}
 	}
 	return plan
 }
 
+// spareUpstreams returns the number of spare upstreams in the initial size.
+func spareUpstreams(domains int) int { return int(math.Ceil(sparePerDomain * float64(domains))) }
+
 // clamp limits n to the range from lower to upper.
 func clamp(n, lower, upper int) int { return max(min(n, upper), lower) }
 
@@ -141,7 +153,7 @@
 		if registered == 0 || s.observedAt-s.firstObservedAt < s.registrationTime || s.observedAt-s.registeredSince < s.registrationTime/2 {
 			return 0
 		}
-		return roundUp(registered+int(math.Ceil(sparePerDomain*float64(domains))), domains)
+		return roundUp(registered+spareUpstreams(domains), domains)
 	}
 	switch perUpstream := s.averageRunning / float64(target); {
 	case perUpstream > scaleUpLoad:
