--- a/placer/engine.go
+++ b/placer/engine.go
@@ -126,13 +126,15 @@
 	return max(tokens, 0)
 }
 
-// cachesFirstPart reports whether the upstream has cached the first part of a
-// prompt of at least two parts.
-func (s *upstreamState) cachesFirstPart(r Request) bool {
-	if len(r.Parts) < 2 {
+// cachesSharedParts reports whether the upstream has cached the last shared part of
+// a prompt. Earlier ones may be common to so many prompts that every upstream has
+// them.
+func (s *upstreamState) cachesSharedParts(r Request) bool {
+	shared := r.sharedParts()
+	if len(shared) == 0 {
 		return false
 	}
-	_, ok := s.cachedParts[r.Parts[0].ID]
+	_, ok := s.cachedParts[shared[len(shared)-1].ID]
 	return ok
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -280,7 +280,7 @@
 		}
 		switch {
 		case c.Cost >= best.Cost:
-		case s == preferred || s.cachesFirstPart(r) || sample():
+		case s == preferred || s.cachesSharedParts(r) || sample():
 			best = c
 		case c.Cost < unsampled.Cost:
 			unsampled = c
@@ -296,8 +296,8 @@
 }
 
 // sampler returns a function that decides whether Choose considers an upstream
-// other than the preferred one and those that have cached the prompt's first
-// part. If peer loads are delayed, it selects a random sample, since instances
+// other than the preferred one and those that have cached the prompt's shared
+// parts. If peer loads are delayed, it selects a random sample, since instances
 // that considered all upstreams would all send to the one that was last reported
 // as idle (herding).
 func (p *Placer) sampler(pt partition) func() bool {
@@ -318,7 +318,7 @@
 func (p *Placer) cost(now time.Time, s *upstreamState, r Request, isPreferred bool) Choice {
 	peer := p.peerLoads[s.upstream.ID]
 	c := Choice{Upstream: s.upstream, Running: s.running + peer.Running, QueuedTokens: s.remainingPrefill(now), Preferred: isPreferred}
-	c.QueuedTokens += remainingTokens(peer.Prefill, now.Sub(p.peerLoadsAt), s.prefillRate)
+	c.QueuedTokens += remainingTokens(peer.Prefill, now.Sub(p.peerLoadsAt)+p.peerLoadDelay, s.prefillRate)
 	probability := 0.0
 	if isPreferred {
 		probability = p.preferredProbability()
