--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -275,7 +275,7 @@
 		"upstream", x.upstream, "sends", x.sends, "runs", x.possibleRuns,
 		"first", x.timeToResponse.Milliseconds(), "took", time.Since(x.received).Milliseconds(),
 		"version", version, "age", x.configAge.Milliseconds(),
-		"cost", int(x.choice.Cost), "uncached", x.choice.UncachedTokens, "running", x.choice.Running, "waiting", x.choice.QueuedTokens)
+		"cost", int(x.choice.Cost), "preferred", x.choice.Preferred, "prompt", x.call.PromptTokens, "uncached", x.choice.UncachedTokens, "running", x.choice.Running, "waiting", x.choice.QueuedTokens)
 }
 
 // recordMetrics counts the outcome and records the latencies in ms.
