--- a/provisioner/plan.go
+++ b/provisioner/plan.go
@@ -16,8 +16,11 @@
 	// removed below scaleDownLoad. Engines accept many more requests, but process
 	// prompts one at a time. Between the two limits the size does not change, since
 	// a change loses cached prompts.
-	scaleUpLoad      = 10.0
-	scaleDownLoad    = 2.0
+	scaleUpLoad   = 10.0
+	scaleDownLoad = 2.0
+	// scaleUpShare limits scaleUpLoad to a share of an upstream's slots, since requests
+	// spread unevenly; scaleDownLoad is reduced in proportion.
+	scaleUpShare     = 0.35
 	riseTimeConstant = 2 * time.Second // Smoothing of increasing load; bursts last a few seconds.
 	// fallTimeConstant smooths decreasing load; it is longer than the waves in daily
 	// traffic. It is also the minimum time between reductions.
@@ -121,8 +124,22 @@
 	registered       int           // Last number of registered upstreams while no size is stored.
 	registeredSince  time.Duration // Time at which registered last changed.
 	registrationTime time.Duration // Time that upstreams have to register before the initial size is set.
+	slots            int           // Of an upstream; 0 if unknown.
 }
 
+// scaleUpLoad returns the number of running requests per upstream above which
+// upstreams are added.
+func (s *sizer) scaleUpLoad() float64 {
+	if s.slots == 0 {
+		return scaleUpLoad
+	}
+	return min(scaleUpLoad, scaleUpShare*float64(s.slots))
+}
+
+// scaleDownLoad returns the number of running requests per upstream below which
+// upstreams are removed.
+func (s *sizer) scaleDownLoad() float64 { return scaleDownLoad * s.scaleUpLoad() / scaleUpLoad }
+
 // observe updates the moving average with the number of running requests.
 func (s *sizer) observe(now time.Duration, running int) {
 	if s.observedAt == 0 {
@@ -156,9 +173,9 @@
 		return roundUp(registered+spareUpstreams(domains), domains)
 	}
 	switch perUpstream := s.averageRunning / float64(target); {
-	case perUpstream > scaleUpLoad:
-		return roundUp(int(math.Ceil(s.averageRunning/scaleUpLoad)), domains)
-	case s.hadRequests && perUpstream < scaleDownLoad && target > minPerDomain*domains && s.observedAt-s.scaledDownAt > fallTimeConstant:
+	case perUpstream > s.scaleUpLoad():
+		return roundUp(int(math.Ceil(s.averageRunning/s.scaleUpLoad())), domains)
+	case s.hadRequests && perUpstream < s.scaleDownLoad() && target > minPerDomain*domains && s.observedAt-s.scaledDownAt > fallTimeConstant:
 		s.scaledDownAt = s.observedAt
 		return target - domains
 	}
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -131,6 +131,7 @@
 		sz = &sizer{registrationTime: time.Duration(registrationHeartbeats * float64(p.Heartbeat))}
 		p.sizers[s.Name] = sz
 	}
+	sz.slots = slotsOf(s, upstreams)
 	sz.observe(savoryloft.Uptime(), p.Running(s.Name))
 	target, _ := p.Store.Size(s.Name)
 	desired := sz.desired(current.sum(), len(domains), target)
@@ -157,6 +158,18 @@
 	return true
 }
 
+// slotsOf returns the number of slots of a service's upstreams, or 0 if it is
+// unknown.
+func slotsOf(s savoryloft.UpstreamService, upstreams []savoryloft.RegisteredUpstream) int {
+	if len(upstreams) > 0 && upstreams[0].Slots > 0 {
+		return upstreams[0].Slots
+	}
+	if s.Engine != nil {
+		return s.Engine.Slots
+	}
+	return 0
+}
+
 // lastOrder returns the record of the last order for a key, and adds one with an
 // unknown count if there is none.
 func (p *Provisioner) lastOrder(key orderKey) *orderRecord {
--- a/provisioner/provisioner_test.go
+++ b/provisioner/provisioner_test.go
@@ -109,6 +109,13 @@
 		}
 		require.Equal(t, 32, s.desired(16, 4, 16))
 	})
+	t.Run("upstreams with few slots scale up earlier", func(t *testing.T) {
+		s := &sizer{slots: 12}
+		for i := range 80 {
+			s.observe(time.Duration(i+1)*second/4, 1000)
+		}
+		require.Equal(t, 240, s.desired(147, 3, 147))
+	})
 	t.Run("a short dip keeps the size, sustained low load scales down in steps", func(t *testing.T) {
 		s := &sizer{}
 		s.observe(second, 60)
