--- a/placer/engine.go
+++ b/placer/engine.go
@@ -48,6 +48,7 @@
 	prefilling           bool    // No first token yet.
 	hasPrompt            bool    // The service runs inference engines, so the run counts in classTimes.
 	longPrompt           bool    // The prompt has at least longPromptTokens.
+	serviceTime          time.Duration
 	ended                bool
 }
 
@@ -228,7 +229,7 @@
 		r.endPrefill()
 	}
 	if r.hasPrompt {
-		r.placer.classTimes.add(now, r.longPrompt, now.Sub(r.startedAt))
+		r.placer.classTimes.add(now, r.longPrompt, r.serviceTime)
 	}
 	s := r.upstream
 	s.running--
--- a/placer/kind.go
+++ b/placer/kind.go
@@ -14,15 +14,18 @@
 const (
 	minPartitionedUpstreams = 40               // The parts of a smaller fleet could not absorb a burst of requests.
 	longPromptTokens        = 4000             // Minimum length of a long prompt; its prefill takes as long as several tokens of a stream.
-	classMismatchCostMs     = 40.0             // Added for an upstream that is assigned to the other class.
+	classMismatchCostMs     = 40.0             // Minimum cost of an upstream that is assigned to the other class.
+	longMismatchShare       = 0.2              // The same for a long prompt, as a share of its objective: rather than pause the streams of short ones, it waits.
+	decodeMsPerToken        = 4.0              // Assumed time of an output token.
 	classTimeConstant       = 30 * time.Second // Time in which the weight of an observation falls to 1/e; longer than a burst.
 	boundaryStep            = 0.1              // The boundary is rounded to it, so that most instances use the same one.
 	priorShortShare         = 0.4              // Assumed share of the request time that short prompts take, before any request was observed.
 	priorWeightSeconds      = 5.0              // Weight of priorShortShare, in seconds of request time.
 )
 
-// classTimes sums the durations of an instance's recent requests of each class,
-// with exponential decay.
+// classTimes sums the service times of an instance's recent requests of each class,
+// with exponential decay. Service times are estimates without the wait for other
+// requests, since a class that waits would otherwise take upstreams from the other.
 type classTimes struct {
 	short, long float64 // Seconds, as of updatedAt.
 	updatedAt   time.Time
@@ -46,6 +49,22 @@
 	c.updatedAt = now
 }
 
+// serviceTime estimates the time that a request takes on an upstream that runs no
+// other one.
+func serviceTime(uncachedTokens, outputTokens int, prefillRate float64) time.Duration {
+	ms := float64(uncachedTokens)/prefillRate + float64(outputTokens)*decodeMsPerToken
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// classMismatchMs returns the cost in ms of an upstream that is assigned to the other
+// class.
+func (r Request) classMismatchMs() float64 {
+	if r.PromptTokens < longPromptTokens {
+		return classMismatchCostMs
+	}
+	return max(classMismatchCostMs, longMismatchShare*float64(r.Objective)/float64(time.Millisecond))
+}
+
 // partition is the set of upstreams that are assigned to a request's class.
 type partition struct {
 	disabled    bool    // All upstreams serve both classes.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -75,6 +75,7 @@
 	PromptTokens int
 	OutputTokens int                      // Expected number.
 	Engine       *savoryloft.EngineTraits // nil for a service without inference engines.
+	Objective    time.Duration            // For the first token; 0 if there is none.
 	// MaxConnections limits this instance's concurrent requests to one upstream;
 	// 0 for no limit.
 	MaxConnections int
@@ -270,7 +271,7 @@
 		}
 		c := p.cost(now, s, r, s == preferred)
 		if !pt.includes(s) {
-			c.Cost += classMismatchCostMs
+			c.Cost += r.classMismatchMs()
 		}
 		if s.suspended(now) && now.Sub(s.probedAt) < probeInterval {
 			if c.Cost < suspended.Cost {
@@ -442,6 +443,7 @@
 	run := &Run{
 		placer: p, upstream: s, startedAt: now,
 		hasPrompt: r.Engine != nil, longPrompt: r.PromptTokens >= longPromptTokens,
+		serviceTime:    serviceTime(c.UncachedTokens, r.OutputTokens, s.prefillRate),
 		uncachedTokens: c.UncachedTokens, kvTokens: r.PromptTokens + r.OutputTokens,
 		queuedTokens: c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens) / s.prefillRate, prefilling: true,
 	}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -59,7 +59,7 @@
 func (x *exchange) placerRequest() placer.Request {
 	req := placer.Request{
 		Service: x.service, Parts: x.call.Parts, PromptTokens: x.call.PromptTokens,
-		OutputTokens: x.call.OutputTokens, Exclude: x.triedUpstreams,
+		OutputTokens: x.call.OutputTokens, Exclude: x.triedUpstreams, Objective: x.route.Objective,
 	}
 	if x.call.OutputHint > 0 {
 		req.OutputTokens = min(x.call.OutputHint, max(x.call.OutputTokens, 1))
