--- a/provisioner/plan.go
+++ b/provisioner/plan.go
@@ -12,6 +12,9 @@
 	// sparePerDomain is the number of spare upstreams per failure domain in the
 	// initial size, to absorb bursts and the loss of a domain.
 	sparePerDomain = 1.5
+	// spareSlots adds to the spare where upstreams have few slots, since these absorb
+	// little of a burst: that many divided by the slots, as a share of the upstreams.
+	spareSlots = 3.0
 	// Upstreams are added above scaleUpLoad running requests per upstream and
 	// removed below scaleDownLoad. Engines accept many more requests, but process
 	// prompts one at a time. Between the two limits the size does not change, since
@@ -21,7 +24,8 @@
 	// scaleUpShare limits scaleUpLoad to a share of an upstream's slots, since requests
 	// spread unevenly; scaleDownLoad is reduced in proportion.
 	scaleUpShare     = 0.35
-	riseTimeConstant = 2 * time.Second // Smoothing of increasing load; bursts last a few seconds.
+	minScaleUpStep   = 0.25        // Of the size; each order moves prompts to other upstreams, and a burst needs few orders.
+	riseTimeConstant = time.Second // Smoothing of increasing load; bursts last a few seconds.
 	// fallTimeConstant smooths decreasing load; it is longer than the waves in daily
 	// traffic. It is also the minimum time between reductions.
 	fallTimeConstant = 25 * time.Second
@@ -170,11 +174,12 @@
 		if registered == 0 || s.observedAt-s.firstObservedAt < s.registrationTime || s.observedAt-s.registeredSince < s.registrationTime/2 {
 			return 0
 		}
-		return roundUp(registered+spareUpstreams(domains), domains)
+		return roundUp(registered+s.initialSpare(registered, domains), domains)
 	}
 	switch perUpstream := s.averageRunning / float64(target); {
 	case perUpstream > s.scaleUpLoad():
-		return roundUp(int(math.Ceil(s.averageRunning/s.scaleUpLoad())), domains)
+		needed := max(s.averageRunning/s.scaleUpLoad(), (1+minScaleUpStep)*float64(target))
+		return roundUp(int(math.Ceil(needed)), domains)
 	case s.hadRequests && perUpstream < s.scaleDownLoad() && target > minPerDomain*domains && s.observedAt-s.scaledDownAt > fallTimeConstant:
 		s.scaledDownAt = s.observedAt
 		return target - domains
@@ -182,6 +187,16 @@
 	return target
 }
 
+// initialSpare returns the number of spare upstreams that are ordered beside the
+// registered ones.
+func (s *sizer) initialSpare(registered, domains int) int {
+	spare := spareUpstreams(domains)
+	if s.slots > 0 {
+		spare = max(spare, int(spareSlots*float64(registered)/float64(s.slots)))
+	}
+	return spare
+}
+
 // roundUp rounds n up to a multiple of step.
 func roundUp(n, step int) int { return ceilDiv(n, step) * step }
 
