--- a/provisioner/provisioner_test.go
+++ b/provisioner/provisioner_test.go
@@ -50,14 +50,16 @@
 		},
 		{
 			"a reclaimed domain of a large service exceeds the spare upstreams",
-			savoryloft.ScalingTraits{Min: 1, Max: 94, ReclaimablePriceRatio: 0.2}, 147,
+			savoryloft.ScalingTraits{Min: 1, Max: 94, ReclaimablePriceRatio: 0.2},
+			147,
 			[]DomainState{{NoCapacity: true}, {Current: UpstreamCounts{Reclaimable: 49}}, {Current: UpstreamCounts{Reclaimable: 49}}},
 			false,
 			[]UpstreamCounts{{OnDemand: 44, Reclaimable: 49}, {Reclaimable: 49}, {Reclaimable: 49}},
 		},
 		{
 			"two reclaimed domains, of which one has got some upstreams back",
-			savoryloft.ScalingTraits{Min: 1, Max: 94, ReclaimablePriceRatio: 0.2}, 147,
+			savoryloft.ScalingTraits{Min: 1, Max: 94, ReclaimablePriceRatio: 0.2},
+			147,
 			[]DomainState{{NoCapacity: true}, {NoCapacity: true, Current: UpstreamCounts{Reclaimable: 29, OnDemand: 30}}, {Current: UpstreamCounts{Reclaimable: 49}}},
 			false,
 			[]UpstreamCounts{{OnDemand: 45, Reclaimable: 49}, {OnDemand: 25, Reclaimable: 49}, {Reclaimable: 49}},
