Tests of the load patterns that placement and orders of large fleets answer

The last changes of placer and provisioner had no tests of their own.

- Loads of peers arrive late, so a long prompt that had been read counted as waiting: the backlog is reduced by the delay (TestPeerPrefillIsReducedByItsDelay).
- Long prompts in a burst went to the upstreams of short ones at a wait of 40 ms and paused their streams: they wait up to a fifth of their objective (TestLongPromptsWaitBeforeTheyPauseShortOnes).
- A class that waited took upstreams from the other, since the boundary followed the time that requests spent: it follows their work (TestShortShareIgnoresWaits).
- Twelve slots absorb little of a burst: spares by slots, an earlier scale-up in steps of a quarter (TestSizer).

--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -165,6 +165,34 @@
 	require.Less(t, sim.maxConcurrent, maxPerUpstream)
 }
 
+// The same for a system prompt that all upstreams have cached: an upstream that has
+// it is no better than the others, so an instance compares a sample of them.
+func TestCommonPromptPartsDoNotCauseHerding(t *testing.T) {
+	const instances = 100
+	list := testUpstreams(120)
+	loads := map[string]savoryloft.LinkLoad{}
+	var system []savoryloft.HeldPart
+	for _, u := range list[1:] {
+		loads[u.ID] = savoryloft.LinkLoad{Upstream: u.ID, Running: 5, Prefill: 20000}
+	}
+	for _, u := range list {
+		system = append(system, savoryloft.HeldPart{Upstream: u.ID, Part: "system", Tokens: 500})
+	}
+	idle := 0
+	for i := range instances {
+		p := &Placer{Instance: fmt.Sprint("entry-", i), FailureDomain: "a"}
+		p.SetPeerLoads(start, loads, 400*time.Millisecond)
+		r := prompt(fmt.Sprint("thread-", i), 500, 500)
+		r.Parts = append([]savoryloft.PromptPart{{ID: "system", Tokens: 500}}, r.Parts...)
+		choose(t, p, start, r, list)
+		p.MergeParts(start, system)
+		if choose(t, p, start, r, list).Upstream.ID == list[0].ID {
+			idle++
+		}
+	}
+	require.Less(t, idle, instances/2, "instances that chose the upstream that was last reported as idle")
+}
+
 // Prefill of long prompts pauses the streams of short ones on the same upstream.
 // In a large fleet short prompts must rarely start there. In a small fleet all
 // upstreams serve both classes, since parts of it could not absorb a burst.
@@ -361,6 +389,107 @@
 	require.Equal(t, []savoryloft.HeldPart{{Upstream: elsewhere.Upstream.ID, Part: "contract", Tokens: 13000}}, a.TakeUnsentParts())
 }
 
+// Loads that arrive late describe a backlog that the engine has worked on since.
+func TestPeerPrefillIsReducedByItsDelay(t *testing.T) {
+	p := &Placer{}
+	list := testUpstreams(1)
+	r := prompt("contract", 0, 1000)
+	waiting := func(delay, elapsed time.Duration) int {
+		p.SetPeerLoads(start, map[string]savoryloft.LinkLoad{"engine-0": {Upstream: "engine-0", Running: 1, Prefill: 20000}}, delay)
+		return choose(t, p, start.Add(elapsed), r, list).QueuedTokens
+	}
+	const half = 500 * time.Millisecond
+	require.Equal(t, 20000, waiting(0, 0))
+	require.Equal(t, waiting(0, half), waiting(half, 0))
+	require.Equal(t, waiting(0, 2*half), waiting(half, half))
+}
+
+// A system prompt that all requests begin with is cached everywhere. The upstream
+// that has the document behind it must be found among many, although an instance
+// compares only a sample of the others.
+func TestUpstreamsWithTheWholeSharedPromptAreCompared(t *testing.T) {
+	const upstreams = 120
+	list := testUpstreams(upstreams)
+	for i := range 20 {
+		p := &Placer{Instance: fmt.Sprint("entry-", i), FailureDomain: "a"}
+		p.SetPeerLoads(start, nil, 400*time.Millisecond)
+		r := Request{
+			Service: "s", PromptTokens: 8500, OutputTokens: 100, Engine: &savoryloft.EngineTraits{Slots: 64, MemoryTokens: 500000},
+			Parts: []savoryloft.PromptPart{{ID: "system", Tokens: 500}, {ID: "document", Tokens: 7000}, {ID: "question", Tokens: 1000}},
+		}
+		preferred := choose(t, p, start, r, list)
+		require.True(t, preferred.Preferred)
+		var system []savoryloft.HeldPart
+		for _, u := range list {
+			system = append(system, savoryloft.HeldPart{Upstream: u.ID, Part: "system", Tokens: 500})
+		}
+		p.MergeParts(start, system)
+		busy := savoryloft.LinkLoad{Upstream: preferred.Upstream.ID, Running: 20, Prefill: 100000}
+		p.SetPeerLoads(start, map[string]savoryloft.LinkLoad{busy.Upstream: busy}, 400*time.Millisecond)
+		holder := list[(i*7+3)%upstreams].ID
+		require.NotEqual(t, busy.Upstream, holder)
+		p.MergeParts(start, []savoryloft.HeldPart{{Upstream: holder, Part: "document", Tokens: 7000}})
+		require.Equal(t, holder, choose(t, p, start, r, list).Upstream.ID)
+	}
+}
+
+// In a burst of long prompts, these wait for each other up to a share of their
+// objective before they go to the upstreams of short ones, whose streams they would
+// pause.
+func TestLongPromptsWaitBeforeTheyPauseShortOnes(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		objective time.Duration
+		waiting   int // Prompt tokens that wait on each upstream for long prompts.
+		separate  bool
+	}{
+		{"nothing waits", 5 * time.Second, 0, true},
+		{"a wait of less than a fifth of the objective", 5 * time.Second, 10000, true},
+		{"a wait of half the objective", 5 * time.Second, 100000, false},
+		{"the same short wait without an objective", 0, 10000, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := &Placer{FailureDomain: "a"}
+			list := testUpstreams(60)
+			boundary := p.classTimes.partition(start, prompt("", 0, 5000), len(list)).boundary
+			loads := map[string]savoryloft.LinkLoad{}
+			for _, u := range list {
+				if p.state(u).hashPosition >= boundary {
+					loads[u.ID] = savoryloft.LinkLoad{Upstream: u.ID, Running: 1, Prefill: tt.waiting}
+				}
+			}
+			p.SetPeerLoads(start, loads, 0)
+			for i := range 20 {
+				r := prompt(fmt.Sprint("document-", i), 4000, 2000)
+				r.Objective = tt.objective
+				id := choose(t, p, start, r, list).Upstream.ID
+				require.Equal(t, tt.separate, p.states[id].hashPosition >= boundary, id)
+			}
+		})
+	}
+}
+
+// A class that waits must not take upstreams from the other: the boundary follows
+// the work, not the time that requests spend.
+func TestShortShareIgnoresWaits(t *testing.T) {
+	share := func(wait time.Duration) float64 {
+		p := &Placer{FailureDomain: "a"}
+		list := testUpstreams(60)
+		now := start
+		for i := range 200 {
+			now = now.Add(100 * time.Millisecond)
+			r := prompt(fmt.Sprint("thing-", i), 0, 1000)
+			c := choose(t, p, now, r, list)
+			p.Start(now, c, r).End(now.Add(time.Second), Succeeded)
+			r = prompt(fmt.Sprint("document-", i), 0, 6000)
+			c = choose(t, p, now, r, list)
+			p.Start(now, c, r).End(now.Add(time.Second+wait), Succeeded)
+		}
+		return p.classTimes.shortShare(now)
+	}
+	require.InDelta(t, share(0), share(10*time.Second), boundaryStep)
+}
+
 func TestPrefillRateFollowsObservedTimes(t *testing.T) {
 	p := &Placer{}
 	list := testUpstreams(1)
--- a/provisioner/provisioner_test.go
+++ b/provisioner/provisioner_test.go
@@ -118,6 +118,34 @@
 		}
 		require.Equal(t, 240, s.desired(147, 3, 147))
 	})
+	t.Run("upstreams with few slots get more spares", func(t *testing.T) {
+		for _, tt := range []struct {
+			slots, registered, want int
+		}{
+			{0, 72, 81},
+			{64, 72, 81},
+			{12, 72, 90},
+			{12, 120, 150},
+		} {
+			s := &sizer{slots: tt.slots}
+			s.observe(second, 0)
+			s.desired(tt.registered, 6, 0)
+			s.observe(2*second, 0)
+			require.Equal(t, roundUp(tt.want, 6), s.desired(tt.registered, 6, 0), "%+v", tt)
+		}
+	})
+	t.Run("a burst is met with few orders", func(t *testing.T) {
+		s := &sizer{slots: 12}
+		size, orders := 147, 0
+		for i := range 40 {
+			s.observe(time.Duration(i+1)*second/4, 400+20*i)
+			if next := s.desired(size, 3, size); next != size {
+				size, orders = next, orders+1
+			}
+		}
+		require.GreaterOrEqual(t, float64(size)*scaleUpShare*12, 1000.0)
+		require.LessOrEqual(t, orders, 3)
+	})
 	t.Run("a short dip keeps the size, sustained low load scales down in steps", func(t *testing.T) {
 		s := &sizer{}
 		s.observe(second, 60)
