--- a/placer/engine.go
+++ b/placer/engine.go
@@ -12,6 +12,7 @@
 // cache, the prefill rate and recent failures.
 type upstreamState struct {
 	upstream           savoryloft.RegisteredUpstream
+	addedAt            time.Time             // When this instance learned of it.
 	running            int                   // Requests of this instance that run on the upstream.
 	prefillTokens      int                   // Uncached prompt tokens of the runs in awaitingFirstToken.
 	kvTokens           int                   // KV cache that this instance's requests occupy, in tokens.
@@ -48,20 +49,19 @@
 	prefilling           bool    // No first token yet.
 	hasPrompt            bool    // The service runs inference engines, so the run counts in classTimes.
 	longPrompt           bool    // The prompt has at least longPromptTokens.
-	serviceTime          time.Duration
 	ended                bool
 }
 
 // state returns the state of an upstream. It creates a new state if the upstream
 // is new or has restarted.
-func (p *Placer) state(u savoryloft.RegisteredUpstream) *upstreamState {
+func (p *Placer) state(now time.Time, u savoryloft.RegisteredUpstream) *upstreamState {
 	if p.states == nil {
 		p.states = map[string]*upstreamState{}
 	}
 	s := p.states[u.ID]
 	if s == nil || s.upstream.StartedAtMs != u.StartedAtMs {
 		s = &upstreamState{
-			cachedParts: map[string]cachedPart{}, prefillRate: initialPrefillRate, awaitingFirstToken: map[*Run]struct{}{},
+			addedAt: now, cachedParts: map[string]cachedPart{}, prefillRate: initialPrefillRate, awaitingFirstToken: map[*Run]struct{}{},
 			hashPosition: toUnitInterval(rendezvous("short", u.ID)), jitter: toUnitInterval(rendezvous(p.Instance, u.ID)),
 		}
 		p.states[u.ID] = s
@@ -70,6 +70,17 @@
 	return s
 }
 
+// ageWeight returns the weight of the upstream as a preferred one, which rises to 1
+// until this instance has known the upstream for fullWeightAge.
+func (s *upstreamState) ageWeight(now time.Time) float64 {
+	return min(max(float64(now.Sub(s.addedAt))/float64(fullWeightAge), minAgeWeight), 1)
+}
+
+const (
+	fullWeightAge = 30 * time.Second
+	minAgeWeight  = 0.01 // Of an upstream that has just been added.
+)
+
 // remainingPrefill estimates how many prompt tokens of this instance's requests
 // still await prefill. It assumes that the upstream has processed prompt tokens
 // at prefillRate since the oldest run without a first token started.
@@ -229,7 +240,7 @@
 		r.endPrefill()
 	}
 	if r.hasPrompt {
-		r.placer.classTimes.add(now, r.longPrompt, r.serviceTime)
+		r.placer.classTimes.add(now, r.longPrompt, now.Sub(r.startedAt))
 	}
 	s := r.upstream
 	s.running--
--- a/placer/kind.go
+++ b/placer/kind.go
@@ -16,19 +16,19 @@
 	longPromptTokens        = 4000             // Minimum length of a long prompt; its prefill takes as long as several tokens of a stream.
 	classMismatchCostMs     = 40.0             // Minimum cost of an upstream that is assigned to the other class.
 	longMismatchShare       = 0.2              // The same for a long prompt, as a share of its objective: rather than pause the streams of short ones, it waits.
-	decodeMsPerToken        = 4.0              // Assumed time of an output token.
 	classTimeConstant       = 30 * time.Second // Time in which the weight of an observation falls to 1/e; longer than a burst.
 	boundaryStep            = 0.1              // The boundary is rounded to it, so that most instances use the same one.
+	boundaryTolerance       = 0.08             // Difference to the share of the work up to which the boundary stays, since a new one moves cached prompts.
 	priorShortShare         = 0.4              // Assumed share of the request time that short prompts take, before any request was observed.
 	priorWeightSeconds      = 5.0              // Weight of priorShortShare, in seconds of request time.
 )
 
-// classTimes sums the service times of an instance's recent requests of each class,
-// with exponential decay. Service times are estimates without the wait for other
-// requests, since a class that waits would otherwise take upstreams from the other.
+// classTimes sums the durations of an instance's recent requests of each class,
+// with exponential decay.
 type classTimes struct {
 	short, long float64 // Seconds, as of updatedAt.
 	updatedAt   time.Time
+	boundary    float64 // See partition.boundary; 0 before the first request.
 }
 
 func (c *classTimes) add(now time.Time, long bool, duration time.Duration) {
@@ -49,13 +49,6 @@
 	c.updatedAt = now
 }
 
-// serviceTime estimates the time that a request takes on an upstream that runs no
-// other one.
-func serviceTime(uncachedTokens, outputTokens int, prefillRate float64) time.Duration {
-	ms := float64(uncachedTokens)/prefillRate + float64(outputTokens)*decodeMsPerToken
-	return time.Duration(ms * float64(time.Millisecond))
-}
-
 // classMismatchMs returns the cost in ms of an upstream that is assigned to the other
 // class.
 func (r Request) classMismatchMs() float64 {
@@ -84,8 +77,19 @@
 	}
 	return partition{
 		shortPrompt: r.PromptTokens < longPromptTokens,
-		boundary:    math.Round(c.shortShare(now)/boundaryStep) * boundaryStep,
+		boundary:    c.followShare(now),
+	}
+}
+
+// followShare returns the boundary after it has followed shortShare.
+func (c *classTimes) followShare(now time.Time) float64 {
+	if c.boundary == 0 {
+		c.boundary = priorShortShare
+	}
+	if share := c.shortShare(now); math.Abs(share-c.boundary) > boundaryTolerance {
+		c.boundary = max(math.Round(share/boundaryStep), 1) * boundaryStep
 	}
+	return c.boundary
 }
 
 // shortShare returns the share of the upstreams that are for short prompts.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -216,7 +216,7 @@
 	defer p.mu.Unlock()
 	d = min(d, maxPause)
 	d += time.Duration(rand.Float64() * min(pauseSpread*float64(d), float64(maxPauseSpread)))
-	s := p.state(u)
+	s := p.state(now, u)
 	if until := now.Add(d); until.After(s.pausedUntil) {
 		s.pausedUntil = until
 	}
@@ -253,14 +253,14 @@
 		if u.Draining || r.Exclude[u.ID] {
 			continue
 		}
-		s := p.state(u)
+		s := p.state(now, u)
 		s.lastCandidateAt = now
 		if now.Before(s.pausedUntil) {
 			continue
 		}
 		p.candidates = append(p.candidates, s)
 	}
-	preferred := preferredUpstream(r, p.candidates, pt)
+	preferred := preferredUpstream(now, r, p.candidates, pt)
 	sample := p.sampler(pt)
 	best := Choice{Cost: math.Inf(1)}
 	suspended := Choice{Cost: math.Inf(1)}
@@ -319,7 +319,7 @@
 func (p *Placer) cost(now time.Time, s *upstreamState, r Request, isPreferred bool) Choice {
 	peer := p.peerLoads[s.upstream.ID]
 	c := Choice{Upstream: s.upstream, Running: s.running + peer.Running, QueuedTokens: s.remainingPrefill(now), Preferred: isPreferred}
-	c.QueuedTokens += remainingTokens(peer.Prefill, now.Sub(p.peerLoadsAt)+p.peerLoadDelay, s.prefillRate)
+	c.QueuedTokens += remainingTokens(peer.Prefill, now.Sub(p.peerLoadsAt), s.prefillRate)
 	probability := 0.0
 	if isPreferred {
 		probability = p.preferredProbability()
@@ -392,31 +392,33 @@
 	return r.Parts[:len(r.Parts)-1]
 }
 
-// preferredUpstream returns the upstream of the partition that rendezvous hashing
-// selects for the last shared part of a request, so that all instances prefer the
-// same one. It returns nil if the request has no shared part or the partition is
-// empty.
-func preferredUpstream(r Request, candidates []*upstreamState, pt partition) *upstreamState {
+// preferredUpstream returns the upstream of the partition that weighted rendezvous
+// hashing selects for the last shared part of a request, so that all instances prefer
+// the same one. The weight of an upstream that has just been added rises with its age,
+// so that it takes cached prompts over from others a few at a time. preferredUpstream
+// returns nil if the request has no shared part or the partition is empty.
+func preferredUpstream(now time.Time, r Request, candidates []*upstreamState, pt partition) *upstreamState {
 	shared := r.sharedParts()
 	if len(shared) == 0 {
 		return nil
 	}
 	key := shared[len(shared)-1].ID
-	var highest uint64
+	highest := 0.0
 	var selected *upstreamState
 	for _, s := range candidates {
 		if !pt.includes(s) {
 			continue
 		}
-		if h := rendezvous(key, s.upstream.ID); selected == nil || h > highest {
-			highest, selected = h, s
+		score := s.ageWeight(now) / -math.Log(toUnitInterval(rendezvous(key, s.upstream.ID)))
+		if selected == nil || score > highest {
+			highest, selected = score, s
 		}
 	}
 	return selected
 }
 
-// toUnitInterval maps a hash to the interval [0, 1).
-func toUnitInterval(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
+// toUnitInterval maps a hash to the open interval from 0 to 1.
+func toUnitInterval(hash uint64) float64 { return (float64(hash>>12) + 0.5) / (1 << 52) }
 
 // rendezvous returns the rendezvous (highest random weight) hash of a key and an
 // upstream's ID.
@@ -439,11 +441,10 @@
 func (p *Placer) Start(now time.Time, c Choice, r Request) *Run {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(c.Upstream)
+	s := p.state(now, c.Upstream)
 	run := &Run{
 		placer: p, upstream: s, startedAt: now,
 		hasPrompt: r.Engine != nil, longPrompt: r.PromptTokens >= longPromptTokens,
-		serviceTime:    serviceTime(c.UncachedTokens, r.OutputTokens, s.prefillRate),
 		uncachedTokens: c.UncachedTokens, kvTokens: r.PromptTokens + r.OutputTokens,
 		queuedTokens: c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens) / s.prefillRate, prefilling: true,
 	}
