--- a/launcher/source.go
+++ b/launcher/source.go
@@ -104,5 +104,6 @@
 func (l *Launcher) updatePeerLoads() {
 	if l.peerLoadsChanged.Swap(false) {
 		l.placer.SetPeerLoads(time.Now(), l.linker.PeerLoads(), l.linker.LoadDelay())
+		l.placer.SetInstances(l.linker.InstanceCount())
 	}
 }
--- a/linker/parts.go
+++ b/linker/parts.go
@@ -15,7 +15,7 @@
 	// maxPartsPerFrame bounds the bytes that parts take on a link in large
 	// deployments. Older parts beyond it are dropped; they only make an estimate
 	// worse.
-	maxPartsPerFrame = 16
+	maxPartsPerFrame = 64
 )
 
 // timedPart is a prompt part that was queued at an uptime.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -38,6 +38,7 @@
 	cachedPartMemoryShare     = 0.6                    // Share of the KV cache that cached parts are assumed to occupy.
 	preferredCacheProbability = 0.6                    // Probability that the preferred upstream has cached a part that is not recorded for it.
 	unreportedProbability     = 0.9                    // The same where parts at preferred upstreams are not reported to peers.
+	maxReportingInstances     = 100                    // Up to which all cached parts are reported to peers.
 	runningCostMs             = 3.0                    // For each request that runs on the upstream.
 	interferenceShare         = 0.04                   // Cost per ms of prefill and per request that runs on the upstream, which the prefill delays.
 	recomputeShare            = 0.5                    // Cost per ms of prefill of shared parts, in addition to the wait for it.
@@ -104,6 +105,7 @@
 	peerLoads     map[string]savoryloft.LinkLoad
 	peerLoadsAt   time.Time
 	peerLoadDelay time.Duration // Propagation delay of peer loads.
+	instances     int           // Number of instances; 0 if unknown.
 	classTimes    classTimes
 	candidates    []*upstreamState      // Buffer that Choose reuses.
 	unsentParts   []savoryloft.HeldPart // Newly cached parts that were not reported to peers.
@@ -117,6 +119,13 @@
 	p.peerLoads, p.peerLoadsAt, p.peerLoadDelay = loads, now, delay
 }
 
+// SetInstances sets the number of instances of the deployment.
+func (p *Placer) SetInstances(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = n
+}
+
 // Loads returns the load of this instance's requests on each upstream that runs
 // any of them. Token counts are rounded.
 func (p *Placer) Loads(now time.Time) []savoryloft.LinkLoad {
@@ -360,9 +369,11 @@
 }
 
 // reportsPreferred reports whether parts are also reported to peers when they are
-// cached at the preferred upstream. In large deployments, where peer loads are
-// delayed, only the exceptions are, since a report goes to all instances.
-func (p *Placer) reportsPreferred() bool { return p.peerLoadDelay == 0 }
+// cached at the preferred upstream. Each report goes to all instances, so in a large
+// deployment only the exceptions are reported.
+func (p *Placer) reportsPreferred() bool {
+	return p.peerLoadDelay == 0 || p.instances > 0 && p.instances <= maxReportingInstances
+}
 
 // jitterCost returns a cost in ms that differs between instances if peer loads
 // are delayed. Without it, all instances would choose the same upstream among
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -366,6 +366,27 @@
 	require.Equal(t, c.Upstream.ID, choose(t, b, start, r, list).Upstream.ID)
 }
 
+// Up to a size of the deployment all parts are reported, since a backlog of prompts
+// that are not cached yet is underestimated otherwise.
+func TestAllPartsAreReportedInMediumDeployments(t *testing.T) {
+	for _, tt := range []struct {
+		instances, want int
+	}{
+		{0, 0},
+		{88, 1},
+		{195, 0},
+	} {
+		p := &Placer{Instance: "a"}
+		p.SetPeerLoads(start, nil, 400*time.Millisecond)
+		p.SetInstances(tt.instances)
+		r := prompt("contract", 13000, 2000)
+		c := choose(t, p, start, r, testUpstreams(30))
+		require.True(t, c.Preferred)
+		p.Start(start, c, r)
+		require.Len(t, p.TakeUnsentParts(), tt.want, "%d instances", tt.instances)
+	}
+}
+
 // In a large deployment each report goes to all instances, so only parts that were
 // sent elsewhere than all instances expect are reported, and what is not reported is
 // assumed to be where it is expected.
