--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -314,6 +314,25 @@
 	}
 }
 
+// A late second copy of a refusal must not be taken for the refusal of the next
+// request on the connection, which runs.
+func TestDuplicateRefusalsAreDiscarded(t *testing.T) {
+	c := newCluster(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	var runs atomic.Int64
+	go standin.ServeDuplicateRefusals(l, func() { runs.Add(1) })
+	c.register("i-stray", l.Addr().String(), "ready")
+	i := c.start(longRevocation)
+	c.waitForUpstreams(i, 1)
+	require.Equal(t, 503, c.call(i, "once", "key-1").status)
+	resp := c.call(i, "once", "key-1")
+	require.Equal(t, 200, resp.status)
+	require.Equal(t, "ok", resp.body)
+	require.EqualValues(t, 1, runs.Load())
+}
+
 func TestMetricsPage(t *testing.T) {
 	c := newCluster(t)
 	c.addEngine(nil)
