--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -29,6 +29,13 @@
 }
 
 func newCluster(ctx context.Context, n int, log *faker.Log) *cluster {
+	cl := buildCluster(n, log)
+	cl.run(ctx)
+	return cl
+}
+
+// buildCluster returns a cluster whose claimers do not run yet.
+func buildCluster(n int, log *faker.Log) *cluster {
 	cl := &cluster{log: log}
 	for i := range n {
 		c := &Claimer{
@@ -51,13 +58,15 @@
 		}
 		cl.claimers = append(cl.claimers, c)
 	}
-	// PeerHoldsLease reads all claimers, so they must exist before the first runs.
+	return cl
+}
+
+func (cl *cluster) run(ctx context.Context) {
 	for _, c := range cl.claimers {
 		claimerCtx, cancel := context.WithCancel(ctx)
 		cl.cancels = append(cl.cancels, cancel)
 		go func() { _ = c.Run(claimerCtx) }()
 	}
-	return cl
 }
 
 // holders returns the indexes of the claimers that hold the lease.
@@ -229,8 +238,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		log := &faker.Log{}
-		cl := newCluster(ctx, 2, log)
+		cl := buildCluster(2, log)
 		cl.claimers[0].OnCommit = cl.claimers[1].Learn
+		cl.run(ctx)
 		time.Sleep(2 * time.Second)
 		copied := log.Copy()
 		counts := map[string]int{"x": 3}
@@ -288,7 +298,7 @@
 func TestHolderThatIsNoCandidateHandsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		cl := newCluster(ctx, 2, &faker.Log{})
+		cl := buildCluster(2, &faker.Log{})
 		var demoted atomic.Bool
 		cl.claimers[0].Position = func() int {
 			if demoted.Load() {
@@ -296,6 +306,7 @@
 			}
 			return 0
 		}
+		cl.run(ctx)
 		time.Sleep(2 * time.Second)
 		require.Equal(t, []int{0}, cl.holders())
 		demoted.Store(true)
