--- a/provisioner/plan.go
+++ b/provisioner/plan.go
@@ -67,11 +67,12 @@
 // the desired counts of each domain, in the order of domains. The share of a
 // domain is rounded up and limited to s.Min and s.Max. If the service allows
 // reclaimable upstreams, the whole share is ordered as reclaimable. Domains that lack
-// capacity for reclaimable upstreams also get on-demand ones, as far as the other
-// upstreams are fewer than needed for the load, and at least half of their share if
-// they are more than half of the domains. noRequests reports that the service has
-// not had a request yet.
-func Plan(s savoryloft.ScalingTraits, total, needed int, domains []DomainState, noRequests bool) []UpstreamCounts {
+// capacity for reclaimable upstreams also get on-demand ones, as far as the spare
+// upstreams do not make up for what is missing, and at least half of their share if
+// they are more than half of the domains. They are not limited to what the load needs
+// now, since another domain may be reclaimed while the platform takes no orders.
+// noRequests reports that the service has not had a request yet.
+func Plan(s savoryloft.ScalingTraits, total int, domains []DomainState, noRequests bool) []UpstreamCounts {
 	plan := make([]UpstreamCounts, len(domains))
 	share := clamp(ceilDiv(total, len(domains)), s.Min, s.Max)
 	withoutCapacity, missing := 0, 0
@@ -81,7 +82,7 @@
 			missing += max(share-d.Current.Reclaimable, 0)
 		}
 	}
-	excess := clamp(needed-(share*len(domains)-missing), 0, missing)
+	excess := max(missing-spareUpstreams(len(domains)), 0)
 	for i, d := range domains {
 		switch {
 		case s.ReclaimablePriceRatio <= 0:
@@ -144,9 +145,6 @@
 // upstreams are removed.
 func (s *sizer) scaleDownLoad() float64 { return scaleDownLoad * s.scaleUpLoad() / scaleUpLoad }
 
-// needed returns the number of upstreams that the observed load requires.
-func (s *sizer) needed() int { return int(math.Ceil(s.averageRunning / s.scaleUpLoad())) }
-
 // observe updates the moving average with the number of running requests.
 func (s *sizer) observe(now time.Duration, running int) {
 	if s.observedAt == 0 {
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -146,7 +146,7 @@
 		p.Logger.Info("service size changed", "step", savoryloft.StepOrder, "service", s.Name, "upstreams", desired, "before", target,
 			"registered", current.sum(), "running", int(sz.averageRunning))
 	}
-	plan := Plan(*s.Scaling, desired, sz.needed(), domains, !sz.hadRequests)
+	plan := Plan(*s.Scaling, desired, domains, !sz.hadRequests)
 	for i, d := range domains {
 		// Reclaimable upstreams are ordered first; the on-demand ones that they
 		// replace are released once they have registered.
--- a/provisioner/provisioner_test.go
+++ b/provisioner/provisioner_test.go
@@ -20,61 +20,60 @@
 		name       string
 		traits     savoryloft.ScalingTraits
 		total      int
-		needed     int
 		domains    []DomainState
 		noRequests bool
 		want       []UpstreamCounts
 	}{
 		{
-			"on-demand upstreams stay until reclaimable ones have registered", traits, 8, 4,
+			"on-demand upstreams stay until reclaimable ones have registered", traits, 8,
 			[]DomainState{{Current: UpstreamCounts{OnDemand: 3}}, {Current: UpstreamCounts{OnDemand: 2, Reclaimable: 3}}},
 			false,
 			[]UpstreamCounts{{OnDemand: 2, Reclaimable: 4}, {OnDemand: 1, Reclaimable: 4}},
 		},
 		{
-			"one on-demand upstream per domain before the first request", traits, 8, 4,
+			"one on-demand upstream per domain before the first request", traits, 8,
 			[]DomainState{{Current: UpstreamCounts{OnDemand: 3}}, {Current: UpstreamCounts{OnDemand: 3}}},
 			true,
 			[]UpstreamCounts{{OnDemand: 1, Reclaimable: 4}, {OnDemand: 1, Reclaimable: 4}},
 		},
 		{
-			"spare upstreams cover one domain without capacity", traits, 12, 6,
+			"spare upstreams cover one domain without capacity", traits, 12,
 			[]DomainState{{NoCapacity: true}, {Current: UpstreamCounts{Reclaimable: 4}}, {Current: UpstreamCounts{Reclaimable: 4}}},
 			false,
 			[]UpstreamCounts{{Reclaimable: 4}, {Reclaimable: 4}, {Reclaimable: 4}},
 		},
 		{
-			"most domains lack capacity", traits, 12, 6,
+			"most domains lack capacity", traits, 12,
 			[]DomainState{{NoCapacity: true}, {NoCapacity: true}, {Current: UpstreamCounts{Reclaimable: 4}}},
 			false,
 			[]UpstreamCounts{{OnDemand: 2, Reclaimable: 4}, {OnDemand: 2, Reclaimable: 4}, {Reclaimable: 4}},
 		},
 		{
-			"the load needs more than what a reclaimed domain has left",
+			"a reclaimed domain of a large service exceeds the spare upstreams",
 			savoryloft.ScalingTraits{Min: 1, Max: 94, ReclaimablePriceRatio: 0.2},
-			147, 142,
+			147,
 			[]DomainState{{NoCapacity: true}, {Current: UpstreamCounts{Reclaimable: 49}}, {Current: UpstreamCounts{Reclaimable: 49}}},
 			false,
 			[]UpstreamCounts{{OnDemand: 44, Reclaimable: 49}, {Reclaimable: 49}, {Reclaimable: 49}},
 		},
 		{
-			"what a reclaimed domain has left carries the load",
-			savoryloft.ScalingTraits{Min: 1, Max: 94, ReclaimablePriceRatio: 0.2},
-			147, 90,
-			[]DomainState{{NoCapacity: true}, {Current: UpstreamCounts{Reclaimable: 49}}, {Current: UpstreamCounts{Reclaimable: 49}}},
+			"a reclaimed domain of a small service is replaced before the next loss",
+			savoryloft.ScalingTraits{Min: 1, Max: 16, ReclaimablePriceRatio: 0.2},
+			24,
+			[]DomainState{{NoCapacity: true}, {Current: UpstreamCounts{Reclaimable: 8}}, {Current: UpstreamCounts{Reclaimable: 8}}},
 			false,
-			[]UpstreamCounts{{Reclaimable: 49}, {Reclaimable: 49}, {Reclaimable: 49}},
+			[]UpstreamCounts{{OnDemand: 3, Reclaimable: 8}, {Reclaimable: 8}, {Reclaimable: 8}},
 		},
 		{
 			"two reclaimed domains, of which one has got some upstreams back",
 			savoryloft.ScalingTraits{Min: 1, Max: 94, ReclaimablePriceRatio: 0.2},
-			147, 142,
+			147,
 			[]DomainState{{NoCapacity: true}, {NoCapacity: true, Current: UpstreamCounts{Reclaimable: 29, OnDemand: 30}}, {Current: UpstreamCounts{Reclaimable: 49}}},
 			false,
 			[]UpstreamCounts{{OnDemand: 45, Reclaimable: 49}, {OnDemand: 25, Reclaimable: 49}, {Reclaimable: 49}},
 		},
 		{
-			"maximum per domain", traits, 40, 40,
+			"maximum per domain", traits, 40,
 			[]DomainState{{}, {}},
 			false,
 			[]UpstreamCounts{{Reclaimable: 6}, {Reclaimable: 6}},
@@ -82,14 +81,14 @@
 		{
 			"service without reclaimable upstreams",
 			savoryloft.ScalingTraits{Min: 1, Max: 6},
-			5, 5,
+			5,
 			[]DomainState{{}, {}},
 			false,
 			[]UpstreamCounts{{OnDemand: 3}, {OnDemand: 3}},
 		},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			require.Equal(t, tt.want, Plan(tt.traits, tt.total, tt.needed, tt.domains, tt.noRequests))
+			require.Equal(t, tt.want, Plan(tt.traits, tt.total, tt.domains, tt.noRequests))
 		})
 	}
 }
