Soak: endless plain responses are chunked, so that one that is cut can be told

The body of a response without length or chunks ends with its connection, so no caller can tell such a cut, and the router passes it on. The check stays as it is; the stand-in frames these bodies in the soak, so that a cut must be told. Launcher tests keep those without a length.

--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -169,7 +169,7 @@
 	}}
 	s.publishConfiguration()
 	for i := range engineCount {
-		e := &standin.Engine{ID: fmt.Sprintf("i-%d", i), EventCount: eventsPerStream, EventInterval: 20 * time.Millisecond, Pause: time.Second, Decide: s.engineBehaviour}
+		e := &standin.Engine{ID: fmt.Sprintf("i-%d", i), EventCount: eventsPerStream, EventInterval: 20 * time.Millisecond, Pause: time.Second, Decide: s.engineBehaviour, FramePlain: true}
 		server := httptest.NewServer(e)
 		s.t.Cleanup(server.Close)
 		s.t.Cleanup(server.CloseClientConnections)
