--- a/watcher/era_test.go
+++ b/watcher/era_test.go
@@ -145,18 +145,23 @@
 	})
 }
 
-// A response that was made before a restore and arrives after it must be dropped.
+// A response that was made before a restore and arrives after it must be dropped: it
+// neither confirms the configuration nor brings records that the log has lost.
 func TestLateResponseOfAnEarlierEraIsDropped(t *testing.T) {
 	runFixture(t, func(w *fixture) {
 		w.setVersion(1)
 		time.Sleep(pollTime)
+		copied := w.log.Copy()
 		w.watcher.ObserveEra(2) // Told by a peer; the responses of the log are older.
+		w.log.Set(savoryloft.TopicRegistry, "lost", encode(t, savoryloft.RegisteredUpstream{Service: "s"}))
 		before := w.age()
 		time.Sleep(3 * time.Second)
 		require.Greater(t, w.age(), before+2*time.Second)
-		w.log.Restore(w.log.Copy())
+		require.Empty(t, w.watcher.Upstreams("s"))
+		w.log.Restore(copied)
 		time.Sleep(pollTime)
 		require.Less(t, w.age(), pollTime)
+		require.Empty(t, w.watcher.Upstreams("s"))
 	})
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -328,8 +328,9 @@
 }
 
 // readPage reads one page and applies it. If next is negative, it reads the newest
-// record of each key; otherwise next is an offset of the given era. Once the end of the topic is reached, the copy counts as up
-// to date as of the time before the call was sent.
+// record of each key; otherwise next is an offset of the given era. Once the end of
+// the topic is reached, the copy counts as up to date as of the time before the call
+// was sent.
 func (w *Watcher) readPage(ctx context.Context, t savoryloft.Topic, next, era int, wait time.Duration) (savoryloft.RecordPage, error) {
 	sent := savoryloft.Uptime()
 	var page savoryloft.RecordPage
