Streams without length or chunks that end before their first event are broken off

Callers saw 200 with an upstream's signature and an empty stream framed as complete, when an upstream closed its connection right after the head of such a response. Cause: each end of the connection ended the stream unless it came inside an event. A stream that has had no event at all, and is not a resumption, now counts as broken off where nothing frames it: it is retried if the route permits that, and fails with 502 otherwise. An error that comes with the last complete event is kept instead of read again.

--- /dev/null
+++ b/exchanger/cut_test.go
@@ -0,0 +1,98 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"savoryloft.example/savoryloft/exchanger"
+)
+
+// resetConn reports the end of a connection as a reset.
+type resetConn struct{ net.Conn }
+
+func (c resetConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err == io.EOF {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// exchangeRaw is exchange with the client for encoded requests.
+func exchangeRaw(ctx context.Context, p *exchanger.Pool, method string) ([]byte, error) {
+	conn, err := p.Get(ctx, "u", exchanger.Fresh)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Release()
+	if err := conn.Send(ctx, []byte(method+" / HTTP/1.1\r\nHost: u\r\n\r\n"), nil, time.Second); err != nil {
+		return nil, err
+	}
+	resp, err := conn.ReadResponse(ctx, method)
+	if err != nil {
+		return nil, err
+	}
+	return conn.ReadResponseBody(ctx, resp, 100)
+}
+
+// Guards against a response that is cut at any byte and read as a complete one. Only a
+// body without length or chunks may end early, by a regular close of its connection.
+func TestCutResponses(t *testing.T) {
+	for _, tt := range []struct {
+		name, response string
+		unframed       bool
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nthe body", false},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nthe \r\n4\r\nbody\r\n0\r\n\r\n", false},
+		{"chunks and a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n4\r\nthe \r\n4\r\nbody\r\n0\r\nX-T: 1\r\n\r\n", false},
+		{"unframed", "HTTP/1.1 200 OK\r\n\r\nthe body", true},
+	} {
+		for _, reset := range []bool{false, true} {
+			for at := range len(tt.response) + 1 {
+				where := fmt.Sprintf("%s, reset %t, cut after %q", tt.name, reset, tt.response[:at])
+				u := &upstream{handle: func(c net.Conn, _ *bufio.Reader) {
+					_, _ = c.Write([]byte(tt.response[:at]))
+					_ = c.Close()
+				}}
+				dial := func(ctx context.Context, address string) (net.Conn, error) {
+					c, err := u.dial(ctx, address)
+					if reset {
+						c = resetConn{c}
+					}
+					return c, err
+				}
+				p := &exchanger.Pool{Dial: dial}
+				_, first, firstErr := exchange(t.Context(), p, exchanger.Fresh, fasthttp.MethodGet)
+				second, secondErr := exchangeRaw(t.Context(), p, http.MethodGet)
+				for _, got := range []struct {
+					body []byte
+					err  error
+				}{{first, firstErr}, {second, secondErr}} {
+					head := strings.Index(tt.response, "\r\n\r\n") + 4
+					switch {
+					case tt.unframed && !reset && at >= head:
+						require.NoError(t, got.err, where)
+						require.Equal(t, tt.response[head:at], string(got.body), where)
+					case !tt.unframed && at == len(tt.response):
+						require.NoError(t, got.err, where)
+						require.Equal(t, "the body", string(got.body), where)
+					default:
+						require.Error(t, got.err, where)
+					}
+				}
+				p.CloseIdle()
+			}
+		}
+	}
+}
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -58,7 +58,7 @@
 	completeBytes int    // Length of the complete events at the start of buffer.
 	lastEventID   string // ID of the last event that Read has returned.
 	upstreamEnded bool   // The upstream has ended the stream.
-	truncated     bool   // The upstream has ended the stream in the middle of an event.
+	brokenBy      error  // Error with which the upstream's stream ended after the complete events in buffer.
 	notStream     bool   // The response is not a stream; body holds it.
 	body          []byte
 	readErr       error // Returned by Read after the stream has failed.
@@ -72,7 +72,7 @@
 	if e != nil {
 		return e
 	}
-	s.attempt, s.buffer, s.completeBytes, s.upstreamEnded, s.truncated = a, s.storage[:0], 0, false, false
+	s.attempt, s.buffer, s.completeBytes, s.upstreamEnded, s.brokenBy = a, s.storage[:0], 0, false, nil
 	if a.head.StatusCode != http.StatusOK {
 		return s.readBuffered()
 	}
@@ -127,8 +127,8 @@
 // do not extend the time.
 func (s *stream) fill(timeout time.Duration) error {
 	for end := time.Now().Add(timeout); s.completeBytes == 0 && !s.upstreamEnded; {
-		if s.truncated {
-			return io.ErrUnexpectedEOF
+		if s.brokenBy != nil {
+			return s.brokenBy
 		}
 		left := time.Until(end)
 		if left <= 0 {
@@ -145,22 +145,26 @@
 			return errors.Errorf("event from %s exceeds %d bytes", s.attempt.choice.Upstream.ID, maxEventBytes)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && s.completeBytes < len(s.buffer):
-			// Without a length, a connection that ends in the middle of an event looks
-			// like the end of the response.
-			if s.completeBytes == 0 {
-				return io.ErrUnexpectedEOF
-			}
-			s.truncated = true
+		case errors.Is(err, io.EOF) && s.cutShort():
+			s.brokenBy = io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
 			s.upstreamEnded = true
-		case err != nil && s.completeBytes == 0:
-			return err
+		case err != nil:
+			s.brokenBy = err
 		}
 	}
 	return nil
 }
 
+// cutShort reports whether a stream that ends now was broken off. Without a length or
+// chunks, every end of the connection looks like the end of the response.
+func (s *stream) cutShort() bool {
+	if s.completeBytes < len(s.buffer) {
+		return true
+	}
+	return s.lastEventID == "" && len(s.buffer) == 0 && s.attempt.unframed()
+}
+
 // reserve makes room in the buffer for the next read. It reuses the memory of data
 // that Read has returned.
 func (s *stream) reserve() {
