A chat stream is complete at its end marker, whatever its connection does then

Callers got all tokens and then an error (OutcomeUnknown) after 20 s, when the engine's connection fell silent or broke between the end marker and the last chunk; the request was sent to up to four engines meanwhile. Cause: an error while the rest of the body was skipped counted as a failed attempt. The rest is now read for 50 ms at most, and only decides whether the connection is reused.

TestStreamIsCompleteAtItsEndMarker failed before (four requests, done=false) and passes.

--- a/dispatcher/chat.go
+++ b/dispatcher/chat.go
@@ -25,6 +25,9 @@
 	doneMarker      = "[DONE]"
 	prefixHashBytes = 256 // Leading bytes of the messages that are hashed for prefix affinity.
 	maxLineBytes    = 1 << 20
+	// endTimeout limits the wait for the end of a response after its end marker, which
+	// only serves to reuse the connection.
+	endTimeout = 50 * time.Millisecond
 	// tokensPerProgress is the number of tokens between progress reports to the admitter.
 	tokensPerProgress = 8
 )
@@ -192,9 +195,6 @@
 		return false, err
 	}
 	first, err := d.stream(ctx, conn, req, resp, id, s)
-	if err == nil {
-		conn.MarkComplete()
-	}
 	var rejected *rejection
 	notUpstreamFault := ctx.Err() != nil || s.emitErr != nil || errors.As(err, &rejected)
 	o = admitter.Observation{Failed: err != nil && !notUpstreamFault}
@@ -271,8 +271,12 @@
 			first = s.lastTokenAt
 		}
 	}
-	_, err = io.Copy(io.Discard, lines)
-	return first, err
+	// The stream is complete, whatever happens to its connection now.
+	conn.SetReadTimeout(endTimeout)
+	if _, err := io.Copy(io.Discard, lines); err == nil {
+		conn.MarkComplete()
+	}
+	return first, nil
 }
 
 // readLine reads one line of up to maxLineBytes, which may be longer than the
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -19,6 +19,7 @@
 	Slowdown     float64 // Factor applied to all latencies; 1 when zero.
 	CutAfter     int     // Close each stream after this many tokens; never when zero.
 	SilentAfter  int     // Stop sending after this many tokens, but keep the connection open; never when zero.
+	SilentAtEnd  bool    // Stop sending after the end marker, without the end of the response.
 	CrossAnswers bool    // Respond with the request ID and the text of another request.
 }
 
@@ -200,6 +201,7 @@
 		}
 		if writeEvent(w, last) {
 			_, _ = w.WriteString("data: [DONE]\n\n")
+			e.stallAtEnd(w)
 		}
 	})
 }
@@ -217,6 +219,17 @@
 	return f.CutAfter > 0 && n >= f.CutAfter
 }
 
+// stallAtEnd applies the SilentAtEnd fault.
+func (e *Engine) stallAtEnd(w *bufio.Writer) {
+	e.mu.Lock()
+	silent := e.faults.SilentAtEnd
+	e.mu.Unlock()
+	if silent {
+		_ = w.Flush()
+		time.Sleep(time.Hour)
+	}
+}
+
 // Token returns the token at an index of the response to a request.
 func Token(req EngineRequest, index int) string {
 	h := fnv.New32a()
--- a/server/stream_test.go
+++ b/server/stream_test.go
@@ -37,6 +37,24 @@
 	}
 }
 
+// Guards against a finished stream that is held back, or run again on another engine,
+// because its connection falls silent between the end marker and the last chunk.
+func TestStreamIsCompleteAtItsEndMarker(t *testing.T) {
+	withFleet(t, 1, func(f *fleet) {
+		for _, e := range f.engines {
+			e.SetFaults(emulator.EngineFaults{SilentAtEnd: true})
+		}
+		started := time.Now()
+		require.Equal(t, chatResult{status: 200, text: chatText("p", 5), done: true}, f.chat(0, apiKeyA, "quotes", "p", 5))
+		require.Less(t, time.Since(started), 2*time.Second)
+		requests := 0
+		for _, e := range f.engines {
+			requests += len(e.ReceivedRequests())
+		}
+		require.Equal(t, 1, requests)
+	})
+}
+
 func TestStreamEndsInErrorWhenAllEnginesFail(t *testing.T) {
 	withFleet(t, 1, func(f *fleet) {
 		for _, e := range f.engines {
