Soak: plain responses without length or chunks again, cut by a reset that stays one

The proxy's mode Reset closed the two sides of a connection in random order, and the close of one reached the other as a regular end, so the body really looked complete. The proxy now passes a reset on as a reset, and the narrowing goes: FramePlain is removed. Engines also cut responses in any framing, after any byte, by a close, a reset, silence or extra bytes; the check takes a short body only if it is what an engine sent without a length and closed, for streams after an event.

--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -8,6 +8,8 @@
 package soaker
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -70,13 +72,18 @@
 		return
 	}
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
+		reset(c)
 	}
 }
 
+// reset closes a connection with a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (p *Proxy) currentMode() Mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -118,12 +125,14 @@
 }
 
 // forward copies bytes from one connection to the other until either fails or
-// closes, and then closes both. The argument responses is true for the direction
-// from the target to the client.
+// closes, and then closes both: with a reset, unless the other side closed in the
+// regular way, since a close can be the end of a response. The argument responses is
+// true for the direction from the target to the client.
 func (p *Proxy) forward(to, from net.Conn, responses bool) {
+	end := reset
 	defer func() {
-		_ = to.Close()
-		_ = from.Close()
+		end(to)
+		end(from)
 		p.track(from, false)
 	}()
 	buf := make([]byte, chunkBytes)
@@ -142,6 +151,9 @@
 			}
 		}
 		if err != nil {
+			if errors.Is(err, io.EOF) && p.currentMode() != Reset {
+				end = func(c net.Conn) { _ = c.Close() }
+			}
 			return
 		}
 	}
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -94,6 +94,7 @@
 	peakMemory    int64                  // Of any instance, in bytes.
 	keys          map[string]time.Time   // Time of withdrawal by key; zero for valid keys.
 	requests      map[string]*request
+	unframed      map[string][]string // Bodies without length or chunks that engines closed, by request.
 	lastID        atomic.Int64
 	faultsActive  atomic.Bool // Engines and the log inject faults.
 }
@@ -125,7 +126,7 @@
 func soak(t *testing.T, binary string, seed uint64, d time.Duration) {
 	s := &soakRun{
 		t: t, dir: t.TempDir(), binary: binary, ipPrefix: fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, os.Getpid()/200%250), duties: &standin.DutyServer{}, rng: rand.New(rand.NewPCG(seed, 7)),
-		keys: map[string]time.Time{"key-0": {}, "key-1": {}, "key-2": {}, "key-3": {}}, requests: map[string]*request{},
+		keys: map[string]time.Time{"key-0": {}, "key-1": {}, "key-2": {}, "key-3": {}}, requests: map[string]*request{}, unframed: map[string][]string{},
 	}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -169,7 +170,8 @@
 	}}
 	s.publishConfiguration()
 	for i := range engineCount {
-		e := &standin.Engine{ID: fmt.Sprintf("i-%d", i), EventCount: eventsPerStream, EventInterval: 20 * time.Millisecond, Pause: time.Second, Decide: s.engineBehaviour, FramePlain: true}
+		e := &standin.Engine{ID: fmt.Sprintf("i-%d", i), EventCount: eventsPerStream, EventInterval: 20 * time.Millisecond, Pause: time.Second}
+		e.Decide, e.Cut = s.engineBehaviour, func(r *http.Request) standin.Cut { return s.chooseCut(e, r) }
 		server := httptest.NewServer(e)
 		s.t.Cleanup(server.Close)
 		s.t.Cleanup(server.CloseClientConnections)
@@ -354,10 +356,36 @@
 		return standin.RejectWithPause
 	case n < 20:
 		return []standin.Behaviour{standin.EndlessHead, standin.EndlessEvent, standin.Dribble}[s.randomInt(3)]
+	case n < 28:
+		return standin.CutResponse
 	}
 	return standin.Normal
 }
 
+// chooseCut returns how the response of an engine to a request ends: in any framing,
+// after any byte and by any ending. It stores a body that its protocol cannot tell
+// from a complete one.
+func (s *soakRun) chooseCut(e *standin.Engine, r *http.Request) standin.Cut {
+	c := standin.Cut{Framing: standin.Framing(s.randomInt(int(standin.FramingCount))), Ending: standin.Ending(s.randomInt(int(standin.EndingCount)))}
+	head, body := e.Encode(r, c.Framing)
+	c.At = s.randomInt(len(head) + len(body) + 1)
+	if c.Ending == standin.SendMore {
+		c.At = len(head) + len(body) // A head or a length that covers the extra bytes would make them part of the response.
+	}
+	if c.Framing == standin.Unframed && c.At >= len(head) {
+		sent := body[:c.At-len(head)]
+		if c.Ending == standin.SendMore {
+			sent += standin.ExtraBytes
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if c.Ending != standin.ResetConnection && c.Ending != standin.StaySilent {
+			s.unframed[standin.AttemptID(r)] = append(s.unframed[standin.AttemptID(r)], sent)
+		}
+	}
+	return c
+}
+
 func (n *instance) start(s *soakRun) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -543,7 +571,7 @@
 		}
 		if a.status == http.StatusOK && a.complete {
 			require.NotZero(s.t, n, "response 200 without an execution: %s", where)
-			s.checkBody(a, where)
+			s.checkBody(a, s.unframed[id], where)
 		}
 		if withdrawn := s.keys[a.key]; n > 0 && !withdrawn.IsZero() {
 			require.Less(s.t, a.sent.Sub(withdrawn), revocationBound, "withdrawn key accepted after the revocation bound: %s", where)
@@ -555,16 +583,29 @@
 	s.t.Logf("responses by status: %v", statuses)
 }
 
-func (s *soakRun) checkBody(a *request, where string) {
-	if a.route == "once" || a.route == "twice" {
-		require.True(s.t, strings.HasPrefix(a.body, "answer of i-"), where)
+// checkBody requires that a complete response has the whole body. Without length or
+// chunks, a plain body is whole when its connection is closed, and a stream when that
+// happens after an event; closed holds what engines sent in such responses.
+func (s *soakRun) checkBody(a *request, closed []string, where string) {
+	plain := a.route == "once" || a.route == "twice"
+	if plain && strings.HasPrefix(a.body, "answer of i-") && len(a.body) == len("answer of i-0") || a.body == fullStream() && !plain {
 		return
 	}
+	require.True(s.t, slices.ContainsFunc(closed, func(sent string) bool {
+		if plain {
+			return a.body == sent
+		}
+		return strings.HasPrefix(fullStream(), a.body) && strings.HasSuffix(a.body, "\n\n") && strings.HasSuffix(a.body, sent)
+	}), "response is not whole: %s", where)
+}
+
+// fullStream returns the body of an engine's complete event stream.
+func fullStream() string {
 	var want strings.Builder
 	for i := 1; i <= eventsPerStream; i++ {
 		fmt.Fprintf(&want, "id: %d\ndata: event %d\n\n", i, i)
 	}
-	require.Equal(s.t, want.String(), a.body, where)
+	return want.String()
 }
 
 // checkRecovery requires that all instances become ready and that requests are
