Logs show the shared prompt parts of failed attempts and whether the upstream has ended

A broken connection is now followed by a probe of the upstream, 20 ms later and at most once a second: a refused connection is logged as 'upstream has ended while it ran requests'. No decision depends on it.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -35,6 +35,7 @@
 	"savoryloft.example/savoryloft/linker"
 	"savoryloft.example/savoryloft/placer"
 	"savoryloft.example/savoryloft/provisioner"
+	"savoryloft.example/savoryloft/quarantiner"
 	"savoryloft.example/savoryloft/relayer"
 	"savoryloft.example/savoryloft/watcher"
 )
@@ -83,6 +84,7 @@
 	claimer          *claimer.Claimer
 	counter          *counter.Counter
 	placer           *placer.Placer
+	quarantine       *quarantiner.Quarantiner
 	relayer          *relayer.Relayer
 	listener         *relayer.Listener
 }
@@ -190,8 +192,9 @@
 		Log: l.Log, Instance: d.Instance, Incarnation: l.incarnation, TTL: d.Bounds.LeaseTTL,
 		Position: l.readerRank, PeerHoldsLease: l.peerHoldsLease, YieldedAt: l.linker.YieldedAt, Partials: l.partialCounts, OnCommit: l.linker.BroadcastDuties, Logger: l.Logger,
 	}
+	l.quarantine = &quarantiner.Quarantiner{Dial: l.Pool.Dial, Logger: l.Logger}
 	l.relayer = &relayer.Relayer{
-		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
+		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
 		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, Instances: l.linker.InstanceCount,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
 		Limiter: &limiter.Limiter{
--- /dev/null
+++ b/quarantiner/ending.go
@@ -0,0 +1,90 @@
+package quarantiner
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"savoryloft.example/savoryloft"
+)
+
+const (
+	probeDelay   = 20 * time.Millisecond // Before each probe; a process that ends closes its connections one by one.
+	probeCount   = 2
+	probeTimeout = 400 * time.Millisecond
+	probePause   = time.Second // After an upstream has accepted a probe, until the next one.
+)
+
+// incarnation is one process of an upstream.
+type incarnation struct {
+	upstream  string
+	startedAt int // Unix ms; 0 if the registry does not hold it.
+}
+
+// probe is a check whether an upstream has ended.
+type probe struct {
+	prompts [][]savoryloft.PromptPart // Of the requests whose connections broke.
+	onEnd   []func()
+}
+
+// ObserveBroken records that the connection of a request broke while the upstream
+// began to respond. parts are the prompt parts of the request; nil if they are known
+// to be harmless. It probes, in the background, whether the upstream still accepts
+// connections, and calls onEnd if it does not.
+func (q *Quarantiner) ObserveBroken(u savoryloft.RegisteredUpstream, parts []savoryloft.PromptPart, onEnd func()) {
+	key := incarnation{u.ID, u.StartedAtMs}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.init()
+	if time.Since(q.alive[key]) < probePause {
+		return
+	}
+	if p := q.probes[key]; p != nil {
+		p.prompts, p.onEnd = append(p.prompts, parts), append(p.onEnd, onEnd)
+		return
+	}
+	q.probes[key] = &probe{[][]savoryloft.PromptPart{parts}, []func(){onEnd}}
+	go q.runProbe(key, u.Address)
+}
+
+// runProbe probes an upstream and records that it has ended, if so.
+func (q *Quarantiner) runProbe(key incarnation, address string) {
+	ended := q.hasEnded(address)
+	now := time.Now()
+	q.mu.Lock()
+	p := q.probes[key]
+	delete(q.probes, key)
+	if !ended {
+		q.alive[key] = now
+		for k, at := range q.alive {
+			if now.Sub(at) >= probePause {
+				delete(q.alive, k)
+			}
+		}
+		q.mu.Unlock()
+		return
+	}
+	q.mu.Unlock()
+	q.Logger.Info("upstream has ended while it ran requests", "upstream", key.upstream, "started", key.startedAt,
+		"address", address, "requests", len(p.prompts))
+	for _, f := range p.onEnd {
+		f()
+	}
+}
+
+// hasEnded reports whether nothing listens at an address. Only a refused connection
+// proves that: no answer can also mean that the network is down.
+func (q *Quarantiner) hasEnded(address string) bool {
+	for range probeCount {
+		time.Sleep(probeDelay)
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		conn, err := q.Dial(ctx, address)
+		cancel()
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		_ = conn.Close()
+	}
+	return false
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"os"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -216,21 +218,42 @@
 	if a.exchange.ctx.Err() != nil {
 		outcome = placer.Cancelled
 	}
+	if executed == maybeExecuted && a.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		a.observeBroken()
+	}
 	a.release(outcome)
 	return a.exchange.recordFailure(a.choice, &sendError{executed, err})
 }
 
+// observeBroken reports that the connection broke before the response was complete,
+// which may be because the upstream has ended.
+func (a *attempt) observeBroken() {
+	x := a.exchange
+	x.brokenSends++
+	x.relayer.Quarantine.ObserveBroken(a.choice.Upstream, x.call.Parts, func() { x.endedUpstreams.Add(1) })
+}
+
 // recordFailure excludes the upstream from further attempts of the request, logs
 // the error and returns it.
 func (x *exchange) recordFailure(c placer.Choice, e *sendError) *sendError {
 	x.triedUpstreams[c.Upstream.ID] = true
 	if x.ctx.Err() == nil {
 		x.relayer.Logger.Info("attempt failed", "id", x.call.ID, "upstream", c.Upstream.ID, "address", c.Upstream.Address,
-			"send", x.sends, "may_have_run", e.execution == maybeExecuted, "error", e.cause.Error())
+			"send", x.sends, "may_have_run", e.execution == maybeExecuted, "parts", x.sharedParts(), "error", e.cause.Error())
 	}
 	return e
 }
 
+// sharedParts returns the IDs of the prompt parts that other requests may have too,
+// separated by commas.
+func (x *exchange) sharedParts() string {
+	var ids []string
+	for _, p := range x.call.Parts[:max(len(x.call.Parts)-1, 0)] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // release ends an attempt and releases its connection. Later calls have no
 // effect.
 func (a *attempt) release(o placer.Outcome) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -33,6 +33,7 @@
 	"savoryloft.example/savoryloft/limiter"
 	"savoryloft.example/savoryloft/observer"
 	"savoryloft.example/savoryloft/placer"
+	"savoryloft.example/savoryloft/quarantiner"
 	"savoryloft.example/savoryloft/router"
 	"savoryloft.example/savoryloft/watcher"
 )
@@ -66,6 +67,7 @@
 	Watcher          *watcher.Watcher
 	Placer           *placer.Placer
 	Limiter          *limiter.Limiter
+	Quarantine       *quarantiner.Quarantiner
 	Pool             *exchanger.Pool
 	CountRequest     func(account string) // Counts a request for an account's usage when an upstream may have started to run it.
 	PrefillChanged   func(uncached int)   // Called with a prompt's uncached tokens when it is sent to an upstream, and when the first event of a stream arrives.
@@ -101,6 +103,8 @@
 	triedUpstreams   map[string]bool // Upstreams that refused or failed.
 	sends            int             // Attempts in which the request was sent.
 	possibleRuns     int             // Attempts in which an upstream may have run the request.
+	brokenSends      int             // Sends whose connection broke before the response was complete.
+	endedUpstreams   atomic.Int64    // Upstreams of these sends that have ended.
 	usageCounted     bool
 	upstream         string // ID of the last chosen upstream.
 	choice           placer.Choice
