A test of a prompt part that crashes upstreams; known red

Three instances, eight upstreams that crash when they begin to respond to a request with one part and are back after 0.8 s, and sound requests that share account and first part. On this code 60 crashes in 6 s, 44 requests with the part later than 1 s after the fifth crash (bound 3).

--- /dev/null
+++ b/launcher/crash_test.go
@@ -0,0 +1,122 @@
+package launcher
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/platform/standin"
+)
+
+const crashingPart = "bad"
+
+// addProcess starts an engine that crashes when it begins to respond to a request with
+// the part crashingPart, and adds it to the registry at each start.
+func (c *cluster) addProcess(downTime time.Duration) *standin.Process {
+	e := &standin.Engine{ID: fmt.Sprintf("i-%d", len(c.engines)), EventCount: 6, EventInterval: 5 * time.Millisecond}
+	e.Decide = func(r *http.Request) standin.Behaviour {
+		if standin.HasPart(r, crashingPart) {
+			return standin.CrashProcess
+		}
+		return standin.Normal
+	}
+	c.engines = append(c.engines, e)
+	p := &standin.Process{Engine: e, DownTime: downTime, OnStart: func(address string) {
+		c.log.Set(savoryloft.TopicRegistry, e.ID, []byte(fmt.Sprintf(
+			`{"service":"s","address":%q,"zone":"a","slots":8,"state":"ready","born":%d}`, address, time.Now().UnixMilli())))
+	}}
+	require.NoError(c.t, p.Start())
+	c.t.Cleanup(p.Stop)
+	return p
+}
+
+// Guards against requests with one prompt part that end upstream after upstream. The
+// requests come at all instances, on routes that permit retries and on others, and
+// share their account and their other part with sound ones, which must be served.
+func TestPromptPartThatCrashesUpstreams(t *testing.T) {
+	const (
+		instances    = 3
+		upstreams    = 8
+		length       = 6 * time.Second
+		bound        = time.Second // After the fifth crash.
+		maxArrivals  = 3           // Of requests with the part, after the bound.
+		minSoundRate = 0.9         // Share of sound requests that succeed after the bound.
+	)
+	c := newCluster(t)
+	var processes []*standin.Process
+	for range upstreams {
+		processes = append(processes, c.addProcess(800*time.Millisecond))
+	}
+	for range instances {
+		c.start(longRevocation)
+	}
+	for _, i := range c.instances {
+		c.waitForUpstreams(i, upstreams)
+	}
+	var mu sync.Mutex
+	var bad, sound []timedResponse
+	send := func(parts string, interval time.Duration, list *[]timedResponse) {
+		for n, end := 0, time.Now().Add(length); time.Now().Before(end); n++ {
+			mu.Lock()
+			r := c.requestWithParts(c.instances[n%instances], []string{"resume", "stream"}[n/instances%2], "key-1", fmt.Sprintf(parts, n))
+			mu.Unlock()
+			sent := time.Now()
+			resp := doCut(t, r)
+			mu.Lock()
+			*list = append(*list, timedResponse{resp, sent, standin.AttemptID(r)})
+			mu.Unlock()
+			time.Sleep(interval)
+		}
+	}
+	var group sync.WaitGroup
+	group.Go(func() { send("shared:50,"+crashingPart+":30,own-%d:20", 80*time.Millisecond, &bad) })
+	group.Go(func() { send("shared:50,other-%d:20", 10*time.Millisecond, &sound) })
+	group.Wait()
+
+	var crashes []time.Time
+	for _, p := range processes {
+		crashes = append(crashes, p.Crashes()...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	require.NotEmpty(t, crashes)
+	from := crashes[min(4, len(crashes)-1)].Add(bound)
+	late, served, asked := 0, 0, 0
+	for _, e := range c.engines {
+		for _, r := range e.Requests() {
+			if r.At.After(from) && slices.ContainsFunc(bad, func(b timedResponse) bool { return b.id == r.ID }) {
+				late++
+			}
+		}
+	}
+	t.Logf("%d crashes, %d late arrivals", len(crashes), late)
+	require.LessOrEqual(t, late, maxArrivals, "%d upstreams ended", len(crashes))
+	for _, s := range sound {
+		if s.sent.After(from) {
+			asked++
+			if s.status == http.StatusOK && s.err == nil && strings.HasSuffix(s.body, "event 6\n\n") {
+				served++
+			}
+		}
+	}
+	require.GreaterOrEqual(t, float64(served), minSoundRate*float64(asked))
+	for _, b := range bad {
+		if b.status == http.StatusServiceUnavailable {
+			require.Zero(t, c.startedRuns(b.id))
+			require.NotEmpty(t, b.header.Get("Retry-After"))
+		}
+	}
+}
+
+// timedResponse is the response to a request that was sent at a time.
+type timedResponse struct {
+	response
+	sent time.Time
+	id   string
+}
