Prompt parts that crash upstreams are quarantined

Cause: each failed attempt excluded its upstream from that one request only, and nothing that an instance saw of a failure reached the next request or another instance.

The quarantiner probes an upstream whose connection broke, suspects the shared parts of the requests that it began to respond to, clears the parts of requests that succeed, and quarantines what three upstreams have ended under without a success. Instances exchange crashes and verdicts on their links at once. A request under which two connections broke and an upstream ended is not sent again. Refused requests have not run: 503 with the rest of the quarantine as Retry-After.

--- a/check.go
+++ b/check.go
@@ -75,12 +75,35 @@
 			return err
 		}
 	}
+	if f.Suspicions != nil {
+		if err := f.Suspicions.Check(); err != nil {
+			return err
+		}
+	}
 	if f.Status != nil {
 		return f.Status.Check()
 	}
 	return nil
 }
 
+// maxPartState is the highest state of a PartVerdict.
+const maxPartState = 2
+
+// Check returns an error when suspicions violate their schema.
+func (s Suspicions) Check() error {
+	for _, c := range s.Crashes {
+		if c.Upstream == "" || len(c.Parts) != len(c.Depths) {
+			return errors.Errorf("crash of upstream %q has %d parts and %d depths", c.Upstream, len(c.Parts), len(c.Depths))
+		}
+	}
+	for _, v := range s.Verdicts {
+		if v.Part == "" || v.Version < 1 || v.State < 0 || v.State > maxPartState || v.Strikes < 0 || v.Remaining < 0 {
+			return errors.Errorf("verdict on part %q is out of range", v.Part)
+		}
+	}
+	return nil
+}
+
 // Check returns an error when facts violate their schema.
 func (d DutyFacts) Check() error {
 	for _, f := range d.Figures {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -192,7 +192,9 @@
 		Log: l.Log, Instance: d.Instance, Incarnation: l.incarnation, TTL: d.Bounds.LeaseTTL,
 		Position: l.readerRank, PeerHoldsLease: l.peerHoldsLease, YieldedAt: l.linker.YieldedAt, Partials: l.partialCounts, OnCommit: l.linker.BroadcastDuties, Logger: l.Logger,
 	}
-	l.quarantine = &quarantiner.Quarantiner{Dial: l.Pool.Dial, Logger: l.Logger}
+	l.quarantine = &quarantiner.Quarantiner{
+		Dial: l.Pool.Dial, Notify: l.linker.BroadcastSuspicions, Logger: l.Logger, Metrics: l.registry,
+	}
 	l.relayer = &relayer.Relayer{
 		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
 		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, Instances: l.linker.InstanceCount,
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -91,6 +91,14 @@
 // MergeLeaving implements linker.Source.
 func (s linkSource) MergeLeaving(list []savoryloft.LeavingUpstream) { s.watcher.MergeLeaving(list) }
 
+// Suspicions implements linker.Source.
+func (s linkSource) Suspicions() savoryloft.Suspicions { return s.quarantine.Suspicions() }
+
+// MergeSuspicions implements linker.Source.
+func (s linkSource) MergeSuspicions(peer string, received savoryloft.Suspicions) {
+	s.quarantine.Merge(received, peer)
+}
+
 // DutyFacts implements linker.Source.
 func (s linkSource) DutyFacts() savoryloft.DutyFacts { return s.claimer.Facts() }
 
--- a/linker/link.go
+++ b/linker/link.go
@@ -25,7 +25,7 @@
 	secondaryIntervalFactor = 2
 	// protocol is the version of the frames. Instances of different versions do not
 	// keep a link, since the fields of a frame have no names on the wire.
-	protocol = 1
+	protocol = 2
 )
 
 // link is one connection to a peer.
@@ -93,6 +93,9 @@
 	if f := l.Source.DutyFacts(); len(f.Figures)+len(f.Sizes) > 0 && l.isHub(k.peer.Instance) {
 		k.send(savoryloft.LinkFrame{Duties: &f})
 	}
+	if s := l.Source.Suspicions(); len(s.Crashes)+len(s.Verdicts) > 0 {
+		k.send(savoryloft.LinkFrame{Suspicions: &s})
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -318,6 +321,9 @@
 	if f.Duties != nil {
 		l.Source.LearnDuties(*f.Duties)
 	}
+	if f.Suspicions != nil {
+		l.Source.MergeSuspicions(k.peer.Instance, *f.Suspicions)
+	}
 	if f.Update != nil {
 		k.handleUpdate(f.Update)
 	}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -92,6 +92,11 @@
 	DutyFacts() savoryloft.DutyFacts
 	// LearnDuties stores the records of the duties topic that a peer knows.
 	LearnDuties(f savoryloft.DutyFacts)
+	// Suspicions returns what is known about prompt parts that crash upstreams, for a
+	// peer whose link comes up.
+	Suspicions() savoryloft.Suspicions
+	// MergeSuspicions stores what a peer has found out about prompt parts.
+	MergeSuspicions(peer string, s savoryloft.Suspicions)
 	// LoadsChanged is called when the result of PeerLoads may have changed.
 	LoadsChanged()
 }
@@ -299,6 +304,20 @@
 	}
 }
 
+// BroadcastSuspicions sends what is known about prompt parts on all links except the
+// one to the peer that it was received from. Instances send only what is new to them,
+// so each receives it once on each link.
+func (l *Linker) BroadcastSuspicions(s savoryloft.Suspicions, from string) {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, k := range l.links {
+		if name != from {
+			k.send(savoryloft.LinkFrame{Suspicions: &s})
+		}
+	}
+}
+
 // AddSeeds adds addresses to dial while there is no link or no known member.
 func (l *Linker) AddSeeds(addresses []string) {
 	l.init()
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -99,6 +99,10 @@
 	return added
 }
 
+func (p *fakeSource) Suspicions() savoryloft.Suspicions { return savoryloft.Suspicions{} }
+
+func (p *fakeSource) MergeSuspicions(string, savoryloft.Suspicions) {}
+
 func (p *fakeSource) LeavingSince(int) ([]savoryloft.LeavingUpstream, int) { return nil, 0 }
 
 func (p *fakeSource) MergeLeaving([]savoryloft.LeavingUpstream) {}
@@ -641,6 +645,10 @@
 	for _, frame := range []savoryloft.LinkFrame{
 		{Greeting: &savoryloft.LinkGreeting{Instance: "a", Address: "b", Protocol: protocol}},
 		{Status: &savoryloft.LinkStatus{Loads: &savoryloft.LoadChanges{Names: []string{"u"}, Values: []int{0, 1, 2, 3}}}},
+		{Suspicions: &savoryloft.Suspicions{
+			Crashes:  []savoryloft.UpstreamCrash{{Upstream: "u", Parts: []string{"p"}, Depths: []int{1}}},
+			Verdicts: []savoryloft.PartVerdict{{Part: "p", Version: 1, State: 1, Strikes: 1, Remaining: 1000}},
+		}},
 		{Status: &savoryloft.LinkStatus{Usage: []savoryloft.UsageBatch{{Source: "s", Window: 1, Accounts: []string{"a"}, Requests: []int{1}}}}},
 		{Update: &savoryloft.LoadUpdate{Parts: []savoryloft.HeldPart{{Upstream: "u", Part: "p"}}}},
 	} {
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -185,6 +185,9 @@
 	// Status corresponds to the JSON schema field "Status".
 	Status *LinkStatus `json:"Status,omitempty,omitzero" msgpack:"Status,omitempty"`
 
+	// Suspicions corresponds to the JSON schema field "Suspicions".
+	Suspicions *Suspicions `json:"Suspicions,omitempty,omitzero" msgpack:"Suspicions,omitempty"`
+
 	// Update corresponds to the JSON schema field "Update".
 	Update *LoadUpdate `json:"Update,omitempty,omitzero" msgpack:"Update,omitempty"`
 }
@@ -478,6 +481,70 @@
 	Parts []HeldPart `json:"Parts,omitempty,omitzero" msgpack:"Parts,omitempty"`
 }
 
+// Whether requests with a prompt part may be sent to upstreams.
+type PartVerdict struct {
+	// Part corresponds to the JSON schema field "Part".
+	Part string `json:"Part" msgpack:"Part"`
+
+	// Milliseconds until the quarantine ends.
+	Remaining int `json:"Remaining" msgpack:"Remaining"`
+
+	// See quarantiner.State; of states with the same version the highest one is
+	// valid.
+	State int `json:"State" msgpack:"State"`
+
+	// Times that the part was quarantined since it was last cleared.
+	Strikes int `json:"Strikes" msgpack:"Strikes"`
+
+	// Rises with each change of the part's state.
+	Version int `json:"Version" msgpack:"Version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PartVerdict) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Part"]; raw != nil && !ok {
+		return fmt.Errorf("field Part in PartVerdict: required")
+	}
+	if _, ok := raw["Remaining"]; raw != nil && !ok {
+		return fmt.Errorf("field Remaining in PartVerdict: required")
+	}
+	if _, ok := raw["State"]; raw != nil && !ok {
+		return fmt.Errorf("field State in PartVerdict: required")
+	}
+	if _, ok := raw["Strikes"]; raw != nil && !ok {
+		return fmt.Errorf("field Strikes in PartVerdict: required")
+	}
+	if _, ok := raw["Version"]; raw != nil && !ok {
+		return fmt.Errorf("field Version in PartVerdict: required")
+	}
+	type Plain PartVerdict
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if utf8.RuneCountInString(string(plain.Part)) < 1 {
+		return fmt.Errorf("field %s length: must be >= %d", "Part", 1)
+	}
+	if 0 > plain.Remaining {
+		return fmt.Errorf("field %s: must be >= %v", "Remaining", 0)
+	}
+	if 0 > plain.State {
+		return fmt.Errorf("field %s: must be >= %v", "State", 0)
+	}
+	if 0 > plain.Strikes {
+		return fmt.Errorf("field %s: must be >= %v", "Strikes", 0)
+	}
+	if 1 > plain.Version {
+		return fmt.Errorf("field %s: must be >= %v", "Version", 1)
+	}
+	*j = PartVerdict(plain)
+	return nil
+}
+
 // Desired number of upstreams of a service.
 type SizeFact struct {
 	// Of the record, see savoryloft.Position.
@@ -514,6 +581,63 @@
 	return nil
 }
 
+// What an instance has found out about prompt parts that crash upstreams.
+type Suspicions struct {
+	// Crashes corresponds to the JSON schema field "Crashes".
+	Crashes []UpstreamCrash `json:"Crashes,omitempty,omitzero" msgpack:"Crashes,omitempty"`
+
+	// Verdicts corresponds to the JSON schema field "Verdicts".
+	Verdicts []PartVerdict `json:"Verdicts,omitempty,omitzero" msgpack:"Verdicts,omitempty"`
+}
+
+// The end of an upstream while it began to respond to requests.
+type UpstreamCrash struct {
+	// For each of Parts, the number of parts before it in its prompt.
+	Depths []int `json:"Depths" msgpack:"Depths"`
+
+	// Prompt parts of these requests that other requests may have too.
+	Parts []string `json:"Parts" msgpack:"Parts"`
+
+	// Unix milliseconds of the start of the process that ended; 0 if unknown.
+	StartedAt int `json:"StartedAt" msgpack:"StartedAt"`
+
+	// Upstream corresponds to the JSON schema field "Upstream".
+	Upstream string `json:"Upstream" msgpack:"Upstream"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *UpstreamCrash) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Depths"]; raw != nil && !ok {
+		return fmt.Errorf("field Depths in UpstreamCrash: required")
+	}
+	if _, ok := raw["Parts"]; raw != nil && !ok {
+		return fmt.Errorf("field Parts in UpstreamCrash: required")
+	}
+	if _, ok := raw["StartedAt"]; raw != nil && !ok {
+		return fmt.Errorf("field StartedAt in UpstreamCrash: required")
+	}
+	if _, ok := raw["Upstream"]; raw != nil && !ok {
+		return fmt.Errorf("field Upstream in UpstreamCrash: required")
+	}
+	type Plain UpstreamCrash
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.StartedAt {
+		return fmt.Errorf("field %s: must be >= %v", "StartedAt", 0)
+	}
+	if utf8.RuneCountInString(string(plain.Upstream)) < 1 {
+		return fmt.Errorf("field %s length: must be >= %d", "Upstream", 1)
+	}
+	*j = UpstreamCrash(plain)
+	return nil
+}
+
 // Requests by account that began to run in one window, counted by one incarnation
 // of an instance.
 type UsageBatch struct {
--- a/quarantiner/ending.go
+++ b/quarantiner/ending.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"savoryloft.example/savoryloft"
 )
 
@@ -68,6 +70,8 @@
 	q.mu.Unlock()
 	q.Logger.Info("upstream has ended while it ran requests", "upstream", key.upstream, "started", key.startedAt,
 		"address", address, "requests", len(p.prompts))
+	metrics.GetOrRegisterCounter("upstreams_ended_total", q.Metrics).Inc(1)
+	q.observeEnd(key, p.prompts)
 	for _, f := range p.onEnd {
 		f()
 	}
--- /dev/null
+++ b/quarantiner/quarantiner_test.go
@@ -0,0 +1,274 @@
+package quarantiner
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft"
+)
+
+// prompt returns the parts with the given IDs, separated by spaces, and a last part.
+func prompt(ids string) []savoryloft.PromptPart {
+	var parts []savoryloft.PromptPart
+	for _, id := range strings.Fields(ids + " own") {
+		parts = append(parts, savoryloft.PromptPart{ID: id, Tokens: 10})
+	}
+	return parts
+}
+
+// newQuarantiner returns one whose upstreams have all ended, and the number of changes
+// that it sends to its peers.
+func newQuarantiner() (*Quarantiner, *atomic.Int64) {
+	sent := &atomic.Int64{}
+	return &Quarantiner{
+		Dial:   func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED },
+		Notify: func(savoryloft.Suspicions, string) { sent.Add(1) },
+		Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
+	}, sent
+}
+
+func (q *Quarantiner) admits(ids string) bool {
+	_, ok := q.Admit(prompt(ids))
+	return ok
+}
+
+// crashUnder records that a new upstream has ended under requests with the given
+// prompts.
+func (q *Quarantiner) crashUnder(n int, prompts ...string) {
+	u := savoryloft.RegisteredUpstream{ID: fmt.Sprint("u-", n)}
+	for _, p := range prompts {
+		q.ObserveBroken(u, prompt(p), func() {})
+	}
+	time.Sleep(time.Second)
+}
+
+func TestHarmfulPartIsQuarantined(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		crashes [][]string // Prompts of the requests under which each upstream ended.
+		between string     // Prompt of a request that succeeds after each crash; none if empty.
+		refused string     // The only ones of the prompts "a", "b" and "c" that are refused.
+	}{
+		{"two crashes", [][]string{{"a b"}, {"a b"}}, "", ""},
+		{"sound requests share a part", [][]string{{"a b"}, {"a b"}, {"a b"}}, "a", "b"},
+		{"harmful part first", [][]string{{"b a"}, {"b a"}, {"b a"}}, "a", "b"},
+		{"others ended with it", [][]string{{"a b", "a c"}, {"a b", "a"}, {"a b", "a c"}}, "a", "b"},
+		{"no sound requests", [][]string{{"a b"}, {"a b"}, {"a b"}}, "", "b"},
+		{"no sound requests, harmful part first", [][]string{{"b x1"}, {"b x2"}, {"b x3"}}, "", "b"},
+		{"no sound requests, deeper part innocent", [][]string{{"b c"}, {"b c"}, {"b c"}, {"b"}, {"b"}, {"b"}}, "", "bc"},
+		{"two harmful parts", [][]string{{"b"}, {"c"}, {"b"}, {"c"}, {"b"}, {"c"}}, "a", "bc"},
+		{"last part only", [][]string{{""}, {""}, {""}, {""}}, "", ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q, _ := newQuarantiner()
+				for n, prompts := range tt.crashes {
+					q.crashUnder(n, prompts...)
+					if tt.between != "" {
+						q.ObserveSuccess(prompt(tt.between))
+					}
+				}
+				refused := ""
+				for _, id := range []string{"a", "b", "c"} {
+					if !q.admits(id) {
+						refused += id
+					}
+				}
+				require.Equal(t, tt.refused, refused)
+			})
+		})
+	}
+}
+
+// A connection that breaks says nothing against a prompt while its upstream is there, or
+// while the network may be down.
+func TestOnlyUpstreamsThatEndedCount(t *testing.T) {
+	for _, dial := range []func(context.Context, string) (net.Conn, error){
+		func(context.Context, string) (net.Conn, error) {
+			c, _ := net.Pipe()
+			return c, nil
+		},
+		func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			q, sent := newQuarantiner()
+			q.Dial = dial
+			for n := range 10 {
+				q.crashUnder(n, "a b")
+			}
+			require.True(t, q.admits("a b"))
+			require.Zero(t, sent.Load())
+		})
+	}
+}
+
+// After a quarantine a single request is admitted. Its upstream's end brings a longer
+// quarantine, its success lifts it.
+func TestQuarantineEndsWithATrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q, _ := newQuarantiner()
+		for n := range convictionCrashes {
+			q.crashUnder(n, "b")
+		}
+		period := firstPeriod
+		for n := range 3 {
+			wait, ok := q.Admit(prompt("b"))
+			require.False(t, ok)
+			require.InDelta(t, (period + periodSpread/2).Seconds(), wait.Seconds(), (time.Second + periodSpread/2).Seconds())
+			time.Sleep(wait)
+			require.True(t, q.admits("b"))
+			for range 5 {
+				require.False(t, q.admits("b"), "one trial at a time")
+			}
+			q.crashUnder(100+n, "b")
+			period *= periodGrowth
+		}
+		wait, _ := q.Admit(prompt("b"))
+		time.Sleep(wait)
+		require.True(t, q.admits("b"))
+		q.ObserveSuccess(prompt("b"))
+		for range 5 {
+			require.True(t, q.admits("b"))
+		}
+		require.Zero(t, q.restricted.Load())
+	})
+}
+
+// A trial whose result never arrives must not keep the part away for good.
+func TestTrialWithoutResultIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q, _ := newQuarantiner()
+		for n := range convictionCrashes {
+			q.crashUnder(n, "b")
+		}
+		wait, _ := q.Admit(prompt("b"))
+		time.Sleep(wait)
+		require.True(t, q.admits("b"))
+		time.Sleep(trialTimeout + periodSpread)
+		require.True(t, q.admits("b"))
+	})
+}
+
+// A storm of crashes under one part: many requests run on each upstream that ends, and
+// each of their parts succeeds now and then. Instances must not quarantine any of these,
+// also where they receive news late.
+func TestStormQuarantinesOnlyItsCause(t *testing.T) {
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(4, rand.New(rand.NewPCG(seed, 1)))
+			arrivals := 0
+			for end, crashes := time.Now().Add(15*time.Second), 0; time.Now().Before(end); {
+				q := n.any()
+				if q.admits("a harmful") {
+					arrivals++
+					crashes++
+					u := savoryloft.RegisteredUpstream{ID: fmt.Sprint("u-", crashes)}
+					q.ObserveBroken(u, prompt("a harmful"), func() {})
+					for range n.intN(3) {
+						n.any().ObserveBroken(u, prompt(fmt.Sprint("a s", n.intN(8))), func() {})
+					}
+				}
+				for range 10 {
+					time.Sleep(time.Duration(n.intN(100)) * time.Millisecond)
+					n.any().ObserveSuccess(prompt(fmt.Sprint("a s", n.intN(8))))
+				}
+			}
+			require.LessOrEqual(t, arrivals, convictionCrashes+2, "seed %d", seed)
+			for _, q := range n.instances {
+				require.False(t, q.admits("harmful"))
+				for s := range 8 {
+					require.True(t, q.admits(fmt.Sprint("a s", s)), "seed %d", seed)
+				}
+			}
+		})
+	}
+}
+
+// Instances that receive the same news, in any order and more than once, agree on every
+// part.
+func TestInstancesAgree(t *testing.T) {
+	for seed := range uint64(100) {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(5, rand.New(rand.NewPCG(seed, 2)))
+			for step := range 200 {
+				q, p := n.any(), fmt.Sprintf("a p%d", n.intN(3))
+				switch n.intN(6) {
+				case 0:
+					q.ObserveSuccess(prompt(p))
+				case 1, 2, 3:
+					q.ObserveBroken(savoryloft.RegisteredUpstream{ID: fmt.Sprint("u-", step)}, prompt(p), func() {})
+				case 4:
+					q.Admit(prompt(p))
+				case 5:
+					n.any().Merge(q.Suspicions(), "")
+				}
+				time.Sleep(time.Duration(n.intN(2000)) * time.Millisecond)
+			}
+			time.Sleep(time.Minute)
+			for _, q := range n.instances[1:] {
+				require.Equal(t, n.instances[0].states(), q.states(), "seed %d", seed)
+				require.Equal(t, n.instances[0].restricted.Load(), q.restricted.Load())
+			}
+		})
+	}
+}
+
+// states returns the version and state of each part.
+func (q *Quarantiner) states() map[string]string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	states := map[string]string{}
+	for id, v := range q.verdicts {
+		states[id] = fmt.Sprint(v.version, v.state)
+	}
+	return states
+}
+
+// network connects instances that send each change to all others, each with a delay of
+// its own.
+type network struct {
+	instances []*Quarantiner
+	mu        sync.Mutex
+	rng       *rand.Rand
+}
+
+func newNetwork(size int, rng *rand.Rand) *network {
+	n := &network{rng: rng}
+	for i := range size {
+		q, _ := newQuarantiner()
+		q.Notify = func(s savoryloft.Suspicions, from string) {
+			for k, peer := range n.instances {
+				if k != i && fmt.Sprint(k) != from {
+					delay := time.Duration(n.intN(300)) * time.Millisecond
+					time.AfterFunc(delay, func() { peer.Merge(s, fmt.Sprint(i)) })
+				}
+			}
+		}
+		n.instances = append(n.instances, q)
+	}
+	return n
+}
+
+func (n *network) intN(limit int) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rng.IntN(limit)
+}
+
+func (n *network) any() *Quarantiner { return n.instances[n.intN(len(n.instances))] }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -77,6 +77,13 @@
 
 const minConnections = 4 // Lower limit for an instance's share of the connections to an upstream.
 
+// errQuarantined is returned when a part of the request's prompt crashes upstreams.
+const errQuarantined = errors.ConstError("a part of the prompt crashes upstreams")
+
+// maxBrokenSends is the number of sends under which upstreams may end before the request
+// is not sent again: it may be what ends them.
+const maxBrokenSends = 2
+
 // errNoUpstream is returned when no registered upstream is eligible.
 const errNoUpstream = errors.ConstError("no upstream is available")
 
@@ -94,6 +101,10 @@
 	if x.sends == 0 && x.overloaded(choice) {
 		return nil, &sendError{notExecuted, errOverloaded}
 	}
+	if wait, ok := r.Quarantine.Admit(x.call.Parts); !ok {
+		x.quarantine = wait
+		return nil, &sendError{notExecuted, errQuarantined}
+	}
 	a := &attempt{exchange: x, choice: choice, run: r.Placer.Start(time.Now(), choice, req)}
 	a.ctx, a.cancel = context.WithCancel(x.ctx)
 	_, a.span = r.Tracer.Start(trace.ContextWithSpan(x.ctx, x.span), "Attempt",
@@ -230,7 +241,19 @@
 func (a *attempt) observeBroken() {
 	x := a.exchange
 	x.brokenSends++
-	x.relayer.Quarantine.ObserveBroken(a.choice.Upstream, x.call.Parts, func() { x.endedUpstreams.Add(1) })
+	parts := x.call.Parts
+	if x.partsHarmless {
+		parts = nil
+	}
+	x.relayer.Quarantine.ObserveBroken(a.choice.Upstream, parts, func() { x.endedUpstreams.Add(1) })
+}
+
+// observeSuccess records, once, that the request's prompt does not crash upstreams.
+func (x *exchange) observeSuccess() {
+	if !x.partsHarmless {
+		x.partsHarmless = true
+		x.relayer.Quarantine.ObserveSuccess(x.call.Parts)
+	}
 }
 
 // recordFailure excludes the upstream from further attempts of the request, logs
@@ -276,7 +299,10 @@
 	if x.ctx.Err() != nil || x.sends >= maxSends || !x.resolveAgain() {
 		return false
 	}
-	if errors.Is(e.cause, errNoUpstream) || errors.Is(e.cause, errOverloaded) {
+	if errors.Is(e.cause, errNoUpstream) || errors.Is(e.cause, errOverloaded) || errors.Is(e.cause, errQuarantined) {
+		return false
+	}
+	if x.brokenSends >= maxBrokenSends && x.endedUpstreams.Load() > 0 {
 		return false
 	}
 	if e.execution == maybeExecuted && (!x.retryable() || x.possibleRuns >= x.route.MaxAttempts) {
@@ -312,6 +338,8 @@
 		x.refuse(http.StatusGatewayTimeout, "TimeUp", "upstream did not answer in time", 0)
 	case errors.Is(e.cause, errOverloaded):
 		x.refuseOverloaded()
+	case x.possibleRuns == 0 && errors.Is(e.cause, errQuarantined):
+		x.refuse(http.StatusServiceUnavailable, "Quarantined", errQuarantined.Error()+"; the request has not run", x.quarantine)
 	case x.possibleRuns > 0 || e.execution == maybeExecuted:
 		x.refuse(http.StatusBadGateway, "UpstreamFailed", "upstream failed; the request may have run", 0)
 	case errors.Is(e.cause, errNoUpstream):
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -63,6 +63,7 @@
 		return h, nil, e
 	}
 	a.release(placer.Succeeded)
+	x.observeSuccess()
 	return h, body, nil
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -105,6 +105,8 @@
 	possibleRuns     int             // Attempts in which an upstream may have run the request.
 	brokenSends      int             // Sends whose connection broke before the response was complete.
 	endedUpstreams   atomic.Int64    // Upstreams of these sends that have ended.
+	quarantine       time.Duration   // Until requests with the same prompt parts may be admitted again.
+	partsHarmless    bool            // An upstream has responded for long enough that the prompt parts cannot crash it.
 	usageCounted     bool
 	upstream         string // ID of the last chosen upstream.
 	choice           placer.Choice
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -19,6 +19,9 @@
 	eventTimeoutFactor      = 6                       // Time without data after which a resumable stream counts as broken, as a multiple of the route's pause objective.
 	firstEventTimeoutFactor = 2.5                     // Timeout for the first event of a resumable stream, as a multiple of the route's objective.
 	separatorBytes          = 2
+	// harmlessAfter is the time after the first event from which an upstream that still
+	// responds shows that the prompt does not crash it.
+	harmlessAfter = 300 * time.Millisecond
 )
 
 var eventSeparator = []byte("\n\n")
@@ -53,13 +56,14 @@
 type stream struct {
 	exchange      *exchange
 	attempt       *attempt
-	storage       []byte // Start of the memory that buffer uses.
-	buffer        []byte // Data from the upstream that Read has not returned yet.
-	completeBytes int    // Length of the complete events at the start of buffer.
-	lastEventID   string // ID of the last event that Read has returned.
-	upstreamEnded bool   // The upstream has ended the stream.
-	brokenBy      error  // Error with which the upstream's stream ended after the complete events in buffer.
-	notStream     bool   // The response is not a stream; body holds it.
+	firstEventAt  time.Time // Of the attempt.
+	storage       []byte    // Start of the memory that buffer uses.
+	buffer        []byte    // Data from the upstream that Read has not returned yet.
+	completeBytes int       // Length of the complete events at the start of buffer.
+	lastEventID   string    // ID of the last event that Read has returned.
+	upstreamEnded bool      // The upstream has ended the stream.
+	brokenBy      error     // Error with which the upstream's stream ended after the complete events in buffer.
+	notStream     bool      // The response is not a stream; body holds it.
 	body          []byte
 	readErr       error // Returned by Read after the stream has failed.
 }
@@ -87,7 +91,8 @@
 	if err := s.fill(timeout); err != nil {
 		return a.abort(err)
 	}
-	a.run.RecordFirstToken(time.Now())
+	s.firstEventAt = time.Now()
+	a.run.RecordFirstToken(s.firstEventAt)
 	a.notifyPrefillChange()
 	x.countUsage()
 	return nil
@@ -203,6 +208,9 @@
 	}
 	s.buffer = s.buffer[n:]
 	s.completeBytes -= n
+	if time.Since(s.firstEventAt) > harmlessAfter {
+		s.exchange.observeSuccess()
+	}
 	return n, nil
 }
 
@@ -257,6 +265,7 @@
 			s.attempt.conn.CloseOnRelease()
 		}
 		s.attempt.release(placer.Succeeded)
+		x.observeSuccess()
 	case errors.Is(cause, errClientDisconnected):
 		outcome = "CallerLeft"
 	case errors.Is(cause, errDeadlineExceeded):
