Late crashes weigh less; one request ends two upstreams at most; the soak plays crashes

A prompt that ends its upstream half a second after the first event was cleared by its own first 300 ms. Success now means a complete response or 2 s of events; an upstream's end later than 300 ms after the first event counts 3 of 15 instead of 5. The result of the probes is awaited, 100 ms at most, before a third send.

--- a/check.go
+++ b/check.go
@@ -92,8 +92,13 @@
 // Check returns an error when suspicions violate their schema.
 func (s Suspicions) Check() error {
 	for _, c := range s.Crashes {
-		if c.Upstream == "" || len(c.Parts) != len(c.Depths) {
-			return errors.Errorf("crash of upstream %q has %d parts and %d depths", c.Upstream, len(c.Parts), len(c.Depths))
+		if c.Upstream == "" {
+			return errors.New("crash of an upstream without a name")
+		}
+		for _, p := range c.Parts {
+			if p.Part == "" || p.Depth < 0 {
+				return errors.Errorf("suspect part %q of upstream %q is malformed", p.Part, c.Upstream)
+			}
 		}
 	}
 	for _, v := range s.Verdicts {
--- a/quarantiner/ending.go
+++ b/quarantiner/ending.go
@@ -26,27 +26,36 @@
 
 // probe is a check whether an upstream has ended.
 type probe struct {
-	prompts [][]savoryloft.PromptPart // Of the requests whose connections broke.
-	onEnd   []func()
+	broken []Broken
 }
 
-// ObserveBroken records that the connection of a request broke while the upstream
-// began to respond. parts are the prompt parts of the request; nil if they are known
-// to be harmless. It probes, in the background, whether the upstream still accepts
-// connections, and calls onEnd if it does not.
-func (q *Quarantiner) ObserveBroken(u savoryloft.RegisteredUpstream, parts []savoryloft.PromptPart, onEnd func()) {
+// Broken is a request whose connection broke before the response was complete.
+type Broken struct {
+	Parts    []savoryloft.PromptPart // Of its prompt; nil if they are known to be harmless.
+	Late     bool                    // The upstream had responded for longer than StartingPeriod.
+	OnProbed func(ended bool)        // Called once, when it is known whether the upstream has ended. It must not block.
+}
+
+// StartingPeriod is the time after the first event in which a prompt that crashes an
+// upstream usually does so.
+const StartingPeriod = 300 * time.Millisecond
+
+// ObserveBroken records that the connection of a request broke. It probes, in the
+// background, whether the upstream still accepts connections.
+func (q *Quarantiner) ObserveBroken(u savoryloft.RegisteredUpstream, b Broken) {
 	key := incarnation{u.ID, u.StartedAtMs}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.init()
 	if time.Since(q.alive[key]) < probePause {
+		b.OnProbed(false)
 		return
 	}
 	if p := q.probes[key]; p != nil {
-		p.prompts, p.onEnd = append(p.prompts, parts), append(p.onEnd, onEnd)
+		p.broken = append(p.broken, b)
 		return
 	}
-	q.probes[key] = &probe{[][]savoryloft.PromptPart{parts}, []func(){onEnd}}
+	q.probes[key] = &probe{[]Broken{b}}
 	go q.runProbe(key, u.Address)
 }
 
@@ -64,17 +73,18 @@
 				delete(q.alive, k)
 			}
 		}
-		q.mu.Unlock()
-		return
 	}
 	q.mu.Unlock()
+	for _, b := range p.broken {
+		b.OnProbed(ended)
+	}
+	if !ended {
+		return
+	}
 	q.Logger.Info("upstream has ended while it ran requests", "upstream", key.upstream, "started", key.startedAt,
-		"address", address, "requests", len(p.prompts))
+		"address", address, "requests", len(p.broken))
 	metrics.GetOrRegisterCounter("upstreams_ended_total", q.Metrics).Inc(1)
-	q.observeEnd(key, p.prompts)
-	for _, f := range p.onEnd {
-		f()
-	}
+	q.observeEnd(key, p.broken)
 }
 
 // hasEnded reports whether nothing listens at an address. Only a refused connection
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,15 +1,15 @@
 // Package quarantiner keeps requests with a prompt part that crashes upstreams away
 // from them.
 //
-// When the connection of a request breaks before its upstream has responded for a
-// moment, the upstream is probed. If it has ended, each prompt part of the request that
-// other requests may share is suspected, and so are those of the other requests that it
-// began to respond to. A successful request clears its parts of every suspicion, so a
-// part that sound requests share with harmful ones is cleared again and again. A part
-// under which convictionCrashes upstreams have ended without a success in between is
-// quarantined: requests with it are refused. Of several such parts the one with the most
-// crashes is quarantined, and of equals the one deepest in the prompt, which the fewest
-// requests share; the crashes that it explains no longer count against the others.
+// When the connection of a request breaks, the upstream is probed. If it has ended, the
+// prompt parts of the requests that it ran are suspected, as far as other requests may
+// share them, and those of requests to which it had just begun to respond most. A
+// successful request clears its parts, so a part that sound requests share with harmful
+// ones is cleared again and again. A part under which three upstreams have ended in that
+// way, or five in any, without a success in between is quarantined: requests with it are
+// refused. Of several such parts the most suspected one is quarantined, and of equals the
+// one deepest in the prompt, which the fewest requests share; the crashes that it explains
+// no longer count against the others.
 //
 // When a quarantine ends, one request with the part is admitted as a trial. If its
 // upstream ends, the part is quarantined again for a longer time; if it succeeds, the
@@ -26,7 +26,7 @@
 //	if wait, ok := q.Admit(parts); !ok {
 //		return refuse(wait)
 //	}
-//	q.ObserveBroken(upstream, parts, func() { ended.Add(1) })
+//	q.ObserveBroken(upstream, quarantiner.Broken{Parts: parts, OnProbed: func(ended bool) { results <- ended }})
 //	q.ObserveSuccess(parts)
 //	q.Merge(suspicions, peer)
 package quarantiner
@@ -48,17 +48,19 @@
 )
 
 const (
-	convictionCrashes = 3                // Upstreams that end under a part before it is quarantined.
-	firstPeriod       = 20 * time.Second // Of the first quarantine of a part.
-	periodGrowth      = 3                // Factor between a part's quarantines.
-	maxPeriod         = time.Hour
-	periodSpread      = 10 * time.Second // Maximum random extension of a quarantine, so that instances try the part one by one.
-	trialTimeout      = 5 * time.Second  // After which a trial without a result counts as not made.
-	successLifetime   = 2 * time.Second  // In which a success speaks against a crash that becomes known after it.
-	crashLifetime     = 10 * time.Minute // After which a crash no longer counts against parts.
-	verdictLifetime   = 2 * time.Hour    // After which a verdict that has not changed is forgotten.
-	maxCrashes        = 256
-	pruneInterval     = time.Second
+	convictionWeight = 15               // Of the crashes under a part before it is quarantined.
+	earlyWeight      = 5                // Of a crash while an upstream began to respond to a request with the part.
+	lateWeight       = 3                // Of another one.
+	firstPeriod      = 20 * time.Second // Of the first quarantine of a part.
+	periodGrowth     = 3                // Factor between a part's quarantines.
+	maxPeriod        = time.Hour
+	periodSpread     = 10 * time.Second // Maximum random extension of a quarantine, so that instances try the part one by one.
+	trialTimeout     = 5 * time.Second  // After which a trial without a result counts as not made.
+	successLifetime  = 2 * time.Second  // In which a success speaks against a crash that becomes known after it.
+	crashLifetime    = 10 * time.Minute // After which a crash no longer counts against parts.
+	verdictLifetime  = 2 * time.Hour    // After which a verdict that has not changed is forgotten.
+	maxCrashes       = 256
+	pruneInterval    = time.Second
 )
 
 // State is the state of a prompt part. Of two verdicts with the same version the one
@@ -103,6 +105,7 @@
 // evidence is a crash as far as it concerns one part.
 type evidence struct {
 	depth   int
+	late    bool
 	counted bool // The part has not been cleared since.
 }
 
@@ -155,7 +158,7 @@
 	for _, id := range trials {
 		v := q.verdicts[id]
 		v.until = now.Add(trialTimeout + spread())
-		q.change(&s, id, v, Trial, v.version+1)
+		q.advance(&s, id, v, Trial)
 	}
 	q.mu.Unlock()
 	q.notify(s, "")
@@ -185,14 +188,17 @@
 	q.notify(s, "")
 }
 
-// observeEnd records that an upstream has ended under requests with the given prompts.
-func (q *Quarantiner) observeEnd(key incarnation, prompts [][]savoryloft.PromptPart) {
+// observeEnd records that an upstream has ended under requests.
+func (q *Quarantiner) observeEnd(key incarnation, broken []Broken) {
 	c := savoryloft.UpstreamCrash{Upstream: key.upstream, StartedAt: key.startedAt}
-	for _, parts := range prompts {
-		for i, p := range sharedParts(parts) {
-			if !slices.Contains(c.Parts, p.ID) {
-				c.Parts, c.Depths = append(c.Parts, p.ID), append(c.Depths, i)
+	for _, b := range broken {
+		for depth, p := range sharedParts(b.Parts) {
+			i := slices.IndexFunc(c.Parts, func(known savoryloft.SuspectPart) bool { return known.Part == p.ID })
+			if i < 0 {
+				c.Parts = append(c.Parts, savoryloft.SuspectPart{Part: p.ID, Depth: depth, Late: b.Late})
+				continue
 			}
+			c.Parts[i].Late = c.Parts[i].Late && b.Late
 		}
 	}
 	if len(c.Parts) > 0 {
@@ -203,20 +209,27 @@
 // Merge records what a peer, or this instance itself if from is empty, has found out,
 // and passes on what is new.
 func (q *Quarantiner) Merge(received savoryloft.Suspicions, from string) {
-	var s savoryloft.Suspicions
+	var relayed, own savoryloft.Suspicions
 	q.mu.Lock()
 	q.init()
 	now := time.Now()
 	q.prune(now)
 	for _, v := range received.Verdicts {
-		q.mergeVerdict(&s, v, now)
+		if q.mergeVerdict(v, now) {
+			relayed.Verdicts = append(relayed.Verdicts, v)
+			q.contradict(&own, v.Part, now)
+		}
 	}
 	for _, c := range received.Crashes {
-		q.mergeCrash(&s, c, now)
+		if added := q.mergeCrash(c, now); len(added.Parts) > 0 {
+			relayed.Crashes = append(relayed.Crashes, added)
+			q.judge(&own, added, now)
+		}
 	}
-	q.evaluate(&s, now)
+	q.evaluate(&own, now)
 	q.mu.Unlock()
-	q.notify(s, from)
+	q.notify(relayed, from)
+	q.notify(own, "")
 }
 
 // Suspicions returns all that this instance knows, for a peer that may lack it.
@@ -232,7 +245,7 @@
 		report := savoryloft.UpstreamCrash{Upstream: key.upstream, StartedAt: key.startedAt}
 		for id, e := range c.parts {
 			if e.counted {
-				report.Parts, report.Depths = append(report.Parts, id), append(report.Depths, e.depth)
+				report.Parts = append(report.Parts, savoryloft.SuspectPart{Part: id, Depth: e.depth, Late: e.late})
 			}
 		}
 		if len(report.Parts) > 0 {
@@ -245,12 +258,11 @@
 	return s
 }
 
-// mergeVerdict takes a verdict over if it is newer. A quarantine that a recent success
-// of this instance contradicts is lifted at once.
-func (q *Quarantiner) mergeVerdict(s *savoryloft.Suspicions, received savoryloft.PartVerdict, now time.Time) {
+// mergeVerdict takes a verdict over and returns true if it is newer.
+func (q *Quarantiner) mergeVerdict(received savoryloft.PartVerdict, now time.Time) bool {
 	v := q.verdicts[received.Part]
 	if v != nil && cmp.Or(cmp.Compare(received.Version, v.version), cmp.Compare(received.State, int(v.state))) <= 0 {
-		return
+		return false
 	}
 	if v == nil {
 		v = &verdict{}
@@ -258,16 +270,23 @@
 	}
 	remaining := min(time.Duration(received.Remaining)*time.Millisecond, maxPeriod)
 	v.strikes, v.until = received.Strikes, now.Add(remaining+spread())
-	q.change(s, received.Part, v, State(received.State), received.Version)
+	q.change(received.Part, v, State(received.State), received.Version)
 	if v.state == Cleared {
 		q.discount(received.Part)
-	} else if q.succeededLately(received.Part, now) {
-		q.clear(s, received.Part)
+	}
+	return true
+}
+
+// contradict clears a part if a recent success of this instance speaks for it.
+func (q *Quarantiner) contradict(s *savoryloft.Suspicions, part string, now time.Time) {
+	if at, ok := q.successes[part]; ok && now.Sub(at) <= successLifetime {
+		q.clear(s, part)
 	}
 }
 
-// mergeCrash records a crash. The parts that were known with it already are skipped.
-func (q *Quarantiner) mergeCrash(s *savoryloft.Suspicions, received savoryloft.UpstreamCrash, now time.Time) {
+// mergeCrash records a crash and returns it with the parts that are new with it, or that
+// are known to have been in a request that was not late only now.
+func (q *Quarantiner) mergeCrash(received savoryloft.UpstreamCrash, now time.Time) (added savoryloft.UpstreamCrash) {
 	key := incarnation{received.Upstream, received.StartedAt}
 	c := q.crashes[key]
 	if c == nil {
@@ -277,23 +296,31 @@
 		c = &crash{at: now, parts: map[string]*evidence{}}
 		q.crashes[key] = c
 	}
-	added := savoryloft.UpstreamCrash{Upstream: received.Upstream, StartedAt: received.StartedAt}
-	for i, id := range received.Parts {
-		if c.parts[id] != nil {
+	added = savoryloft.UpstreamCrash{Upstream: received.Upstream, StartedAt: received.StartedAt}
+	for _, p := range received.Parts {
+		switch known := c.parts[p.Part]; {
+		case known == nil:
+			c.parts[p.Part] = &evidence{depth: p.Depth, late: p.Late, counted: true}
+			q.suspected[p.Part] = true
+		case known.late && !p.Late:
+			known.late = false
+		default:
 			continue
 		}
-		c.parts[id] = &evidence{depth: received.Depths[i], counted: true}
-		q.suspected[id] = true
-		added.Parts, added.Depths = append(added.Parts, id), append(added.Depths, received.Depths[i])
-		if v := q.verdicts[id]; v != nil && v.state != Cleared && (v.state == Trial || !now.Before(v.until)) {
-			q.quarantine(s, id, v, now)
-		}
-		if q.succeededLately(id, now) {
-			q.clear(s, id)
-		}
+		added.Parts = append(added.Parts, p)
 	}
-	if len(added.Parts) > 0 {
-		s.Crashes = append(s.Crashes, added)
+	return added
+}
+
+// judge quarantines again what a crash has shown to be harmful in a trial, and clears
+// what a recent success speaks for.
+func (q *Quarantiner) judge(s *savoryloft.Suspicions, c savoryloft.UpstreamCrash, now time.Time) {
+	for _, p := range c.Parts {
+		v := q.verdicts[p.Part]
+		if v != nil && v.state != Cleared && (v.state == Trial || !now.Before(v.until)) {
+			q.quarantine(s, p.Part, v, now)
+		}
+		q.contradict(s, p.Part, now)
 	}
 }
 
@@ -308,17 +335,12 @@
 	delete(q.crashes, oldest)
 }
 
-func (q *Quarantiner) succeededLately(part string, now time.Time) bool {
-	at, ok := q.successes[part]
-	return ok && now.Sub(at) <= successLifetime
-}
-
-// evaluate quarantines parts until no part without a verdict has too many crashes that
-// no quarantined part explains.
+// evaluate quarantines parts until too little speaks against each other one, without the
+// crashes that the quarantined ones explain.
 func (q *Quarantiner) evaluate(s *savoryloft.Suspicions, now time.Time) {
 	for {
-		part, crashes := q.mostSuspect(now)
-		if crashes < convictionCrashes {
+		part, weight := q.mostSuspect(now)
+		if weight < convictionWeight {
 			return
 		}
 		v := q.verdicts[part]
@@ -327,14 +349,13 @@
 			q.verdicts[part] = v
 		}
 		q.quarantine(s, part, v, now)
-		q.Logger.Info("prompt part crashes upstreams", "part", part, "upstreams", crashes)
 	}
 }
 
-// mostSuspect returns the part with the most unexplained crashes, and of equals the
-// deepest one.
-func (q *Quarantiner) mostSuspect(now time.Time) (part string, crashes int) {
-	type suspect struct{ crashes, depth int }
+// mostSuspect returns the part against which the unexplained crashes speak most, and of
+// equals the deepest one.
+func (q *Quarantiner) mostSuspect(now time.Time) (part string, weight int) {
+	type suspect struct{ weight, depth int }
 	suspects := map[string]suspect{}
 	for _, c := range q.crashes {
 		if now.Sub(c.at) > crashLifetime || q.explained(c) {
@@ -343,17 +364,24 @@
 		for id, e := range c.parts {
 			if e.counted {
 				known := suspects[id]
-				suspects[id] = suspect{known.crashes + 1, max(known.depth, e.depth)}
+				suspects[id] = suspect{known.weight + e.weight(), max(known.depth, e.depth)}
 			}
 		}
 	}
 	var most suspect
 	for id, p := range suspects {
-		if cmp.Or(cmp.Compare(p.crashes, most.crashes), cmp.Compare(p.depth, most.depth), cmp.Compare(id, part)) > 0 {
+		if cmp.Or(cmp.Compare(p.weight, most.weight), cmp.Compare(p.depth, most.depth), cmp.Compare(id, part)) > 0 {
 			part, most = id, p
 		}
 	}
-	return part, most.crashes
+	return part, most.weight
+}
+
+func (e *evidence) weight() int {
+	if e.late {
+		return lateWeight
+	}
+	return earlyWeight
 }
 
 // explained reports whether a part that is quarantined or on trial has caused a crash.
@@ -374,7 +402,7 @@
 		period *= periodGrowth
 	}
 	v.until = now.Add(min(period, maxPeriod) + spread())
-	q.change(s, part, v, Quarantined, v.version+1)
+	q.advance(s, part, v, Quarantined)
 }
 
 // clear lifts all suspicion from a part.
@@ -390,7 +418,7 @@
 	}
 	q.discount(part)
 	v.strikes, v.until = 0, time.Time{}
-	q.change(s, part, v, Cleared, v.version+1)
+	q.advance(s, part, v, Cleared)
 }
 
 // discount makes the crashes so far not count against a part.
@@ -403,8 +431,14 @@
 	}
 }
 
-// change moves a part's verdict to another state and version and adds it to s.
-func (q *Quarantiner) change(s *savoryloft.Suspicions, part string, v *verdict, next State, version int) {
+// advance moves a part's verdict to a state and the next version, and adds it to s.
+func (q *Quarantiner) advance(s *savoryloft.Suspicions, part string, v *verdict, next State) {
+	q.change(part, v, next, v.version+1)
+	s.Verdicts = append(s.Verdicts, v.encode(part, v.changed))
+}
+
+// change sets the state and the version of a part's verdict.
+func (q *Quarantiner) change(part string, v *verdict, next State, version int) {
 	now := time.Now()
 	wasRestricted := v.version > 0 && v.state != Cleared
 	if restricted := next != Cleared; restricted != wasRestricted {
@@ -420,7 +454,6 @@
 		metrics.GetOrRegisterCounter("prompt_parts_total."+next.String(), q.Metrics).Inc(1)
 	}
 	v.version, v.state, v.changed = version, next, now
-	s.Verdicts = append(s.Verdicts, v.encode(part, now))
 }
 
 // String returns the name of the state.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -14,6 +14,7 @@
 	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/exchanger"
 	"savoryloft.example/savoryloft/placer"
+	"savoryloft.example/savoryloft/quarantiner"
 )
 
 const (
@@ -44,17 +45,18 @@
 
 // attempt is one send of a request to an upstream.
 type attempt struct {
-	exchange   *exchange
-	conn       *exchanger.Conn
-	run        *placer.Run
-	choice     placer.Choice
-	response   *http.Response
-	head       savoryloft.AnswerHead
-	ctx        context.Context
-	cancel     context.CancelFunc
-	span       trace.Span
-	runCounted bool // The attempt is included in exchange.possibleRuns.
-	released   bool
+	exchange     *exchange
+	conn         *exchanger.Conn
+	run          *placer.Run
+	choice       placer.Choice
+	response     *http.Response
+	head         savoryloft.AnswerHead
+	ctx          context.Context
+	cancel       context.CancelFunc
+	span         trace.Span
+	firstEventAt time.Time // Zero before the first event of a stream.
+	runCounted   bool      // The attempt is included in exchange.possibleRuns.
+	released     bool
 }
 
 // placerRequest returns the input for the choice of an upstream.
@@ -80,9 +82,12 @@
 // errQuarantined is returned when a part of the request's prompt crashes upstreams.
 const errQuarantined = errors.ConstError("a part of the prompt crashes upstreams")
 
-// maxBrokenSends is the number of sends under which upstreams may end before the request
-// is not sent again: it may be what ends them.
-const maxBrokenSends = 2
+const (
+	// maxBrokenSends is the number of sends whose connections may break before a request
+	// under which an upstream has ended is not sent again: it may be what ends them.
+	maxBrokenSends = 2
+	probeWait      = 100 * time.Millisecond // For the results of the probes; they usually take 20 to 40 ms.
+)
 
 // errNoUpstream is returned when no registered upstream is eligible.
 const errNoUpstream = errors.ConstError("no upstream is available")
@@ -241,11 +246,30 @@
 func (a *attempt) observeBroken() {
 	x := a.exchange
 	x.brokenSends++
-	parts := x.call.Parts
+	b := quarantiner.Broken{
+		Parts:    x.call.Parts,
+		Late:     !a.firstEventAt.IsZero() && time.Since(a.firstEventAt) > quarantiner.StartingPeriod,
+		OnProbed: func(ended bool) { x.probed <- ended },
+	}
 	if x.partsHarmless {
-		parts = nil
+		b.Parts = nil
+	}
+	x.relayer.Quarantine.ObserveBroken(a.choice.Upstream, b)
+}
+
+// hasEndedUpstream reports whether an upstream has ended under the request.
+func (x *exchange) hasEndedUpstream() bool {
+	timeout := time.After(probeWait)
+	for ; !x.upstreamEnded && x.probesRead < x.brokenSends; x.probesRead++ {
+		select {
+		case x.upstreamEnded = <-x.probed:
+		case <-timeout:
+			return false
+		case <-x.ctx.Done():
+			return false
+		}
 	}
-	x.relayer.Quarantine.ObserveBroken(a.choice.Upstream, parts, func() { x.endedUpstreams.Add(1) })
+	return x.upstreamEnded
 }
 
 // observeSuccess records, once, that the request's prompt does not crash upstreams.
@@ -302,7 +326,7 @@
 	if errors.Is(e.cause, errNoUpstream) || errors.Is(e.cause, errOverloaded) || errors.Is(e.cause, errQuarantined) {
 		return false
 	}
-	if x.brokenSends >= maxBrokenSends && x.endedUpstreams.Load() > 0 {
+	if x.brokenSends >= maxBrokenSends && x.hasEndedUpstream() {
 		return false
 	}
 	if e.execution == maybeExecuted && (!x.retryable() || x.possibleRuns >= x.route.MaxAttempts) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -104,7 +104,9 @@
 	sends            int             // Attempts in which the request was sent.
 	possibleRuns     int             // Attempts in which an upstream may have run the request.
 	brokenSends      int             // Sends whose connection broke before the response was complete.
-	endedUpstreams   atomic.Int64    // Upstreams of these sends that have ended.
+	probed           chan bool       // Receives for each of these sends whether its upstream has ended.
+	probesRead       int             // Results received from probed.
+	upstreamEnded    bool            // An upstream of these sends has ended.
 	quarantine       time.Duration   // Until requests with the same prompt parts may be admitted again.
 	partsHarmless    bool            // An upstream has responded for long enough that the prompt parts cannot crash it.
 	usageCounted     bool
@@ -121,7 +123,7 @@
 // Handle handles one request.
 func (r *Relayer) Handle(httpCtx *fasthttp.RequestCtx) {
 	r.active.Add(1)
-	x := &exchange{relayer: r, httpCtx: httpCtx, received: time.Now(), triedUpstreams: map[string]bool{}}
+	x := &exchange{relayer: r, httpCtx: httpCtx, received: time.Now(), triedUpstreams: map[string]bool{}, probed: make(chan bool, maxSends)}
 	x.ctx, x.cancel = context.WithCancelCause(context.Background())
 	if c, ok := httpCtx.Conn().(*clientConn); ok {
 		x.client = c
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -21,7 +21,7 @@
 	separatorBytes          = 2
 	// harmlessAfter is the time after the first event from which an upstream that still
 	// responds shows that the prompt does not crash it.
-	harmlessAfter = 300 * time.Millisecond
+	harmlessAfter = 2 * time.Second
 )
 
 var eventSeparator = []byte("\n\n")
@@ -56,14 +56,13 @@
 type stream struct {
 	exchange      *exchange
 	attempt       *attempt
-	firstEventAt  time.Time // Of the attempt.
-	storage       []byte    // Start of the memory that buffer uses.
-	buffer        []byte    // Data from the upstream that Read has not returned yet.
-	completeBytes int       // Length of the complete events at the start of buffer.
-	lastEventID   string    // ID of the last event that Read has returned.
-	upstreamEnded bool      // The upstream has ended the stream.
-	brokenBy      error     // Error with which the upstream's stream ended after the complete events in buffer.
-	notStream     bool      // The response is not a stream; body holds it.
+	storage       []byte // Start of the memory that buffer uses.
+	buffer        []byte // Data from the upstream that Read has not returned yet.
+	completeBytes int    // Length of the complete events at the start of buffer.
+	lastEventID   string // ID of the last event that Read has returned.
+	upstreamEnded bool   // The upstream has ended the stream.
+	brokenBy      error  // Error with which the upstream's stream ended after the complete events in buffer.
+	notStream     bool   // The response is not a stream; body holds it.
 	body          []byte
 	readErr       error // Returned by Read after the stream has failed.
 }
@@ -91,8 +90,8 @@
 	if err := s.fill(timeout); err != nil {
 		return a.abort(err)
 	}
-	s.firstEventAt = time.Now()
-	a.run.RecordFirstToken(s.firstEventAt)
+	a.firstEventAt = time.Now()
+	a.run.RecordFirstToken(a.firstEventAt)
 	a.notifyPrefillChange()
 	x.countUsage()
 	return nil
@@ -208,7 +207,7 @@
 	}
 	s.buffer = s.buffer[n:]
 	s.completeBytes -= n
-	if time.Since(s.firstEventAt) > harmlessAfter {
+	if time.Since(s.attempt.firstEventAt) > harmlessAfter {
 		s.exchange.observeSuccess()
 	}
 	return n, nil
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -38,8 +38,9 @@
 type Proxy struct {
 	Target string
 
-	listener net.Listener
+	address  string
 	mu       sync.Mutex
+	listener net.Listener
 	mode     Mode
 	conns    map[net.Conn]bool
 }
@@ -47,18 +48,38 @@
 // Start listens on a free loopback port and returns its address, or the error of
 // the listener.
 func (p *Proxy) Start() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	p.address, p.conns = "127.0.0.1:0", map[net.Conn]bool{}
+	err := p.Listen()
+	return p.address, err
+}
+
+// Listen accepts connections again after Refuse.
+func (p *Proxy) Listen() error {
+	l, err := net.Listen("tcp", p.address)
 	if err != nil {
-		return "", err
+		return err
+	}
+	p.mu.Lock()
+	p.listener, p.address = l, l.Addr().String()
+	p.mu.Unlock()
+	go p.accept(l)
+	return nil
+}
+
+// Refuse makes new connections be refused and resets the open ones, as when the target's
+// process ends. A close could be the regular end of a response.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+	for c := range p.conns {
+		reset(c)
 	}
-	p.listener, p.conns = l, map[net.Conn]bool{}
-	go p.accept()
-	return l.Addr().String(), nil
 }
 
 // Stop closes the listener and resets open connections.
 func (p *Proxy) Stop() {
-	_ = p.listener.Close()
+	p.Refuse()
 	p.SetMode(Reset)
 }
 
@@ -102,9 +123,9 @@
 	delete(p.conns, c)
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		in, err := p.listener.Accept()
+		in, err := l.Accept()
 		if err != nil {
 			return
 		}
