A stream is not resumed on an upstream that starts it anew

Callers got events twice when the upstream on which a stream was resumed ignored Last-Event-Id. Event IDs increase, so a first event that does not come after the last one that was sent shows it; the attempt counts as failed and the next upstream is tried.

TestUpstreamThatIgnoresLastEvent failed before (events 1 and 2 twice) and passes.

--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -149,6 +149,37 @@
 	require.Equal(t, fullStream(passed), resp.body)
 }
 
+// Guards against events that reach the caller twice, because the upstream on which a
+// stream is resumed starts it anew.
+func TestUpstreamThatIgnoresLastEvent(t *testing.T) {
+	const calls = 12
+	c := newCluster(t)
+	for n := range 3 {
+		c.addEngine(func(r *http.Request) standin.Behaviour {
+			switch {
+			case !standin.IsResumption(r):
+				return standin.TruncateStream
+			case n == 0:
+				return standin.Normal
+			}
+			return standin.IgnoreLastEvent
+		})
+	}
+	i := c.start(longRevocation)
+	c.waitForUpstreams(i, 3)
+	complete := 0
+	for range calls {
+		resp := c.call(i, "resume", "key-1")
+		require.Equal(t, http.StatusOK, resp.status)
+		if resp.err == nil {
+			require.Equal(t, fullStream(6), resp.body)
+			complete++
+		}
+		require.True(t, strings.HasPrefix(fullStream(6), resp.body), resp.body)
+	}
+	require.NotZero(t, complete, "one upstream resumes streams")
+}
+
 func TestClientDisconnectCancelsUpstreamRequest(t *testing.T) {
 	c := newCluster(t)
 	ended := make(chan struct{})
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -90,6 +91,10 @@
 	if err := s.fill(timeout); err != nil {
 		return a.abort(err)
 	}
+	if id := x.relayer.Wire.EventID(firstEvent(s.buffer[:s.completeBytes])); repeatsEvent(id, s.lastEventID) {
+		a.release(placer.Failed)
+		return x.recordFailure(a.choice, &sendError{maybeExecuted, errors.Errorf("upstream resumed after event %s with event %s", s.lastEventID, id)})
+	}
 	a.firstEventAt = time.Now()
 	a.run.RecordFirstToken(a.firstEventAt)
 	a.notifyPrefillChange()
@@ -97,6 +102,17 @@
 	return nil
 }
 
+// repeatsEvent reports whether an event with the ID id is, or precedes, the event with
+// the ID last. Of IDs that are not numbers only equal ones repeat.
+func repeatsEvent(id, last string) bool {
+	if id == "" || last == "" {
+		return false
+	}
+	n, err := strconv.Atoi(id)
+	m, lastErr := strconv.Atoi(last)
+	return id == last || err == nil && lastErr == nil && n <= m
+}
+
 // firstEventTimeout returns the timeout for the first event while a further
 // attempt is permitted, and 0 otherwise.
 func (s *stream) firstEventTimeout() time.Duration {
@@ -213,6 +229,12 @@
 	return n, nil
 }
 
+// firstEvent returns the first of a sequence of complete events.
+func firstEvent(events []byte) []byte {
+	first, _, _ := bytes.Cut(events, eventSeparator)
+	return first
+}
+
 // lastEvent returns the last of a sequence of complete events.
 func lastEvent(events []byte) []byte {
 	events = bytes.TrimSuffix(events, eventSeparator)
