Quarantines: less is sent to new links, restarts under a known name count

A link that comes up is sent the parts that are not cleared and the crashes of the last 30 s; verdicts that clear a part are kept for 10 minutes. An upstream whose start is not in the registry can end again after 2 s; its trial was not recognised before (TestUpstreamWithoutAStartTimeCanEndAgain). A sound part that ran on eight upstreams that end together stays admitted. The soak's engines crash before, after and late after the first event.

--- a/launcher/crash_test.go
+++ b/launcher/crash_test.go
@@ -96,8 +96,8 @@
 		}
 	}
 	var group sync.WaitGroup
-	for range 2 {
-		group.Go(func() { send(harmful, 150*time.Millisecond, &bad) })
+	for _, interval := range []time.Duration{130 * time.Millisecond, 170 * time.Millisecond} {
+		group.Go(func() { send(harmful, interval, &bad) })
 	}
 	group.Go(func() { send("shared:50,other-%d:20", 10*time.Millisecond, &sound) })
 	group.Wait()
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -58,7 +58,9 @@
 	trialTimeout     = 5 * time.Second  // After which a trial without a result counts as not made.
 	successLifetime  = 2 * time.Second  // In which a success speaks against a crash that becomes known after it.
 	crashLifetime    = 10 * time.Minute // After which a crash no longer counts against parts.
-	verdictLifetime  = 2 * time.Hour    // After which a verdict that has not changed is forgotten.
+	verdictLifetime  = 2 * time.Hour    // After which a verdict that has not changed is forgotten; crashLifetime if it clears its part.
+	resendLifetime   = 30 * time.Second // In which a crash is sent to peers whose link comes up.
+	restartTime      = 2 * time.Second  // After which an upstream whose start is unknown may have started again.
 	maxCrashes       = 256
 	pruneInterval    = time.Second
 )
@@ -232,14 +234,15 @@
 	q.notify(own, "")
 }
 
-// Suspicions returns all that this instance knows, for a peer that may lack it.
+// Suspicions returns the latest crashes and the parts that are not cleared, for a peer
+// that may not know them.
 func (q *Quarantiner) Suspicions() savoryloft.Suspicions {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var s savoryloft.Suspicions
 	now := time.Now()
 	for key, c := range q.crashes {
-		if now.Sub(c.at) > crashLifetime {
+		if now.Sub(c.at) > resendLifetime {
 			continue
 		}
 		report := savoryloft.UpstreamCrash{Upstream: key.upstream, StartedAt: key.startedAt}
@@ -253,7 +256,9 @@
 		}
 	}
 	for id, v := range q.verdicts {
-		s.Verdicts = append(s.Verdicts, v.encode(id, now))
+		if v.state != Cleared {
+			s.Verdicts = append(s.Verdicts, v.encode(id, now))
+		}
 	}
 	return s
 }
@@ -289,8 +294,8 @@
 func (q *Quarantiner) mergeCrash(received savoryloft.UpstreamCrash, now time.Time) (added savoryloft.UpstreamCrash) {
 	key := incarnation{received.Upstream, received.StartedAt}
 	c := q.crashes[key]
-	if c == nil {
-		if len(q.crashes) >= maxCrashes {
+	if c == nil || key.startedAt == 0 && now.Sub(c.at) > restartTime {
+		if c == nil && len(q.crashes) >= maxCrashes {
 			q.forgetOldestCrash()
 		}
 		c = &crash{at: now, parts: map[string]*evidence{}}
@@ -488,10 +493,11 @@
 		clear(q.suspected)
 	}
 	for id, v := range q.verdicts {
-		if now.Sub(v.changed) > verdictLifetime {
-			if v.state != Cleared {
-				q.restricted.Add(-1)
-			}
+		switch age := now.Sub(v.changed); {
+		case v.state == Cleared && age > crashLifetime:
+			delete(q.verdicts, id)
+		case age > verdictLifetime:
+			q.restricted.Add(-1)
 			delete(q.verdicts, id)
 		}
 	}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -153,6 +153,41 @@
 	})
 }
 
+// Guards against a sound part that is refused because all upstreams that ran requests
+// with it were switched off at once. Other instances have seen requests with it succeed.
+func TestPartOfUpstreamsThatEndTogetherIsAdmitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(4, rand.New(rand.NewPCG(1, 1)))
+		for _, q := range n.instances[1:] {
+			q.ObserveSuccess(prompt("a b"))
+		}
+		for u := range 8 {
+			n.instances[0].ObserveBroken(savoryloft.RegisteredUpstream{ID: fmt.Sprint("u-", u)}, Broken{Parts: prompt("a b"), OnProbed: func(bool) {}})
+		}
+		time.Sleep(time.Second)
+		for _, q := range n.instances {
+			require.True(t, q.admits("a b"))
+		}
+	})
+}
+
+// An upstream whose start is unknown can end again.
+func TestUpstreamWithoutAStartTimeCanEndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q, _ := newQuarantiner()
+		for n := range 3 {
+			q.crashUnder(n, "b")
+		}
+		wait, _ := q.Admit(prompt("b"))
+		time.Sleep(wait)
+		require.True(t, q.admits("b"))
+		q.crashUnder(0, "b")
+		wait, ok := q.Admit(prompt("b"))
+		require.False(t, ok)
+		require.Greater(t, wait, 2*firstPeriod)
+	})
+}
+
 // A trial whose result never arrives must not keep the part away for good.
 func TestTrialWithoutResultIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -188,6 +188,7 @@
 	s.publishConfiguration()
 	for i := range engineCount {
 		e := &standin.Engine{ID: fmt.Sprintf("i-%d", i), EventCount: eventsPerStream, EventInterval: 20 * time.Millisecond, Pause: time.Second}
+		e.CrashDelay = []time.Duration{0, 50 * time.Millisecond, 500 * time.Millisecond}[i%3]
 		e.Decide, e.Cut = s.engineBehaviour, func(r *http.Request) standin.Cut { return s.chooseCut(e, r) }
 		s.engines = append(s.engines, e)
 		s.startEngine(i, e)
