--- a/call.go
+++ b/call.go
@@ -57,7 +57,7 @@
 	KeepAlive   time.Duration // Upstream's timeout for idle connections; 0 when it gave none.
 	Close       bool
 	Leaving     bool          // The upstream is about to leave and must not get new requests.
-	Pause       time.Duration // Time for which the upstream wants no requests from this instance; 0 when it asks for none.
+	Pause       time.Duration // Time for which the upstream requests a pause from this instance; 0 when it requests none.
 	Length      int64         // Length of the body in bytes; -1 when unknown.
 }
 
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -23,7 +23,7 @@
 // When the log is restored from an older copy, which starts a new era, it may have
 // lost claims, committed counts and sizes. Claims of earlier eras are then void: a
 // holder stops when it learns of the new era, and nobody claims for a TTL after it
-// has learned of it. Counts and sizes are told to the peers, so that they outlive a
+// has learned of it. Counts and sizes are sent to the peers, so that they outlive a
 // restore; the next holder appends them again.
 //
 // # Usage
@@ -137,7 +137,7 @@
 	return c.state.uncertainBefore()
 }
 
-// ObserveEra processes an era of the log that this instance has heard of otherwise
+// ObserveEra processes an era of the log that this instance has received otherwise
 // than by its own calls.
 func (c *Claimer) ObserveEra(era int) {
 	c.mu.Lock()
@@ -434,7 +434,7 @@
 		return errors.Annotatef(savoryloft.ErrLeaseLost, "append %s: the log was restored", d.Kind)
 	case err == nil:
 		c.apply(savoryloft.Uptime(), savoryloft.KeyedRecord{Value: value, Offset: at})
-		c.tellCommit(d)
+		c.sendCommit(d)
 		return nil
 	case errors.Is(err, savoryloft.ErrUnavailable):
 		return err
@@ -445,9 +445,9 @@
 	return errors.Annotatef(err, "append %s", d.Kind)
 }
 
-// tellCommit tells the peers counts or a size that this instance has appended. The
+// sendCommit sends the peers counts or a size that this instance has appended. The
 // caller must hold c.mu.
-func (c *Claimer) tellCommit(d savoryloft.DutyRecord) {
+func (c *Claimer) sendCommit(d savoryloft.DutyRecord) {
 	var f savoryloft.DutyFacts
 	if d.Figures != nil {
 		f.Figures = []savoryloft.FiguresFact{figuresFact(d.Figures.Window, c.state.figures[d.Figures.Window])}
--- a/claimer/term.go
+++ b/claimer/term.go
@@ -65,7 +65,7 @@
 }
 
 // observeEra processes the era of a response of the log, or one that a peer has
-// heard of, and reports whether the era is new. All claims of earlier eras are void:
+// received, and reports whether the era is new. All claims of earlier eras are void:
 // the log may have lost any of them. This instance stops acting as the holder and
 // reads the topic again. Holders that do not know of the new era yet may act for up
 // to a TTL, so nobody claims before that time has passed. In the first era there are
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -216,7 +216,7 @@
 }
 
 // observeEra processes a new era of the log: the lease of an earlier one is void, and
-// peers are told at once.
+// peers receive it at once.
 func (l *Launcher) observeEra(era int) {
 	l.claimer.ObserveEra(era)
 	l.linker.BroadcastStatus()
@@ -319,7 +319,7 @@
 	return n
 }
 
-// cleanUpPlacer regularly removes the placer's state of upstreams that are gone.
+// cleanUpPlacer regularly removes the placer's state of upstreams that were removed.
 func (l *Launcher) cleanUpPlacer(ctx context.Context) error {
 	for ctx.Err() == nil {
 		savoryloft.Sleep(ctx, cleanupInterval)
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -87,7 +87,7 @@
 	LeavingSince(cursor int) (list []savoryloft.LeavingUpstream, next int)
 	// MergeLeaving stores which upstreams leave according to a peer.
 	MergeLeaving(list []savoryloft.LeavingUpstream)
-	// DutyFacts returns the records of the duties topic that a hub is told when a link
+	// DutyFacts returns the records of the duties topic that a hub is sent when a link
 	// to it comes up.
 	DutyFacts() savoryloft.DutyFacts
 	// LearnDuties stores the records of the duties topic that a peer knows.
@@ -290,7 +290,7 @@
 	}
 }
 
-// BroadcastDuties tells records of the duties topic to the hubs, which are the
+// BroadcastDuties sends records of the duties topic to the hubs, which are the
 // instances that may act on them.
 func (l *Linker) BroadcastDuties(f savoryloft.DutyFacts) {
 	l.init()
@@ -349,7 +349,7 @@
 	}
 }
 
-// BroadcastUpdate tells the peers changed loads and newly cached prompt parts. In a
+// BroadcastUpdate sends the peers changed loads and newly cached prompt parts. In a
 // mesh they are sent after a short coalescing delay. In a larger deployment, where
 // an update would pass through hubs to all instances, they are sent with the next
 // status.
--- a/linker/members.go
+++ b/linker/members.go
@@ -39,7 +39,7 @@
 }
 
 // AddMembers adds instances that were discovered outside the links. Members that
-// expired are added again, so that they can be dialed, but are not told to peers.
+// expired are added again, so that they can be dialed, but are not sent to peers.
 func (l *Linker) AddMembers(greetings []savoryloft.LinkGreeting) {
 	l.init()
 	l.mu.Lock()
@@ -128,7 +128,7 @@
 }
 
 // toldInstances returns the number of live instances according to the linked hubs,
-// or 0 if none has told it. The caller holds the lock.
+// or 0 if none has sent it. The caller holds the lock.
 func (l *Linker) toldInstances(now time.Duration) (count int) {
 	for _, k := range l.links {
 		if k.countedAt > 0 && now-k.countedAt < linkTimeout {
--- a/linker/status.go
+++ b/linker/status.go
@@ -45,10 +45,10 @@
 
 // usageScope returns which usage counts to send to a peer. ok is false if the peer
 // is sent none. Only hubs can hold the lease, so in a large deployment an instance
-// tells its own counts to its primary hub, which relays them to the other hubs. A
+// sends its own counts to its primary hub, which relays them to the other hubs. A
 // hub whose link comes up may have started just now. The other hub of its failure
 // domain and the instances that read the log send it the counts of all instances,
-// among them those that are gone.
+// among them those that were removed.
 func (l *Linker) usageScope(k *link, child bool) (scope savoryloft.UsageScope, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/linker/topology.go
+++ b/linker/topology.go
@@ -87,7 +87,7 @@
 }
 
 // firstCandidates returns the hubs of each failure domain. In a domain with too few
-// candidates, members that have not been heard of lately fill the places, so that
+// candidates, members that have sent no status lately fill the places, so that
 // hubs dial them again after a long partition. The caller holds the lock.
 func (l *Linker) firstCandidates(own ranked, now time.Duration) map[string]*[hubsPerDomain]ranked {
 	domains := map[string]*[hubsPerDomain]ranked{}
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -176,7 +176,7 @@
 	// Greeting corresponds to the JSON schema field "Greeting".
 	Greeting *LinkGreeting `json:"Greeting,omitempty,omitzero" msgpack:"Greeting,omitempty"`
 
-	// Other instances that the sender has heard of.
+	// Other instances that the sender knows.
 	Members []LinkGreeting `json:"Members,omitempty,omitzero" msgpack:"Members,omitempty"`
 
 	// Control records that the receiver may lack.
@@ -210,7 +210,7 @@
 	Power int `json:"Power" msgpack:"Power"`
 
 	// Version of the frames that the instance sends and understands; 0 in builds that
-	// did not tell it.
+	// did not send it.
 	Protocol int `json:"Protocol" msgpack:"Protocol"`
 }
 
@@ -298,7 +298,7 @@
 	return nil
 }
 
-// What an instance tells a peer at each interval.
+// What an instance sends to a peer at each interval.
 type LinkStatus struct {
 	// The sender relies on the receiver to pass its loads on.
 	Child bool `json:"Child" msgpack:"Child"`
@@ -313,7 +313,7 @@
 	// names.
 	EchoAge int `json:"EchoAge" msgpack:"EchoAge"`
 
-	// Latest era of the log that the sender has heard of; 0 when none.
+	// Latest era of the log that the sender has received; 0 when none.
 	Era int `json:"Era" msgpack:"Era"`
 
 	// Live instances of the deployment as a hub counts them; 0 from others.
@@ -467,7 +467,7 @@
 	Names []string `json:"Names,omitempty,omitzero" msgpack:"Names,omitempty"`
 
 	// Four values for each load: the upstream's number, Running, Prefill in steps of
-	// 100 and Tokens in steps of 1000. A load that is gone has zeros.
+	// 100 and Tokens in steps of 1000. A load that has ended has zeros.
 	Values []int `json:"Values,omitempty,omitzero" msgpack:"Values,omitempty"`
 }
 
--- a/recordlog.go
+++ b/recordlog.go
@@ -55,7 +55,7 @@
 	Records []KeyedRecord // In topics without keys, Key is empty.
 	Next    int           // Offset at which the next read starts.
 	End     int           // Offset of the next record to be appended.
-	Era     int           // Era of the log that answered; 0 when it told none.
+	Era     int           // Era of the log that responded; 0 when it sent none.
 }
 
 // RecordLog is the platform's log of topics with conditional appends. When it is
@@ -75,10 +75,10 @@
 	// ErrConflict when the topic ends at another offset, ErrUnavailable when
 	// nothing was appended, and any other error when the record may have been
 	// appended or may still be. era is that of the log that answered, also with an
-	// error; 0 when it told none.
+	// error; 0 when it sent none.
 	AppendAt(ctx context.Context, topic Topic, at int, value []byte) (era int, err error)
 	// Put appends a record of a keyed topic. It returns the era of the log that
-	// answered; 0 when it told none.
+	// responded; 0 when it sent none.
 	Put(ctx context.Context, topic Topic, key string, value []byte) (era int, err error)
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -107,7 +107,7 @@
 		return nil, &sendError{notExecuted, errOverloaded}
 	}
 	if wait, ok := r.Quarantine.Admit(x.call.Parts); !ok {
-		x.quarantine = wait
+		x.quarantineWait = wait
 		return nil, &sendError{notExecuted, errQuarantined}
 	}
 	a := &attempt{exchange: x, choice: choice, run: r.Placer.Start(time.Now(), choice, req)}
@@ -199,7 +199,7 @@
 }
 
 // followUpstream records what the response says of the upstream itself: that it
-// leaves, or that it wants a pause.
+// leaves, or that it requests a pause.
 func (a *attempt) followUpstream() {
 	r := a.exchange.relayer
 	if a.head.Misdirected {
@@ -326,10 +326,10 @@
 	if errors.Is(e.cause, errNoUpstream) || errors.Is(e.cause, errOverloaded) || errors.Is(e.cause, errQuarantined) {
 		return false
 	}
-	if x.brokenSends >= maxBrokenSends && x.hasEndedUpstream() {
+	if e.execution == maybeExecuted && (!x.retryable() || x.possibleRuns >= x.route.MaxAttempts) {
 		return false
 	}
-	if e.execution == maybeExecuted && (!x.retryable() || x.possibleRuns >= x.route.MaxAttempts) {
+	if x.brokenSends >= maxBrokenSends && x.hasEndedUpstream() {
 		return false
 	}
 	return x.sends == 0 || x.relayer.Limiter.Allow(time.Now(), x.service)
@@ -363,7 +363,7 @@
 	case errors.Is(e.cause, errOverloaded):
 		x.refuseOverloaded()
 	case x.possibleRuns == 0 && errors.Is(e.cause, errQuarantined):
-		x.refuse(http.StatusServiceUnavailable, "Quarantined", errQuarantined.Error()+"; the request has not run", x.quarantine)
+		x.refuse(http.StatusServiceUnavailable, "Quarantined", errQuarantined.Error()+"; the request has not run", x.quarantineWait)
 	case x.possibleRuns > 0 || e.execution == maybeExecuted:
 		x.refuse(http.StatusBadGateway, "UpstreamFailed", "upstream failed; the request may have run", 0)
 	case errors.Is(e.cause, errNoUpstream):
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -107,7 +107,7 @@
 	probed           chan bool       // Receives for each of these sends whether its upstream has ended.
 	probesRead       int             // Results received from probed.
 	upstreamEnded    bool            // An upstream of these sends has ended.
-	quarantine       time.Duration   // Until requests with the same prompt parts may be admitted again.
+	quarantineWait   time.Duration   // Until requests with the same prompt parts may be admitted again.
 	partsHarmless    bool            // An upstream has responded for long enough that the prompt parts cannot crash it.
 	usageCounted     bool
 	upstream         string // ID of the last chosen upstream.
--- a/usage.go
+++ b/usage.go
@@ -1,6 +1,6 @@
 package savoryloft
 
-// UsageScope selects the usage counts that an instance tells a peer.
+// UsageScope selects the usage counts that an instance sends to a peer.
 type UsageScope int
 
 // Values of UsageScope.
--- a/watcher/era.go
+++ b/watcher/era.go
@@ -13,10 +13,10 @@
 const rewriteTime = recoveryGrace
 
 // errEarlierEra is returned for a response that the log made before a restore that
-// this instance has already heard of.
+// this instance has already received.
 const errEarlierEra = errors.ConstError("response is from an earlier era of the log")
 
-// ObserveEra processes an era of the log that this instance has heard of.
+// ObserveEra processes an era of the log that this instance has received.
 func (w *Watcher) ObserveEra(era int) {
 	w.init()
 	w.mu.Lock()
@@ -57,8 +57,8 @@
 	return true
 }
 
-// Era returns the latest era of the log that this instance has heard of, or 0 when
-// it has heard of none.
+// Era returns the latest era of the log that this instance has received, or 0 when
+// it has received none.
 func (w *Watcher) Era() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -87,8 +87,8 @@
 	services atomic.Pointer[map[string][]savoryloft.RegisteredUpstream]
 
 	mu                 sync.Mutex
-	era                int                      // Latest era of the log that this instance has heard of; 0 for none.
-	eraSeenAt          time.Duration            // Uptime at which it heard of that era; 0 if none can have preceded it.
+	era                int                      // Latest era of the log that this instance has received; 0 for none.
+	eraSeenAt          time.Duration            // Uptime at which it received that era; 0 if none can have preceded it.
 	registryEraEnd     int                      // End of the registry at the first own read in that era; -1 before.
 	heardVersion       int                      // Highest version of the configuration that a peer has had.
 	logUnreachable     bool                     // Whether the last read of the configuration failed.
