--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -318,3 +318,35 @@
 		}
 	})
 }
+
+// Guards against a prompt part that goes on ending upstreams in a large deployment,
+// because the crashes that its instances see reach only their neighbours. Each crash is
+// seen by another instance; all must refuse the part soon.
+func TestQuarantinesReachAllInstancesOfALargeFleet(t *testing.T) {
+	const bound = time.Second
+	size := fleetSize{instances: 195, domains: 6, upstreams: 100, accounts: 1, parts: 1, requestsPerSecond: 1}
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, size, 4)
+		defer f.stop()
+		time.Sleep(8 * time.Second)
+		prompt := []savoryloft.PromptPart{{ID: "shared", Tokens: 50}, {ID: "harmful", Tokens: 30}, {ID: "own", Tokens: 20}}
+		sound := []savoryloft.PromptPart{prompt[0], prompt[2]}
+		sent := f.linkBytes()
+		for n := range 3 {
+			f.launchers[n*60].quarantine.Merge(savoryloft.Suspicions{Crashes: []savoryloft.UpstreamCrash{{
+				Upstream: fleetUpstream(n), StartedAt: 1,
+				Parts: []savoryloft.SuspectPart{{Part: "shared"}, {Part: "harmful", Depth: 1}},
+			}}}, "")
+			time.Sleep(200 * time.Millisecond)
+			f.launchers[100].quarantine.ObserveSuccess(sound)
+		}
+		time.Sleep(bound)
+		for i, l := range f.launchers {
+			_, ok := l.quarantine.Admit(prompt)
+			require.False(t, ok, "instance %d", i)
+			_, ok = l.quarantine.Admit(sound)
+			require.True(t, ok, "instance %d", i)
+		}
+		t.Logf("bytes on links in 1.6 s, an instance: %d", (f.linkBytes()-sent)/size.instances)
+	})
+}
