--- a/exchanger/cut_test.go
+++ b/exchanger/cut_test.go
@@ -96,3 +96,26 @@
 		}
 	}
 }
+
+// Bodies of any length are read whole, over the boundaries of the blocks that hold them.
+func TestBodiesOfManyLengths(t *testing.T) {
+	for _, length := range []int{0, 1, 4095, 4096, 4097, 36863, 36864, 36865, 69632, 69633, 200000} {
+		body := strings.Repeat("0123456789abcde\n", length/16+1)[:length]
+		u := &upstream{handle: func(c net.Conn, _ *bufio.Reader) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, body)
+		}}
+		p := &exchanger.Pool{Dial: u.dial}
+		for range 2 {
+			conn, err := p.Get(t.Context(), "u", exchanger.Reuse)
+			require.NoError(t, err)
+			require.NoError(t, conn.Send(t.Context(), []byte("GET / HTTP/1.1\r\nHost: u\r\n\r\n"), nil, time.Second))
+			resp, err := conn.ReadResponse(t.Context(), http.MethodGet)
+			require.NoError(t, err)
+			got, err := conn.ReadResponseBody(t.Context(), resp, 1<<20)
+			require.NoError(t, err)
+			require.Equal(t, body, string(got))
+			conn.Release()
+		}
+		p.CloseIdle()
+	}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -246,36 +246,63 @@
 
 // readAll reads r to its end, which must come within limit bytes. The memory that
 // it takes meanwhile counts toward the pool's limit, so that servers that send
-// bytes without end cannot exhaust the memory of the process.
+// bytes without end cannot exhaust the memory of the process. Blocks are reused, so
+// that failed reads leave no garbage.
 func (c *Conn) readAll(ctx context.Context, r io.Reader, limit int64) ([]byte, error) {
-	body := make([]byte, 0, minReadBytes)
-	var reserved int64
-	defer func() { c.pool.buffered.Add(-reserved) }()
+	first := make([]byte, 0, minReadBytes)
+	block, size := first, int64(0)
+	var blocks []*[]byte // After the first one.
+	defer func() {
+		for _, b := range blocks {
+			blockPool.Put(b)
+		}
+		c.pool.buffered.Add(-int64(len(blocks)) * blockBytes)
+	}()
 	for {
-		if len(body) == cap(body) {
-			grown := int64(cap(body))
-			if !c.pool.reserveBuffer(grown) {
+		if len(block) == cap(block) {
+			if !c.pool.reserveBuffer(blockBytes) {
 				return nil, errors.Annotatef(errBufferedTooMuch, "read response body from %s", c.Address)
 			}
-			reserved += grown
-			body = append(make([]byte, 0, 2*cap(body)), body...)
+			next := blockPool.Get().(*[]byte)
+			blocks = append(blocks, next)
+			block = (*next)[:0]
 		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		n, err := r.Read(block[len(block):cap(block)])
+		block, size = block[:len(block)+n], size+int64(n)
 		switch {
-		case int64(len(body)) > limit:
+		case size > limit:
 			return nil, errors.Errorf("response body from %s exceeds %d bytes", c.Address, limit)
 		case errors.Is(err, io.EOF):
-			return body, nil
+			return joinBlocks(first, blocks, size), nil
 		case err != nil:
 			return nil, errors.Annotatef(cause(ctx, err), "read response body from %s", c.Address)
 		}
 	}
 }
 
-// minReadBytes is the first size of the buffer of readAll, which does not count
-// toward MaxBufferedBytes. Most responses fit.
-const minReadBytes = 4 << 10
+// joinBlocks returns the first size bytes of the blocks.
+func joinBlocks(first []byte, blocks []*[]byte, size int64) []byte {
+	if size <= minReadBytes {
+		return first[:size]
+	}
+	body := append(make([]byte, 0, size), first[:minReadBytes]...)
+	for _, b := range blocks {
+		body = append(body, (*b)[:min(blockBytes, size-int64(len(body)))]...)
+	}
+	return body
+}
+
+const (
+	// minReadBytes is the size of the first block of readAll, which does not count
+	// toward MaxBufferedBytes. Most responses fit.
+	minReadBytes = 4 << 10
+	blockBytes   = 32 << 10 // Size of the other blocks.
+)
+
+var blockPool = sync.Pool{New: func() any {
+	b := make([]byte, blockBytes)
+	return &b
+}}
 
 // reserveBuffer adds n bytes to the memory for responses that are being read. It
 // returns false if that would exceed the limit.
