A relayed removal ends the wait for an upstream's renewal

Cause: the instance had been cut off from the log. It read the removal 0.4 s after it reached the log again and deferred it, as an entry that may have lapsed in an outage; the relayed removal of a peer that had seen no outage came 10 ms later and was dropped, because its position was known. A relayed removal at the same position now takes effect.

TestRelayedRemovalEndsTheGracePeriod failed before and passes.

--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -75,6 +75,10 @@
 		w.registryRead = max(w.registryRead, r.Position)
 	}
 	e := w.entries[r.Key]
+	if e != nil && !fromLog && r.Value == "" && e.missingSince != 0 && r.Position >= e.position {
+		w.removeEntry(r.Key, e, r.Position) // Deferred here, but not by the peer.
+		return true
+	}
 	if e != nil && (r.Position <= e.position || fromLog && w.isCopied(r.Position, e.position)) {
 		return false
 	}
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -176,6 +176,27 @@
 	})
 }
 
+// Guards against requests that reach an upstream for two seconds after its removal: this
+// instance was cut off from the log, and a peer that was not relays the removal after
+// this one has read and deferred it.
+func TestRelayedRemovalEndsTheGracePeriod(t *testing.T) {
+	runFixture(t, func(w *fixture) {
+		w.setUpstream("a")
+		time.Sleep(time.Second)
+		require.Equal(t, 1, w.upstreams())
+		w.log.SetDown(true)
+		time.Sleep(5 * time.Second)
+		w.log.SetDown(false)
+		time.Sleep(time.Second)
+		w.log.Set(savoryloft.TopicRegistry, "a", nil)
+		time.Sleep(400 * time.Millisecond)
+		require.Equal(t, 1, w.upstreams(), "it may only have lapsed in the outage")
+		_, read := w.watcher.RegistryPositions()
+		w.watcher.ApplyRelayed("peer", []savoryloft.ControlRecord{{Topic: int(savoryloft.TopicRegistry), Key: "a", Position: read}})
+		require.Zero(t, w.upstreams())
+	})
+}
+
 func TestNonReadersReadTheLogWhenRelayedDataIsOld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
