--- a/launcher/crash_test.go
+++ b/launcher/crash_test.go
@@ -88,7 +88,7 @@
 			r := c.requestWithParts(c.instances[n%instances], []string{"resume", "stream"}[n/instances%2], "key-1", fmt.Sprintf(parts, n))
 			mu.Unlock()
 			sent := time.Now()
-			resp := doCut(t, r)
+			resp := doOnNewConnection(t, r)
 			mu.Lock()
 			*list = append(*list, timedResponse{resp, sent, standin.AttemptID(r)})
 			mu.Unlock()
@@ -153,7 +153,7 @@
 	i := c.start(longRevocation)
 	c.waitForUpstreams(i, 4)
 	r := c.requestWithParts(i, "resume", "key-1", crashingPart+":100")
-	require.Equal(t, http.StatusBadGateway, doCut(t, r).status)
+	require.Equal(t, http.StatusBadGateway, doOnNewConnection(t, r).status)
 	require.Equal(t, maxEnded, c.startedRuns(standin.AttemptID(r)))
 }
 
@@ -171,7 +171,7 @@
 	c.waitForUpstreams(first, 6)
 	send := func(i *instance) (response, string) {
 		r := c.requestWithParts(i, "stream", "key-1", crashingPart+":50,own:50")
-		return doCut(t, r), standin.AttemptID(r)
+		return doOnNewConnection(t, r), standin.AttemptID(r)
 	}
 	require.Eventually(t, func() bool {
 		resp, _ := send(first)
--- a/launcher/cut_test.go
+++ b/launcher/cut_test.go
@@ -89,7 +89,7 @@
 		cut := standin.Cut{Framing: f, Ending: e, At: at}
 		whole = at >= len(head)+len(body)
 		cuts.add(r, cut)
-		resp := doCut(t, r)
+		resp := doOnNewConnection(t, r)
 		where := fmt.Sprintf("cut at %d, head of %d, body of %d: %+v", at, len(head), len(body), resp)
 		if resp.err != nil || resp.status != http.StatusOK {
 			// The first upstream's silence can take up the time of a second attempt.
@@ -104,8 +104,8 @@
 	}
 }
 
-// doCut sends a request on a new connection.
-func doCut(t *testing.T, r *http.Request) response {
+// doOnNewConnection sends a request and reads the whole response.
+func doOnNewConnection(t *testing.T, r *http.Request) response {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
 	resp, err := client.Do(r)
 	require.NoError(t, err)
