--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -5,6 +5,7 @@
 // # Usage
 //
 //	make soak SEEDS="1 2 3" SECONDS=20
+//	SOAK_INSTANCES=60 make soak SEEDS="4 5" SECONDS=20 // More processes.
 package soaker
 
 import (
