--- a/exchanger/cut_test.go
+++ b/exchanger/cut_test.go
@@ -46,8 +46,7 @@
 	return conn.ReadResponseBody(ctx, resp, 100)
 }
 
-// Guards against a response that is cut at any byte and read as a complete one. Only a
-// body without length or chunks may end early, by a regular close of its connection.
+// Guards against a response that is cut at any byte and read as a complete one.
 func TestCutResponses(t *testing.T) {
 	for _, tt := range []struct {
 		name, response string
--- a/launcher/crash_test.go
+++ b/launcher/crash_test.go
@@ -37,9 +37,7 @@
 	return p
 }
 
-// Guards against requests with one prompt part that end upstream after upstream. The
-// requests come at all instances, on routes that permit retries and on others, and
-// share their account and their other part with sound ones, which must be served.
+// Guards against requests with one prompt part that end upstream after upstream.
 func TestPromptPartThatCrashesUpstreams(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
@@ -143,8 +141,7 @@
 	id   string
 }
 
-// Guards against one request that is sent on after upstreams have ended under it. It has
-// no part that other requests may share.
+// Guards against one request that is sent on after upstreams have ended under it.
 func TestRequestUnderWhichUpstreamsEndIsNotSentOn(t *testing.T) {
 	c := newCluster(t)
 	for range 4 {
@@ -160,8 +157,7 @@
 // maxEnded is the number of upstreams that one request may end.
 const maxEnded = 2
 
-// Guards against an instance that starts, knows nothing of a quarantine and sends the
-// next requests to upstreams.
+// Guards against an instance that starts and sends quarantined requests to upstreams.
 func TestNewInstanceLearnsQuarantines(t *testing.T) {
 	c := newCluster(t)
 	for range 6 {
--- a/launcher/cut_test.go
+++ b/launcher/cut_test.go
@@ -47,8 +47,7 @@
 	c.pending[standin.AttemptID(r)] = cut
 }
 
-// Guards against responses that an upstream has broken off, at any byte and in any
-// framing, and that reach the caller as complete ones.
+// Guards against responses that an upstream has broken off and that reach the caller as complete ones.
 func TestCutResponsesNeverLookComplete(t *testing.T) {
 	framings := []string{"length", "chunks", "unframed"}
 	endings := []string{"closed", "reset", "silent", "longer"}
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -319,9 +319,7 @@
 	})
 }
 
-// Guards against a prompt part that goes on ending upstreams in a large deployment,
-// because the crashes that its instances see reach only their neighbours. Each crash is
-// seen by another instance; all must refuse the part soon.
+// Guards against crashes that only the neighbours of the instance that saw them receive.
 func TestQuarantinesReachAllInstancesOfALargeFleet(t *testing.T) {
 	const bound = time.Second
 	size := fleetSize{instances: 195, domains: 6, upstreams: 100, accounts: 1, parts: 1, requestsPerSecond: 1}
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -149,8 +149,7 @@
 	require.Equal(t, fullStream(passed), resp.body)
 }
 
-// Guards against events that reach the caller twice, because the upstream on which a
-// stream is resumed starts it anew.
+// Guards against events that reach the caller twice because an upstream starts the stream anew.
 func TestUpstreamThatIgnoresLastEvent(t *testing.T) {
 	const calls = 12
 	c := newCluster(t)
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -55,6 +55,7 @@
 	time.Sleep(time.Second)
 }
 
+// Guards against a quarantine of another part than the one that crashes upstreams.
 func TestHarmfulPartIsQuarantined(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
@@ -96,8 +97,7 @@
 	}
 }
 
-// A connection that breaks says nothing against a prompt while its upstream is there, or
-// while the network may be down.
+// Guards against quarantines because connections break while their upstreams are there.
 func TestOnlyUpstreamsThatEndedCount(t *testing.T) {
 	for _, dial := range []func(context.Context, string) (net.Conn, error){
 		func(context.Context, string) (net.Conn, error) {
@@ -121,8 +121,7 @@
 	}
 }
 
-// After a quarantine a single request is admitted. Its upstream's end brings a longer
-// quarantine, its success lifts it.
+// Guards against quarantines that never end, and against several trials at once.
 func TestQuarantineEndsWithATrial(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q, _ := newQuarantiner()
@@ -153,8 +152,7 @@
 	})
 }
 
-// Guards against a sound part that is refused because all upstreams that ran requests
-// with it were switched off at once. Other instances have seen requests with it succeed.
+// Guards against a sound part that is refused because upstreams were switched off at once.
 func TestPartOfUpstreamsThatEndTogetherIsAdmitted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(4, rand.New(rand.NewPCG(1, 1)))
@@ -171,7 +169,7 @@
 	})
 }
 
-// An upstream whose start is unknown can end again.
+// Guards against a trial that goes unnoticed because the upstream has ended before.
 func TestUpstreamWithoutAStartTimeCanEndAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q, _ := newQuarantiner()
@@ -188,7 +186,7 @@
 	})
 }
 
-// A trial whose result never arrives must not keep the part away for good.
+// Guards against a part that is kept away for good because a trial had no result.
 func TestTrialWithoutResultIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q, _ := newQuarantiner()
@@ -203,9 +201,7 @@
 	})
 }
 
-// A storm of crashes under one part: many requests run on each upstream that ends, and
-// each of their parts succeeds now and then. Instances must not quarantine any of these,
-// also where they receive news late.
+// Guards against quarantines of the parts of other requests that ran on crashed upstreams.
 func TestStormQuarantinesOnlyItsCause(t *testing.T) {
 	for seed := range uint64(40) {
 		synctest.Test(t, func(t *testing.T) {
@@ -242,8 +238,7 @@
 	}
 }
 
-// Instances that receive the same news, in any order and more than once, agree on every
-// part.
+// Guards against instances that receive the same news and differ on a part.
 func TestInstancesAgree(t *testing.T) {
 	for seed := range uint64(100) {
 		synctest.Test(t, func(t *testing.T) {
--- a/server/stream_test.go
+++ b/server/stream_test.go
@@ -37,8 +37,7 @@
 	}
 }
 
-// Guards against a finished stream that is held back, or run again on another engine,
-// because its connection falls silent between the end marker and the last chunk.
+// Guards against a finished stream that is held back or run again after its end marker.
 func TestStreamIsCompleteAtItsEndMarker(t *testing.T) {
 	withFleet(t, 1, func(f *fleet) {
 		for _, e := range f.engines {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -176,9 +176,7 @@
 	})
 }
 
-// Guards against requests that reach an upstream for two seconds after its removal: this
-// instance was cut off from the log, and a peer that was not relays the removal after
-// this one has read and deferred it.
+// Guards against requests to a removed upstream whose relayed removal was dropped.
 func TestRelayedRemovalEndsTheGracePeriod(t *testing.T) {
 	runFixture(t, func(w *fixture) {
 		w.setUpstream("a")
