--- a/launcher/crash_test.go
+++ b/launcher/crash_test.go
@@ -29,8 +29,7 @@
 	}
 	c.engines = append(c.engines, e)
 	p := &standin.Process{Engine: e, IP: c.ip, DownTime: downTime, OnStart: func(address string) {
-		c.log.Set(savoryloft.TopicRegistry, e.ID, []byte(fmt.Sprintf(
-			`{"service":"s","address":%q,"zone":"a","slots":8,"state":"ready","born":%d}`, address, time.Now().UnixMilli())))
+		c.log.Set(savoryloft.TopicRegistry, e.ID, e.RegistryEntry(address, "ready", 8))
 	}}
 	require.NoError(c.t, p.Start())
 	c.t.Cleanup(p.Stop)
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -191,7 +191,7 @@
 func (f *fleet) register(u, beat int) {
 	value, err := json.Marshal(map[string]any{
 		"ID": fleetUpstream(u), "Service": "s", "Address": fmt.Sprintf("10.1.%d.%d:1", u/250, u%250),
-		"FailureDomain": fmt.Sprint("d", u%f.domains), "Slots": 64, "Beat": beat,
+		"FailureDomain": fmt.Sprint("d", u%f.domains), "Slots": 64, "Version": "v1", "Beat": beat,
 	})
 	require.NoError(f.t, err)
 	f.log.Set(savoryloft.TopicRegistry, fleetUpstream(u), value)
--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -126,6 +127,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	e.Start()
 	c.engines = append(c.engines, e)
 	c.register(e.ID, server.Listener.Addr().String(), "ready")
 	return e
@@ -133,8 +135,11 @@
 
 // register writes an upstream's registry entry to the log.
 func (c *cluster) register(id, address, state string) {
-	c.log.Set(savoryloft.TopicRegistry, id, []byte(fmt.Sprintf(
-		`{"service":"s","address":%q,"zone":"a","slots":8,"state":%q,"seq_no":1}`, address, state)))
+	e := &standin.Engine{ID: id}
+	if n := slices.IndexFunc(c.engines, func(e *standin.Engine) bool { return e.ID == id }); n >= 0 {
+		e = c.engines[n]
+	}
+	c.log.Set(savoryloft.TopicRegistry, id, e.RegistryEntry(address, state, 8))
 }
 
 // instanceIP returns a loopback address that nothing else in this test process, or in
--- a/launcher/poison_test.go
+++ b/launcher/poison_test.go
@@ -73,8 +73,7 @@
 			p.c.log.Set(savoryloft.TopicRegistry, id, nil)
 		}
 		id = process.CurrentEngine().ID
-		p.c.log.Set(savoryloft.TopicRegistry, id, []byte(fmt.Sprintf(
-			`{"service":"s","address":%q,"zone":"a","slots":8,"state":"ready","born":%d}`, address, time.Now().UnixMilli())))
+		p.c.log.Set(savoryloft.TopicRegistry, id, process.CurrentEngine().RegistryEntry(address, "ready", 8))
 	}
 	require.NoError(p.c.t, process.Start())
 	p.c.t.Cleanup(process.Stop)
--- a/launcher/upstream_test.go
+++ b/launcher/upstream_test.go
@@ -78,8 +78,8 @@
 			c.register(leaving.ID, address, "ready")
 			time.Sleep(time.Second)
 			require.True(t, first.launcher.watcher.Upstreams("s")[0].Draining, "the registry still shows the same start")
-			c.log.Set(savoryloft.TopicRegistry, leaving.ID, []byte(fmt.Sprintf(
-				`{"service":"s","address":%q,"zone":"a","slots":8,"state":"ready","born":%d}`, address, time.Now().UnixMilli())))
+			leaving.Start()
+			c.register(leaving.ID, address, "ready")
 			for _, i := range []*instance{first, second} {
 				require.Eventually(t, func() bool { return !i.launcher.watcher.Upstreams("s")[0].Draining }, eventuallyTimeout, 10*time.Millisecond)
 			}
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -333,7 +333,7 @@
 
 // register registers an engine as started now.
 func (s *soakRun) register(i int) {
-	s.registered[i] = fmt.Sprintf(`{"service":"s","address":%q,"zone":"a","slots":64,"state":"ready","born":%d}`, s.addresses[i], time.Now().UnixMilli())
+	s.registered[i] = string(s.engines[i].RegistryEntry(s.addresses[i], "ready", 64))
 	s.log.Set(savoryloft.TopicRegistry, s.engines[i].ID, []byte(s.registered[i]))
 }
 
@@ -363,6 +363,7 @@
 	}
 	e.SetLeaving(false)
 	s.leaving[i] = time.Time{}
+	e.Start()
 	s.register(i)
 }
 
