Logs show the software version of upstreams, and the attempt that a request resumes

What was lacking for the incident of joined streams: nothing decoded the version of an upstream's software or the attempt that a client names when it takes a stream up, so that the logs could not tell a resumption at the same version from one at another. Decodes both, and the upstream's report on itself; decides nothing.

--- a/call.go
+++ b/call.go
@@ -36,6 +36,7 @@
 	OutputHint   int // Caller's estimate of the number of tokens in the answer; 0 when it gave none.
 	Parts        []PromptPart
 	LastEventID  string
+	Resumes      string // ID of the caller's attempt that brought the first event of the stream to resume; empty when it named none.
 }
 
 // Fingerprint returns a string that is the same for calls of an account with the same
@@ -84,6 +85,11 @@
 	InvalidLimit = -2
 )
 
+// UpstreamReport is what the process of an upstream reports on itself.
+type UpstreamReport struct {
+	StartedAtMs int // As in its registry entry; 0 when it gave none.
+}
+
 // WireFormat decodes requests and answers and encodes requests to upstreams.
 type WireFormat interface {
 	// DecodeCall decodes the head of a request. The text of its error describes
@@ -93,6 +99,10 @@
 	AppendCall(dst []byte, call *Call, d Dispatch) []byte
 	// DecodeAnswer decodes the head of an upstream's answer.
 	DecodeAnswer(resp *http.Response) AnswerHead
+	// AppendReportCall appends the request for an upstream's report on itself to dst.
+	AppendReportCall(dst []byte, address string) []byte
+	// DecodeReport decodes the body of the answer to that request.
+	DecodeReport(body []byte) (UpstreamReport, error)
 	// EventID returns the ID of an event of a stream, or "" when it has none.
 	EventID(event []byte) string
 }
--- a/configuration.go
+++ b/configuration.go
@@ -109,4 +109,5 @@
 	Reclaimable   bool
 	WarmUp        time.Duration // Registered warm-up time, during which the upstream is slower.
 	StartedAtMs   int           // Start time of the upstream, as Unix time in milliseconds.
+	Version       string        // Version of the upstream's software; empty if it is not registered.
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -307,7 +307,7 @@
 	}
 	x.relayer.Logger.Info("request", "id", x.call.ID, "outcome", outcome, "status", status,
 		"route", route, "kind", kind, "account", x.identity.Account, "rank", x.identity.Rank, "service", x.service,
-		"upstream", x.upstream, "sends", x.sends, "runs", x.possibleRuns,
+		"upstream", x.upstream, "software", x.choice.Upstream.Version, "resumes", x.call.Resumes, "after", x.call.LastEventID, "sends", x.sends, "runs", x.possibleRuns,
 		"first", x.timeToResponse.Milliseconds(), "took", time.Since(x.received).Milliseconds(),
 		"version", version, "age", x.configAge.Milliseconds(),
 		"cost", int(x.choice.Cost), "preferred", x.choice.Preferred, "prompt", x.call.PromptTokens, "uncached", x.choice.UncachedTokens, "running", x.choice.Running, "waiting", x.choice.QueuedTokens)
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -269,7 +269,7 @@
 		if s.notStream {
 			return errors.Annotatef(cause, "resume stream: upstream responded with status %d", s.attempt.head.StatusCode)
 		}
-		x.relayer.Logger.Info("stream resumed", "id", x.call.ID, "after", s.lastEventID, "upstream", x.upstream)
+		x.relayer.Logger.Info("stream resumed", "id", x.call.ID, "after", s.lastEventID, "upstream", x.upstream, "software", s.attempt.choice.Upstream.Version)
 		return nil
 	}
 	return cause
--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -207,7 +207,7 @@
 		state = "draining"
 	}
 	w.Logger.Info("upstream changed", "step", savoryloft.StepFollow, "upstream", key, "state", state, "position", e.position,
-		"address", e.upstream.Address, "domain", e.upstream.FailureDomain, "reclaimable", e.upstream.Reclaimable)
+		"address", e.upstream.Address, "domain", e.upstream.FailureDomain, "reclaimable", e.upstream.Reclaimable, "software", e.upstream.Version, "started", e.upstream.StartedAtMs)
 }
 
 // publish makes the usable entries available to Upstreams, sorted by ID. The
