Streams keep the software version that began them

Cause: a version was known nowhere. Each resumption went to the cheapest upstream, and a client's take-up was a new request to an instance that had not seen its beginning. Class: state that must outlive the process (and the upstream) that it belongs to was kept by none.

Change: package tracker. A stream goes on only at the version of the run that sent its first event. While a service has one version, a policy in the log says so and nothing else is written. Beside a second version instances tell each other where streams begin, and one of them keeps those of the last seconds in a ring of records. What nobody knows is refused (503 UnknownOrigin, VersionGone), not guessed. An upstream that has come back under its ID before the registry shows it is recognised by its start time, which each new connection asks for once. Streams that have begun are not shed, and new ones avoid versions that leave or have a single upstream.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -92,7 +92,8 @@
 // Conn is a connection that carries at most one exchange at a time.
 type Conn struct {
 	net.Conn
-	Address string
+	Address     string
+	StartedAtMs int // Start time of the process at the other end as Unix time in milliseconds; 0 while it is not known.
 
 	pool             *Pool
 	reader           *bufio.Reader
--- a/exchanger/raw.go
+++ b/exchanger/raw.go
@@ -58,6 +58,29 @@
 	return nil, errors.Errorf("too many informational responses from %s", c.Address)
 }
 
+// Query sends a request without a body and returns the body and status of its response,
+// which must come within the timeout. The connection can be used for another request
+// afterwards. If it cannot, Query returns an error.
+func (c *Conn) Query(ctx context.Context, head []byte, limit int64, timeout time.Duration) (body []byte, status int, err error) {
+	if err := c.Send(ctx, head, nil, timeout); err != nil {
+		return nil, 0, err
+	}
+	resp, err := c.ReadResponse(ctx, http.MethodGet)
+	if err != nil {
+		return nil, 0, err
+	}
+	if body, err = c.ReadResponseBody(ctx, resp, limit); err != nil {
+		return nil, 0, err
+	}
+	stopped := c.stopCancel()
+	c.stopCancel = nil
+	if !stopped || !c.reusable || c.reader.Buffered() > 0 {
+		c.closeOnRelease = true
+		return nil, 0, errors.Errorf("connection to %s ends with the response to a query", c.Address)
+	}
+	return body, resp.StatusCode, nil
+}
+
 // SetReadTimeout sets the timeout of each later read from the connection.
 func (c *Conn) SetReadTimeout(timeout time.Duration) { c.readTimeout = timeout }
 
--- a/frame.go
+++ b/frame.go
@@ -28,6 +28,7 @@
 	add("Greeting", f.Greeting, f.Greeting != nil)
 	add("Limits", f.Limits, f.Limits != nil)
 	add("Members", f.Members, len(f.Members) > 0)
+	add("Origins", f.Origins, f.Origins != nil)
 	add("Records", f.Records, len(f.Records) > 0)
 	add("Status", f.Status, f.Status != nil)
 	add("Suspicions", f.Suspicions, f.Suspicions != nil)
--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -48,6 +48,7 @@
 	attempts   int
 
 	membersDelay time.Duration // Of reads of the member list.
+	bootstrap    bool          // The instances are the first ones of a new deployment.
 }
 
 // instance is one running Launcher.
@@ -156,7 +157,7 @@
 func (c *cluster) start(revocation time.Duration) *instance {
 	ip := instanceIP()
 	d := savoryloft.Deployment{
-		Instance: fmt.Sprintf("entry-%d", len(c.instances)), FailureDomain: "a",
+		Instance: fmt.Sprintf("entry-%d", len(c.instances)), FailureDomain: "a", Bootstrap: c.bootstrap,
 		Listen: savoryloft.DeploymentListen{
 			Callers: ip + ":7101", Readiness: ip + ":7102", Links: ip + ":7103", Metrics: ip + ":7104",
 		},
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -37,6 +37,7 @@
 	"savoryloft.example/savoryloft/quarantiner"
 	"savoryloft.example/savoryloft/relayer"
 	"savoryloft.example/savoryloft/throttler"
+	"savoryloft.example/savoryloft/tracker"
 	"savoryloft.example/savoryloft/watcher"
 )
 
@@ -84,6 +85,7 @@
 	placer           *placer.Placer
 	quarantine       *quarantiner.Quarantiner
 	throttler        *throttler.Throttler
+	tracker          *tracker.Tracker
 	relayer          *relayer.Relayer
 	listener         *relayer.Listener
 }
@@ -142,7 +144,7 @@
 // cancelled.
 func (l *Launcher) backgroundTasks() []func(context.Context) error {
 	d := l.Deployment
-	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.maintainMembership, l.cleanUp, l.logCounters}
+	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.maintainMembership, l.cleanUp, l.logCounters}
 	if d.Duties.UsageReports || d.Duties.Orders {
 		list = append(list, l.claimer.Run)
 	}
@@ -198,8 +200,15 @@
 	l.throttler = &throttler.Throttler{
 		Allocation: l.limitAllocation, Send: l.linker.SendLimits, Broadcast: l.linker.BroadcastLimits, Logger: l.Logger, Metrics: l.registry,
 	}
+	l.tracker = &tracker.Tracker{
+		Log: l.Log, Services: l.serviceNames, Upstreams: l.watcher.Upstreams, Era: l.watcher.Era, Now: l.clusterTime, NewDeployment: d.Bootstrap,
+		RegistryAge: func() (time.Duration, bool) { return l.watcher.Age(savoryloft.TopicRegistry) },
+		IsWriter:    func() bool { return l.readerRank() == 0 },
+		Send:        l.linker.SendOrigins, Broadcast: l.linker.BroadcastOrigins, Reply: l.linker.ReplyOrigins,
+		Logger: l.Logger, Metrics: l.registry,
+	}
 	l.relayer = &relayer.Relayer{
-		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
+		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
 		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, Instances: l.linker.InstanceCount,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
 		Limiter: &limiter.Limiter{
@@ -317,6 +326,13 @@
 	return list
 }
 
+func (l *Launcher) serviceNames() []string {
+	if t := l.watcher.Table(); t != nil {
+		return t.Services()
+	}
+	return nil
+}
+
 // runningRequests returns the number of running requests of a service, summed
 // over all instances.
 func (l *Launcher) runningRequests(service string) int {
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -114,6 +114,12 @@
 	s.throttler.Handle(peer, e)
 }
 
+// Origins implements linker.Source.
+func (s linkSource) Origins() savoryloft.StreamOrigins { return s.tracker.Known() }
+
+// MergeOrigins implements linker.Source.
+func (s linkSource) MergeOrigins(peer string, o savoryloft.StreamOrigins) { s.tracker.Merge(peer, o) }
+
 // LoadsChanged implements linker.Source.
 func (s linkSource) LoadsChanged() { s.peerLoadsChanged.Store(true) }
 
--- a/launcher/version_test.go
+++ b/launcher/version_test.go
@@ -421,16 +421,19 @@
 	for _, tt := range []struct {
 		name, resumes string
 		upstreams     []string
+		bootstrap     bool // No stream can have begun before.
 		goesOn        bool
 	}{
-		{"none named, two versions", "", []string{"v1", "v2", "v1", "v2"}, false},
-		{"unknown, two versions", "unknown", []string{"v1", "v2", "v1", "v2"}, false},
-		{"none named, one version", "", []string{"v1", "v1"}, true},
+		{"none named, two versions", "", []string{"v1", "v2", "v1", "v2"}, true, false},
+		{"unknown, two versions", "unknown", []string{"v1", "v2", "v1", "v2"}, true, false},
+		{"none named, one version", "", []string{"v1", "v1"}, true, true},
+		{"unknown, one version", "unknown", []string{"v1", "v1"}, true, true},
+		{"unknown, one version now", "unknown", []string{"v1", "v1"}, false, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			v := newVersions(t)
-			v.interval = 200 * time.Millisecond
+			v.interval, v.bootstrap = 200*time.Millisecond, tt.bootstrap
 			v.add(tt.upstreams...)
 			v.startInstances(2)
 			streams := v.begin(soundBody, 600*time.Millisecond)[:6]
--- a/linker/link.go
+++ b/linker/link.go
@@ -101,6 +101,7 @@
 	if s := l.Source.Suspicions(); len(s.Crashes)+len(s.Verdicts) > 0 {
 		k.send(savoryloft.LinkFrame{Suspicions: &s})
 	}
+	k.sendKnownOrigins()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -336,6 +337,9 @@
 	if f.Limits != nil {
 		l.Source.HandleLimits(k.peer.Instance, *f.Limits)
 	}
+	if f.Origins != nil {
+		k.handleOrigins(*f.Origins)
+	}
 	if f.Update != nil {
 		k.handleUpdate(f.Update)
 	}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -102,6 +102,10 @@
 	Limits() []savoryloft.UpstreamLimit
 	// HandleLimits processes limits, and requests and replies for tokens, from a peer.
 	HandleLimits(peer string, e savoryloft.LimitExchange)
+	// Origins returns where streams began, for a peer whose link comes up.
+	Origins() savoryloft.StreamOrigins
+	// MergeOrigins processes where streams began, and what is asked, from a peer.
+	MergeOrigins(peer string, o savoryloft.StreamOrigins)
 	// LoadsChanged is called when the result of PeerLoads may have changed.
 	LoadsChanged()
 }
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -116,6 +116,10 @@
 
 func (p *fakeSource) Limits() []savoryloft.UpstreamLimit { return nil }
 
+func (p *fakeSource) Origins() savoryloft.StreamOrigins { return savoryloft.StreamOrigins{} }
+
+func (p *fakeSource) MergeOrigins(string, savoryloft.StreamOrigins) {}
+
 func (p *fakeSource) HandleLimits(string, savoryloft.LimitExchange) {}
 
 // withLock calls f with the lock held.
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -199,6 +199,9 @@
 	// Other instances that the sender knows.
 	Members []LinkGreeting `json:"Members,omitempty,omitzero" msgpack:"Members,omitempty"`
 
+	// Origins corresponds to the JSON schema field "Origins".
+	Origins *StreamOrigins `json:"Origins,omitempty,omitzero" msgpack:"Origins,omitempty"`
+
 	// Control records that the receiver may lack.
 	Records []ControlRecord `json:"Records,omitempty,omitzero" msgpack:"Records,omitempty"`
 
@@ -501,6 +504,43 @@
 	Parts []HeldPart `json:"Parts,omitempty,omitzero" msgpack:"Parts,omitempty"`
 }
 
+// Streams that began at one software version of the upstreams of a service.
+type OriginBatch struct {
+	// Service corresponds to the JSON schema field "Service".
+	Service string `json:"Service" msgpack:"Service"`
+
+	// Keys of the streams, see tracker.Key.
+	Streams []string `json:"Streams" msgpack:"Streams"`
+
+	// Empty if it is not known, or if the streams are said to have begun at several
+	// versions.
+	Version string `json:"Version" msgpack:"Version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *OriginBatch) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Service"]; raw != nil && !ok {
+		return fmt.Errorf("field Service in OriginBatch: required")
+	}
+	if _, ok := raw["Streams"]; raw != nil && !ok {
+		return fmt.Errorf("field Streams in OriginBatch: required")
+	}
+	if _, ok := raw["Version"]; raw != nil && !ok {
+		return fmt.Errorf("field Version in OriginBatch: required")
+	}
+	type Plain OriginBatch
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = OriginBatch(plain)
+	return nil
+}
+
 // Whether requests with a prompt part may be sent to upstreams.
 type PartVerdict struct {
 	// Part corresponds to the JSON schema field "Part".
@@ -601,6 +641,18 @@
 	return nil
 }
 
+// Where streams that can be resumed began, see package tracker.
+type StreamOrigins struct {
+	// Batches corresponds to the JSON schema field "Batches".
+	Batches []OriginBatch `json:"Batches,omitempty,omitzero" msgpack:"Batches,omitempty"`
+
+	// Policies corresponds to the JSON schema field "Policies".
+	Policies []VersionPolicy `json:"Policies,omitempty,omitzero" msgpack:"Policies,omitempty"`
+
+	// Streams whose origins the sender asks for, by key.
+	Wanted []string `json:"Wanted,omitempty,omitzero" msgpack:"Wanted,omitempty"`
+}
+
 // A prompt part, which other requests may have too, of a request that an upstream
 // ran when it ended.
 type SuspectPart struct {
@@ -897,3 +949,52 @@
 	*j = UsageBatch(plain)
 	return nil
 }
+
+// Whether the streams of a service all begin at one software version.
+type VersionPolicy struct {
+	// Era of the log in which it was recorded.
+	Era int `json:"Era" msgpack:"Era"`
+
+	// Rises with each change.
+	Revision int `json:"Revision" msgpack:"Revision"`
+
+	// Service corresponds to the JSON schema field "Service".
+	Service string `json:"Service" msgpack:"Service"`
+
+	// The only version at which streams begin; empty if there are several, and the
+	// origin of each stream is recorded.
+	Version string `json:"Version" msgpack:"Version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *VersionPolicy) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Era"]; raw != nil && !ok {
+		return fmt.Errorf("field Era in VersionPolicy: required")
+	}
+	if _, ok := raw["Revision"]; raw != nil && !ok {
+		return fmt.Errorf("field Revision in VersionPolicy: required")
+	}
+	if _, ok := raw["Service"]; raw != nil && !ok {
+		return fmt.Errorf("field Service in VersionPolicy: required")
+	}
+	if _, ok := raw["Version"]; raw != nil && !ok {
+		return fmt.Errorf("field Version in VersionPolicy: required")
+	}
+	type Plain VersionPolicy
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Era {
+		return fmt.Errorf("field %s: must be >= %v", "Era", 0)
+	}
+	if 1 > plain.Revision {
+		return fmt.Errorf("field %s: must be >= %v", "Revision", 1)
+	}
+	*j = VersionPolicy(plain)
+	return nil
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -80,7 +80,8 @@
 	// MaxConnections limits this instance's concurrent requests to one upstream;
 	// 0 for no limit.
 	MaxConnections int
-	Exclude        map[string]bool // IDs of upstreams that must not be chosen.
+	Exclude        map[string]bool    // IDs of upstreams that must not be chosen.
+	VersionCosts   map[string]float64 // Additional costs in ms, by version of the upstreams' software.
 }
 
 // Choice is the chosen upstream and the estimates that the choice is based on.
@@ -351,7 +352,7 @@
 	if s.upstream.FailureDomain != p.FailureDomain {
 		c.Cost += remoteDomainCostMs
 	}
-	c.Cost += p.jitterCost(s)
+	c.Cost += p.jitterCost(s) + r.VersionCosts[s.upstream.Version]
 	if s.upstream.WarmUp > 0 {
 		c.Cost += warmUpCostMs
 	}
--- a/recordlog.go
+++ b/recordlog.go
@@ -17,11 +17,12 @@
 	TopicRegistry                   // Keyed; upstreams by ID.
 	TopicMembers                    // Keyed; instances of this deployment by name.
 	TopicDuties                     // Lease and usage windows, see DutyRecord.
+	TopicOrigins                    // Keyed; where streams began, see package tracker.
 )
 
 // String returns the topic for logs.
 func (t Topic) String() string {
-	names := [...]string{"Configuration", "Registry", "Members", "Duties"}
+	names := [...]string{"Configuration", "Registry", "Members", "Duties", "Origins"}
 	if t < 0 || int(t) >= len(names) {
 		return fmt.Sprintf("Topic(%d)", int(t))
 	}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -68,6 +68,9 @@
 		Service: x.service, Parts: x.call.Parts, PromptTokens: x.call.PromptTokens,
 		OutputTokens: x.call.OutputTokens, Exclude: x.triedUpstreams, Objective: x.route.Objective,
 	}
+	if x.resumable() && !x.begun() {
+		req.VersionCosts = x.relayer.Tracker.Surcharges(x.service)
+	}
 	if x.call.OutputHint > 0 {
 		req.OutputTokens = min(x.call.OutputHint, max(x.call.OutputTokens, 1))
 	}
@@ -117,7 +120,11 @@
 		trace.WithAttributes(attribute.String("upstream", choice.Upstream.ID)))
 	if err := a.connect(); err != nil {
 		x.abandonTrial()
-		a.release(placer.Failed)
+		outcome := placer.Failed
+		if errors.Is(err, errStaleEntry) {
+			outcome = placer.Refused
+		}
+		a.release(outcome)
 		return nil, x.recordFailure(choice, &sendError{notExecuted, err})
 	}
 	d := savoryloft.Dispatch{
@@ -169,8 +176,11 @@
 	ctx, cancel := context.WithTimeout(a.ctx, dialTimeout)
 	defer cancel()
 	conn, err := a.exchange.relayer.Pool.Get(ctx, a.choice.Upstream.Address, exchanger.Reuse)
+	if err != nil {
+		return err
+	}
 	a.conn = conn
-	return err
+	return a.verifyProcess(ctx)
 }
 
 // readResponseHead reads the status line and header of the response. It skips
@@ -364,7 +374,7 @@
 	if x.ctx.Err() != nil || x.sends >= maxSends || !x.resolveAgain() {
 		return false
 	}
-	if slices.ContainsFunc([]error{errNoUpstream, errOverloaded, errQuarantined, errLimited}, func(final error) bool { return errors.Is(e.cause, final) }) {
+	if slices.ContainsFunc([]error{errNoUpstream, errVersionGone, errOverloaded, errQuarantined, errLimited}, func(final error) bool { return errors.Is(e.cause, final) }) {
 		return false
 	}
 	if e.execution == maybeExecuted && (!x.retryable() || x.possibleRuns >= x.route.MaxAttempts) {
@@ -407,6 +417,8 @@
 		x.refuse(http.StatusServiceUnavailable, "Quarantined", errQuarantined.Error()+"; the request has not run", x.quarantineWait)
 	case x.possibleRuns == 0 && errors.Is(e.cause, errLimited):
 		x.refuse(http.StatusServiceUnavailable, "Limited", errLimited.Error()+"; the request has not run", x.limitWait)
+	case x.possibleRuns == 0 && errors.Is(e.cause, errVersionGone):
+		x.refuse(http.StatusServiceUnavailable, "VersionGone", errVersionGone.Error()+"; the request has not run", versionGoneRetryAfter)
 	case x.possibleRuns > 0 || e.execution == maybeExecuted:
 		x.refuse(http.StatusBadGateway, "UpstreamFailed", "upstream failed; the request may have run", 0)
 	case errors.Is(e.cause, errNoUpstream):
--- a/relayer/gate.go
+++ b/relayer/gate.go
@@ -29,9 +29,10 @@
 
 // overloaded reports whether to shed a request because its predicted time to the
 // first token is too long for its rank even on the chosen upstream. Without load
-// shedding, a burst of long prompts starved shorter and more urgent ones.
+// shedding, a burst of long prompts starved shorter and more urgent ones. A stream that
+// has begun is not shed, since what its client has already received would be lost.
 func (x *exchange) overloaded(c placer.Choice) bool {
-	if len(x.call.Parts) == 0 || x.route.Objective <= 0 || x.identity.Rank < firstSheddableRank {
+	if x.begun() || len(x.call.Parts) == 0 || x.route.Objective <= 0 || x.identity.Rank < firstSheddableRank {
 		return false
 	}
 	factor := defaultShedFactor
--- a/relayer/limit.go
+++ b/relayer/limit.go
@@ -31,9 +31,11 @@
 func (x *exchange) chooseUpstream(req placer.Request) (placer.Choice, error) {
 	r := x.relayer
 	r.RefreshPeerLoads()
-	upstreams := r.Watcher.Upstreams(x.service)
-	choice, ok := r.Placer.Choose(time.Now(), req, upstreams)
-	if !ok {
+	upstreams, choice, ok := x.place(req)
+	switch {
+	case !ok && x.begun():
+		return choice, errVersionGone
+	case !ok:
 		return choice, errNoUpstream
 	}
 	x.choice, x.upstream = choice, choice.Upstream.ID
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -36,6 +36,7 @@
 	"savoryloft.example/savoryloft/quarantiner"
 	"savoryloft.example/savoryloft/router"
 	"savoryloft.example/savoryloft/throttler"
+	"savoryloft.example/savoryloft/tracker"
 	"savoryloft.example/savoryloft/watcher"
 )
 
@@ -71,6 +72,7 @@
 	Quarantine       *quarantiner.Quarantiner
 	QuarantinesRead  <-chan struct{} // Closed once the quarantines of other instances, or of earlier ones, are known; nil if there are none.
 	Throttler        *throttler.Throttler
+	Tracker          *tracker.Tracker
 	Pool             *exchanger.Pool
 	CountRequest     func(account string) // Counts a request for an account's usage when an upstream may have started to run it.
 	PrefillChanged   func(uncached int)   // Called with a prompt's uncached tokens when it is sent to an upstream, and when the first event of a stream arrives.
@@ -102,6 +104,7 @@
 	route     *savoryloft.PathRoute
 	identity  router.Identity
 	service   string
+	origin    tracker.Origin // Where the stream began; empty before its first event.
 
 	triedUpstreams   map[string]bool     // Upstreams that refused or failed.
 	sends            int                 // Attempts in which the request was sent.
@@ -153,7 +156,9 @@
 	x.setDeadline()
 	r.Limiter.RecordRequest(x.received, x.service)
 	if x.route.Kind == savoryloft.StreamingCall {
-		x.serveStream()
+		if x.resolveOrigin() {
+			x.serveStream()
+		}
 		return
 	}
 	x.serveBuffered()
@@ -200,7 +205,7 @@
 		return x.refuseUnmatched(fasthttp.StatusUnauthorized, "BadKey", "key is missing or not valid")
 	}
 	x.identity = identity
-	x.service = x.table.SelectService(x.route, x.call.ID)
+	x.service = x.selectService(x.table, x.route)
 	if x.call.ID == "" {
 		x.refuse(fasthttp.StatusBadRequest, "NoID", "request has no attempt ID", 0)
 		return false
@@ -208,6 +213,16 @@
 	return true
 }
 
+// selectService returns the service that a route's requests go to. That of a stream which
+// the client takes up is the one at which it began, as long as the route still has it.
+func (x *exchange) selectService(t *router.Table, route *savoryloft.PathRoute) string {
+	id := x.call.ID
+	if x.call.Resumes != "" {
+		id = x.call.Resumes
+	}
+	return t.SelectService(route, id)
+}
+
 // awaitQuarantines waits for a time, if this instance has just started, until it knows the
 // quarantines.
 func (x *exchange) awaitQuarantines() {
@@ -256,7 +271,7 @@
 		if !ok {
 			return false
 		}
-		x.table, x.route, x.identity, x.service = t, route, identity, t.SelectService(route, x.call.ID)
+		x.table, x.route, x.identity, x.service = t, route, identity, x.selectService(t, route)
 	}
 	return known && (!x.table.NeedsKey(x.route) || age <= x.relayer.Revocation-revocationMargin)
 }
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -95,6 +95,7 @@
 		a.release(placer.Failed)
 		return x.recordFailure(a.choice, &sendError{maybeExecuted, errors.Errorf("upstream resumed after event %s with event %s", s.lastEventID, id)})
 	}
+	x.beginStream(a.choice.Upstream)
 	a.firstEventAt = time.Now()
 	a.run.RecordFirstToken(a.firstEventAt)
 	a.notifyPrefillChange()
