Soak: proxies forward nothing after bytes that they have dropped

A proxy in mode DropResponses or DropAll dropped what it read and forwarded what came after it on the same connection. Such a connection is silent from then on and ends with a reset.

--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -24,7 +24,7 @@
 const (
 	Forward       Mode = iota // Forwards traffic unchanged.
 	Delay                     // Delays each chunk by chunkDelay.
-	DropAll                   // Drops traffic in both directions; connections stay open.
+	DropAll                   // Drops traffic in both directions; connections stay open, and silent from then on.
 	DropResponses             // Drops responses; requests are forwarded.
 	Reset                     // Closes new connections and resets open ones.
 	modeCount                 // Number of modes.
@@ -150,7 +150,8 @@
 
 // forward copies bytes from one connection to the other until either fails or
 // closes, and then closes both: with a reset, unless the other side closed in the
-// regular way, since a close can be the end of a response. The argument responses is
+// regular way, since a close can be the end of a response. Nothing follows bytes that it has
+// dropped, neither other bytes nor a regular close, since a connection skips none. The argument responses is
 // true for the direction from the target to the client.
 func (p *Proxy) forward(to, from net.Conn, responses bool) {
 	end := reset
@@ -159,12 +160,13 @@
 		end(from)
 		p.track(from, false)
 	}()
-	buf := make([]byte, chunkBytes)
+	buf, dropped := make([]byte, chunkBytes), false
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
 			switch m := p.currentMode(); {
-			case m == DropAll, m == DropResponses && responses:
+			case dropped, m == DropAll, m == DropResponses && responses:
+				dropped = true
 			case m == Delay:
 				time.Sleep(chunkDelay)
 				fallthrough
@@ -175,7 +177,7 @@
 			}
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && p.currentMode() != Reset {
+			if errors.Is(err, io.EOF) && !dropped && p.currentMode() != Reset {
 				end = func(c net.Conn) { _ = c.Close() }
 			}
 			return
