--- a/soaker/version_test.go
+++ b/soaker/version_test.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	streamClients  = 16                     // Clients that take up streams.
+	streamClients  = 20                     // Clients that take up streams.
 	streamBody     = "stream of a client "  // Beginning of the bodies of their requests.
 	streamInterval = 120 * time.Millisecond // Between the events of their streams.
 	streamTries    = 4
@@ -221,7 +221,7 @@
 }
 
 // runStreamClient sends streams and takes them up when they break off, until stop closes.
-// It breaks off half of them itself.
+// It breaks off three of four itself.
 func (s *soakRun) runStreamClient(stop <-chan struct{}) {
 	for n := 0; ; n++ {
 		select {
@@ -229,7 +229,7 @@
 			return
 		default:
 		}
-		s.sendStream(n%2 == 0)
+		s.sendStream(n%4 != 0)
 		time.Sleep(time.Duration(s.randomInt(200)) * time.Millisecond)
 	}
 }
