--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -47,6 +47,7 @@
 	attempts   int
 
 	membersDelay time.Duration // Of reads of the member list.
+	logger       logr.Logger   // Of the instances; the zero value discards.
 }
 
 // instance is one running Launcher.
@@ -169,7 +170,7 @@
 		Deployment: d, Wire: platform.Wire{}, Decoder: platform.Decoder{},
 		Log:        &delayedLog{&platform.LogClient{Address: c.logServer.Listener.Addr().String(), Pool: pool}, c.membersDelay},
 		DutyTarget: &platform.DutyClient{Address: c.dutyServer.Listener.Addr().String(), Instance: d.Instance, Pool: pool, Timeout: time.Second},
-		Pool:       pool, Logger: logr.Discard(), Tracer: tracer.Noop(),
+		Pool:       pool, Logger: c.logger, Tracer: tracer.Noop(),
 		ReadinessPath: platform.ReadinessPath, MetricsPath: platform.MetricsPath,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
