Watcher: limit the length of the error in the line on a malformed record

The error quotes the record: an entry whose state has 300 kB made a log line as long, once at each instance. TestOddRegistryEntries failed for it (300173 bytes, want less than 2000) with the entry itself refused already.

--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -55,6 +55,7 @@
 	maxBackoff               = 800 * time.Millisecond  // Limits calls while the log is down, yet detects its recovery soon.
 	removalCheckInterval     = 200 * time.Millisecond  // Between checks for entries that are still missing.
 	recoveryGrace            = 2 * time.Second         // Upstreams renew entries that expired in an outage within this time of the recovery.
+	maxLoggedError           = 500                     // Bytes of an error in a log line.
 	outageThreshold          = 1500 * time.Millisecond // A successful read counts as a recovery of the log if the registry is older than this.
 )
 
@@ -453,6 +454,10 @@
 		return
 	}
 	w.malformedPositions[r.Key] = r.Position
+	message := err.Error() // May quote the record.
+	if len(message) > maxLoggedError {
+		message = message[:maxLoggedError] + "..."
+	}
 	w.Logger.Info("malformed record skipped", "step", savoryloft.StepFollow, "topic", savoryloft.Topic(r.Topic).String(),
-		"key", r.Key, "position", r.Position, "error", err.Error())
+		"key", r.Key, "position", r.Position, "error", message)
 }
