Membership: an odd record in the member list names no instance

What callers saw: nothing yet; other instances did. A record without an address was taken as a member and sent to all peers, LinkFrame.Check refuses a frame with such a member, and so all links ended, again and again. Records with ports out of range, of other instances' names or with start times out of range counted as instances, which share the limits and the connections.

Cause: the record's values were not checked before they were sent on, though the receivers check them.

A record is now checked as strictly when it is read as peers do, and its key must be the instance that it names.

--- a/check.go
+++ b/check.go
@@ -2,7 +2,9 @@
 
 import (
 	"math"
+	"net"
 	"slices"
+	"strconv"
 
 	"github.com/juju/errors"
 )
@@ -92,6 +94,24 @@
 	return nil
 }
 
+// maxUnixMs is the latest start of a process that is taken for one; it is in the year 2248.
+const maxUnixMs = 1 << 43
+
+// Check returns an error when a greeting names no instance that can be dialed.
+func (g LinkGreeting) Check() error {
+	host, port, err := net.SplitHostPort(g.Address)
+	if err != nil {
+		return errors.Annotate(err, "address")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return errors.Errorf("address %q has no host or no port from 1 to 65535", g.Address)
+	}
+	if g.Instance == "" || g.Incarnation < 0 || g.Incarnation > maxUnixMs || g.Power < 0 || g.Protocol < 0 {
+		return errors.Errorf("greeting of %q has no name or a number out of range", g.Instance)
+	}
+	return nil
+}
+
 // Check returns an error when an exchange violates its schema.
 func (e LimitExchange) Check() error {
 	for _, l := range e.Limits {
--- a/launcher/membership.go
+++ b/launcher/membership.go
@@ -142,8 +142,8 @@
 	var list []savoryloft.LinkGreeting
 	offsets := map[string]int{}
 	for _, r := range page.Records {
-		var g savoryloft.LinkGreeting
-		if err := json.Unmarshal(r.Value, &g); err != nil {
+		g, err := decodeMember(r)
+		if err != nil {
 			m.Logger.V(1).Info("skipped malformed member record", "step", savoryloft.StepPeer, "key", r.Key, "error", err.Error())
 			continue
 		}
@@ -159,6 +159,19 @@
 	return nil
 }
 
+// decodeMember decodes a record of the member list. The linker sends members on, and peers
+// close links on which they receive malformed ones.
+func decodeMember(r savoryloft.KeyedRecord) (savoryloft.LinkGreeting, error) {
+	var g savoryloft.LinkGreeting
+	if err := json.Unmarshal(r.Value, &g); err != nil {
+		return g, errors.Trace(err)
+	}
+	if g.Instance != r.Key {
+		return g, errors.Errorf("record names instance %q", g.Instance)
+	}
+	return g, g.Check()
+}
+
 // readQuarantines takes over the quarantines in the member list.
 func (m *membership) readQuarantines(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, quarantinesTimeout)
--- a/launcher/odd_test.go
+++ b/launcher/odd_test.go
@@ -238,3 +238,54 @@
 		require.Equal(t, 10*len(c.instances), requestsSince(other, turned))
 	}
 }
+
+// Guards against links that end, and against instances that count ones that are none, because
+// of an odd record in the member list.
+func TestOddMemberRecords(t *testing.T) {
+	record := func(replacements ...string) string {
+		return strings.NewReplacer(replacements...).Replace(fmt.Sprintf(
+			`{"Instance":"odd","Incarnation":%d,"FailureDomain":"a","Address":"127.0.0.1:9","Power":1000,"Protocol":2,"WrittenAt":%d,"Suspicions":{}}`,
+			time.Now().UnixMilli(), time.Now().UnixMilli()))
+	}
+	for _, tt := range []struct{ name, key, value string }{
+		{"no address", "odd", record(`127.0.0.1:9`, ``)},
+		{"address without a port", "odd", record(`127.0.0.1:9`, `127.0.0.1`)},
+		{"port beyond the last one", "odd", record(`127.0.0.1:9`, `127.0.0.1:99999`)},
+		{"port by name", "odd", record(`127.0.0.1:9`, `127.0.0.1:http`)},
+		{"no name", "odd", record(`"Instance":"odd"`, `"Instance":""`)},
+		{"name of another instance", "odd", record(`"Instance":"odd"`, `"Instance":"entry-0"`, `"Incarnation":1`, `"Incarnation":2`)},
+		{"negative start", "odd", record(`"Incarnation":`, `"Incarnation":-`)},
+		{"start beyond any date", "odd", record(`"Incarnation":`, `"Incarnation":99`)},
+		{"start beyond any number", "odd", record(`"Incarnation":`, `"Incarnation":999999`)},
+		{"negative power", "odd", record(`1000`, `-1`)},
+		{"power beyond any number", "odd", record(`1000`, `1e999`)},
+		{"power that is not a number", "odd", record(`1000`, `NaN`)},
+		{"nested", "odd", strings.Repeat("[", nesting)},
+		{"nested in a field", "odd", record(`"Protocol":2`, `"Protocol":2,"More":`+strings.Repeat("[", nesting)+strings.Repeat("]", nesting))},
+		{"null", "odd", "null"},
+		{"not JSON", "odd", "\xff"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t)
+			logged := c.recordLines()
+			c.addEngine(nil)
+			c.log.Set(savoryloft.TopicMembers, tt.key, []byte(tt.value))
+			for range 3 {
+				c.waitForUpstreams(c.start(longRevocation), 1)
+			}
+			require.Eventually(t, func() bool { return logged.count("link up") >= 6 }, eventuallyTimeout, 10*time.Millisecond)
+			time.Sleep(time.Second)
+			linksDown := logged.count("link down")
+			time.Sleep(2 * time.Second)
+			require.Equal(t, linksDown, logged.count("link down"))
+			for _, i := range c.instances {
+				require.Equal(t, 3, i.launcher.linker.InstanceCount())
+				for _, m := range i.launcher.linker.Members() {
+					require.True(t, m.Live, "%s at %s", m.Instance, m.Address)
+					require.NotEqual(t, "127.0.0.1:9", m.Address)
+				}
+				require.Equal(t, http.StatusOK, c.call(i, "once", "key-1").status)
+			}
+		})
+	}
+}
