Claimer: skip duty records with numbers out of range

What callers saw: nothing yet. An odd record in the duties topic with figures of a window far ahead made that the last window: figures committed later counted as older ones that are kept no more, and usage was left unreported from then on. Negative figures or sizes were stored and sent to peers as facts, which DutyFacts.Check refuses, so that links to hubs would not come up.

Cause: records were checked for their JSON form only.

--- a/check.go
+++ b/check.go
@@ -155,6 +155,39 @@
 	return nil
 }
 
+const (
+	maxWindowCount = 1 << 40 // Of requests of an account in a window, or so far.
+	maxServiceSize = 1 << 20
+)
+
+// Check returns an error when a record has numbers out of range.
+func (d DutyRecord) Check() error {
+	if d.Incarnation < 0 || d.Incarnation > maxUnixMs || d.Sequence < 0 {
+		return errors.Errorf("record of %q has a number out of range", d.Instance)
+	}
+	if f := d.Figures; f != nil && (f.Window < 0 || !areCounts(f.Counts)) {
+		return errors.Errorf("figures of window %d are out of range", f.Window)
+	}
+	for _, p := range d.Partials {
+		if p.Window < 0 || !areCounts(p.Counts) {
+			return errors.Errorf("partial counts of window %d are out of range", p.Window)
+		}
+	}
+	if d.Size != nil && (d.Size.Upstreams < 0 || d.Size.Upstreams > maxServiceSize) {
+		return errors.Errorf("size of service %q is out of range", d.Size.Service)
+	}
+	return nil
+}
+
+func areCounts(counts map[string]int) bool {
+	for _, n := range counts {
+		if n < 0 || n > maxWindowCount {
+			return false
+		}
+	}
+	return true
+}
+
 // Check returns an error when facts violate their schema.
 func (d DutyFacts) Check() error {
 	for _, f := range d.Figures {
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -85,6 +85,9 @@
 	// OnCommit is called with counts and sizes that this instance has appended, for
 	// peers to learn them. It may be nil.
 	OnCommit func(savoryloft.DutyFacts)
+	// MaxWindow returns the highest window that a record may have counts of, which must
+	// leave room for wrong clocks. If nil, there is no limit.
+	MaxWindow func() int
 	// Partials returns the counts so far of windows without committed counts, which
 	// renewals store in the log. It may be nil.
 	Partials func() []savoryloft.PartialCounts
@@ -345,8 +348,8 @@
 // apply decodes and applies one record. It skips a record that cannot be
 // decoded. The caller must hold c.mu.
 func (c *Claimer) apply(now time.Duration, r savoryloft.KeyedRecord) {
-	var d savoryloft.DutyRecord
-	if err := json.Unmarshal(r.Value, &d); err != nil {
+	d, err := c.decode(r.Value)
+	if err != nil {
 		c.Logger.Info("skipping malformed duty record", "step", savoryloft.StepLease, "offset", r.Offset, "error", err.Error())
 		c.state.advance(now, r.Offset+1)
 		return
@@ -359,6 +362,29 @@
 	c.state.apply(now, r.Offset, d, own, c.TTL)
 }
 
+// decode decodes a record. It returns an error for one that is malformed or has numbers out
+// of range, which other instances would not accept from a peer.
+func (c *Claimer) decode(value []byte) (d savoryloft.DutyRecord, err error) {
+	if err := json.Unmarshal(value, &d); err != nil {
+		return d, errors.Trace(err)
+	}
+	if c.MaxWindow != nil && highestWindow(d) > c.MaxWindow() {
+		return d, errors.Errorf("window %d is in the future", highestWindow(d))
+	}
+	return d, d.Check()
+}
+
+// highestWindow returns the highest window that a record has counts of, or 0.
+func highestWindow(d savoryloft.DutyRecord) (window int) {
+	if d.Figures != nil {
+		window = d.Figures.Window
+	}
+	for _, p := range d.Partials {
+		window = max(window, p.Window)
+	}
+	return window
+}
+
 // CommitCounts appends the counts of a window by account. The first counts
 // appended for a window are final. It returns savoryloft.ErrLeaseLost when this
 // instance does not hold the lease.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -52,6 +52,7 @@
 	exitReserve           = 700 * time.Millisecond  // Part of the grace period reserved for the process to exit.
 	leaseReleaseTimeout   = 400 * time.Millisecond
 	leaderTimeout         = 1500 * time.Millisecond // Six status intervals without a report of a lease holder.
+	maxClockError         = 24 * time.Hour          // Of an instance that has only just started.
 	relayPatience         = time.Second             // Time in which a new deployment's instances get their first configuration from a reader.
 )
 
@@ -190,7 +191,7 @@
 	}
 	l.claimer = &claimer.Claimer{
 		Log: l.Log, Instance: d.Instance, Incarnation: l.incarnation, TTL: d.Bounds.LeaseTTL,
-		Position: l.readerRank, PeerHoldsLease: l.peerHoldsLease, YieldedAt: l.linker.YieldedAt, Partials: l.partialCounts, OnCommit: l.linker.BroadcastDuties, Logger: l.Logger,
+		Position: l.readerRank, PeerHoldsLease: l.peerHoldsLease, YieldedAt: l.linker.YieldedAt, MaxWindow: l.maxWindow, Partials: l.partialCounts, OnCommit: l.linker.BroadcastDuties, Logger: l.Logger,
 	}
 	l.quarantine = &quarantiner.Quarantiner{
 		Dial: l.Pool.Dial, Notify: l.linker.BroadcastSuspicions, Logger: l.Logger, Metrics: l.registry,
@@ -269,6 +270,14 @@
 	return l.counter.Totals(window)
 }
 
+// maxWindow returns the highest window that any instance may have counts of now.
+func (l *Launcher) maxWindow() int {
+	if l.Deployment.Bounds.UsageWindow <= 0 {
+		return math.MaxInt
+	}
+	return l.counter.WindowAt(l.clusterTime().Add(maxClockError))
+}
+
 // partialCounts returns the counts so far of the previous and the current
 // window, unless their final figures are in the log.
 func (l *Launcher) partialCounts() []savoryloft.PartialCounts {
