Router: weights that add up to a multiple of 2^32 divide by zero no more

What callers saw: nothing yet. A configuration whose route has such a split ends each instance at the first request on the route.

Cause: the sum was converted to 32 bits before the division.

Evidence: TestSelectServiceWithHugeWeights ended with 'runtime error: integer divide by zero' before.

--- a/router/router.go
+++ b/router/router.go
@@ -125,7 +125,7 @@
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(requestID))
-	point := int(h.Sum32() % uint32(total))
+	point := int(uint64(h.Sum32()) % uint64(total))
 	for _, s := range r.Shares {
 		if point -= max(s.Weight, 0); point < 0 {
 			return s.Service
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -74,3 +74,14 @@
 	require.InDelta(t, 500, counts["s2"], 100)
 	require.Equal(t, table.SelectService(r, "one"), table.SelectService(r, "one"))
 }
+
+// Guards against the end of the process, by a division by zero, when the weights of a route
+// add up to a multiple of 2^32.
+func TestSelectServiceWithHugeWeights(t *testing.T) {
+	r := &savoryloft.PathRoute{Shares: []savoryloft.ServiceShare{{Service: "s1", Weight: 1 << 31}, {Service: "s2", Weight: 1 << 31}}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[newTable().SelectService(r, fmt.Sprintf("request-%d", i))]++
+	}
+	require.InDelta(t, 500, counts["s2"], 100)
+}
