Configuration: numbers out of range leave the last one in force

What callers saw: nothing yet. A configuration with a negative or a huge number came into force: time limits of 10^16 ms overflowed and became negative, a version of 2^63-1 would have kept all later ones out, a minimum above the maximum or a huge one would have been ordered.

--- a/launcher/odd_test.go
+++ b/launcher/odd_test.go
@@ -289,3 +289,39 @@
 		})
 	}
 }
+
+// Guards against an odd configuration in force, and against instances that end or follow no
+// later one because of it.
+func TestOddConfigurationRecords(t *testing.T) {
+	c := newCluster(t)
+	logged := c.recordLines()
+	c.addEngine(nil)
+	for range 2 {
+		c.waitForUpstreams(c.start(longRevocation), 1)
+	}
+	inForce := c.version
+	for n, odd := range []string{
+		strings.Repeat("[", nesting),
+		fmt.Sprintf(`{"version":%d,"routes":[{"name":"x","route_kind":"streaming","timeout_ms":-1}]}`, inForce+1),
+		fmt.Sprintf(`{"version":%d,"limits":{"idle_timeout_ms":1e999}}`, inForce+1),
+		`{"version":9223372036854775807}`,
+		`{"version":"8"}`,
+		"null",
+		"\xff",
+	} {
+		before := logged.count("malformed record skipped", "Configuration")
+		c.log.Set(savoryloft.TopicConfiguration, "config", []byte(odd))
+		require.Eventually(t, func() bool { return logged.count("malformed record skipped", "Configuration") > before }, eventuallyTimeout, 10*time.Millisecond, odd[:min(len(odd), 40)])
+		time.Sleep(500 * time.Millisecond)
+		for _, i := range c.instances {
+			require.Equal(t, inForce, i.launcher.watcher.Version())
+			require.Equal(t, http.StatusOK, c.call(i, "once", "key-1").status)
+		}
+		require.LessOrEqual(t, logged.count("malformed record skipped", "Configuration"), len(c.instances)*(n+1), "once at each instance")
+	}
+	c.version += 10
+	c.writeConfiguration()
+	for _, i := range c.instances {
+		require.Eventually(t, func() bool { return i.launcher.watcher.Version() == c.version }, eventuallyTimeout, 10*time.Millisecond)
+	}
+}
