Watcher: an upstream that drained is not taken for crashed after an odd entry

What callers saw: nothing yet. An upstream that had said that it drains, whose entry then turned odd and was removed, counted as ended without notice. That is evidence against the requests whose connections broke there, which may be refused for it.

Cause: an entry that cannot be decoded replaced what the last good one had said.

Evidence: the row 'has drained, with an odd entry at last' of TestEndOfAnUpstreamFromTheRegistry failed before.

What the last good entry said is kept, and is not used for requests meanwhile.

--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -12,8 +12,8 @@
 // entry is one key of the registry.
 type entry struct {
 	position     int
-	value        []byte // nil after the key was removed.
-	upstream     savoryloft.RegisteredUpstream
+	value        []byte                        // nil after the key was removed.
+	upstream     savoryloft.RegisteredUpstream // According to the last value that was not malformed.
 	usable       bool
 	missingSince time.Duration // recoveredAt when the entry was found missing; 0 if it is present.
 }
@@ -99,8 +99,9 @@
 	e.usable = err == nil
 	if err != nil {
 		w.logMalformed(r, err)
+	} else {
+		e.upstream = u
 	}
-	e.upstream = u
 	if startedAt, ok := w.leaving[r.Key]; ok && err == nil && u.StartedAtMs > startedAt {
 		delete(w.leaving, r.Key)
 	}
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -355,6 +355,19 @@
 			time.Sleep(time.Second)
 			w.log.Set(savoryloft.TopicRegistry, "u", nil)
 		}, false, false},
+		{"has drained, with an odd entry at last", func(w *fixture) {
+			w.register("u", draining)
+			time.Sleep(time.Second)
+			w.log.Set(savoryloft.TopicRegistry, "u", []byte("{odd"))
+			time.Sleep(time.Second)
+			w.log.Set(savoryloft.TopicRegistry, "u", nil)
+		}, false, false},
+		{"odd entry", func(w *fixture) { w.log.Set(savoryloft.TopicRegistry, "u", []byte("{odd")) }, false, false},
+		{"odd entry that lapsed", func(w *fixture) {
+			w.log.Set(savoryloft.TopicRegistry, "u", []byte("{odd"))
+			time.Sleep(time.Second)
+			w.log.Set(savoryloft.TopicRegistry, "u", nil)
+		}, false, true},
 		{"has left", func(w *fixture) { w.log.Set(savoryloft.TopicRegistry, "u", nil) }, true, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
