--- a/launcher/upstream_test.go
+++ b/launcher/upstream_test.go
@@ -283,3 +283,18 @@
 		})
 	}
 }
+
+// Guards against resumable streams that are cut after a silence of their upstream although
+// they can not be resumed, so that the caller loses what the upstream would still send.
+func TestSilentStreamThatCanNotBeResumedIsKept(t *testing.T) {
+	c := newCluster(t)
+	e := c.addEngine(nil)
+	e.EventCount, e.EventInterval = 2, 3400*time.Millisecond // The route's limit is 3 s.
+	i := c.start(longRevocation)
+	c.waitForUpstreams(i, 1)
+	r := c.request(i, "resume", "key-1")
+	resp := c.do(r)
+	require.NoError(t, resp.err)
+	require.Equal(t, fullStream(2), resp.body)
+	require.Equal(t, 1, c.startedRuns(standin.AttemptID(r)))
+}
