Streams that arrive late in a planned stop are refused if they may not end in time

Cause: nothing compared the time that a stream may take with the time that is left. Now such a request is refused with 503 from the time on at which the load balancer should have removed the instance. It has not run, and its retry reaches another instance. Streams with shorter deadlines and buffered responses are still served.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -72,6 +72,7 @@
 
 	incarnation      int
 	stopping         atomic.Bool
+	exitTime         atomic.Pointer[time.Time] // Set in a shutdown, once streams are refused that may not end before.
 	quarantinesRead  chan struct{} // Closed once the quarantines in the member list have been read, or could not be read.
 	membersKnown     atomic.Bool   // The member list has been read, or could not be read.
 	peerLoadsChanged atomic.Bool   // Set until the placer has the peers' current loads.
@@ -200,7 +201,7 @@
 	}
 	l.relayer = &relayer.Relayer{
 		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
-		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, Instances: l.linker.InstanceCount,
+		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, ExitTime: l.requestExitTime, Instances: l.linker.InstanceCount,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
 		Limiter: &limiter.Limiter{
 			Ratio: d.Bounds.RetryRatio, Slack: d.Bounds.RetrySlack, Window: d.Bounds.RetryWindow, Instances: l.linker.InstanceCount,
--- a/launcher/pages.go
+++ b/launcher/pages.go
@@ -141,7 +141,8 @@
 // shutDown stops the instance gracefully. It fails the readiness probe, releases
 // the lease, keeps serving for deregistrationDelay so that the load balancer
 // removes the instance, and then waits for running requests until exitReserve
-// before the end of the grace period.
+// before the end of the grace period. Requests for streams that arrive in that time are
+// refused if they may take longer.
 func (l *Launcher) shutDown() {
 	grace := l.Deployment.Bounds.Grace
 	l.Logger.Info("stopping", "grace", grace.String())
@@ -154,6 +155,7 @@
 	}
 	l.linker.BroadcastStatus()
 	time.Sleep(deregistrationDelay)
+	l.exitTime.Store(&deadline)
 	l.awaitQuiet(grace / 8)
 	if err := l.listener.Refuse(); err != nil {
 		l.Logger.Info("connections that are accepted only now may be reset", "error", err.Error())
@@ -169,6 +171,15 @@
 	l.Logger.Info("drained", "active", l.relayer.ActiveRequests())
 }
 
+// requestExitTime returns the time at which responses in progress are cut off, or zero
+// while the instance accepts all requests.
+func (l *Launcher) requestExitTime() time.Time {
+	if t := l.exitTime.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
 // awaitQuiet waits until no connection has been accepted for quietPeriod.
 func (l *Launcher) awaitQuiet(timeout time.Duration) {
 	for latest := time.Now().Add(timeout); time.Now().Before(latest); {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -52,6 +52,7 @@
 	firstConfigWait         = 100 * time.Millisecond // An instance that starts usually has a configuration and the quarantines by then.
 	noUpstreamRetryAfter    = 700 * time.Millisecond // Registrations arrive about once a second.
 	upstreamsFullRetryAfter = 300 * time.Millisecond // About the duration of one request.
+	stoppingRetryAfter      = 50 * time.Millisecond  // Retries reach other instances.
 	retryJitter             = 0.5                    // Maximum random extension of Retry-After as a share of it, so that retries spread out.
 )
 
@@ -78,6 +79,7 @@
 	Instances        func() int           // Returns the number of instances, this one included.
 	Revocation       time.Duration        // Maximum age of the configuration at which keys are accepted; bounds the use of a revoked key.
 	Stopping         func() bool          // Reports whether the instance is shutting down; client connections are then closed after the response.
+	ExitTime         func() time.Time     // Returns when responses in progress are cut off in a shutdown; zero while all new requests are still accepted.
 	Logger           logr.Logger
 	Tracer           trace.Tracer
 	Metrics          metrics.Registry
@@ -151,8 +153,13 @@
 		return
 	}
 	x.setDeadline()
+	streaming := x.route.Kind == savoryloft.StreamingCall
+	if exit := r.ExitTime(); streaming && !exit.IsZero() && x.deadline.After(exit) {
+		x.refuse(fasthttp.StatusServiceUnavailable, "Stopping", "instance is stopping; the request has not run", stoppingRetryAfter)
+		return
+	}
 	r.Limiter.RecordRequest(x.received, x.service)
-	if x.route.Kind == savoryloft.StreamingCall {
+	if streaming {
 		x.serveStream()
 		return
 	}
