Requests without a response at the end of the grace period get one

Cause: the process ended while they were in progress; nothing told them. Now they are aborted exitReserve before the end: those that have not run get 503, the others 502, and the process ends once these are written. A response that has begun is still cut.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -72,10 +72,12 @@
 
 	incarnation      int
 	stopping         atomic.Bool
+	requests         context.Context // Cancelled to abort the requests in progress.
+	abortRequests    context.CancelCauseFunc
 	exitTime         atomic.Pointer[time.Time] // Set in a shutdown, once streams are refused that may not end before.
-	quarantinesRead  chan struct{} // Closed once the quarantines in the member list have been read, or could not be read.
-	membersKnown     atomic.Bool   // The member list has been read, or could not be read.
-	peerLoadsChanged atomic.Bool   // Set until the placer has the peers' current loads.
+	quarantinesRead  chan struct{}             // Closed once the quarantines in the member list have been read, or could not be read.
+	membersKnown     atomic.Bool               // The member list has been read, or could not be read.
+	peerLoadsChanged atomic.Bool               // Set until the placer has the peers' current loads.
 	registry         metrics.Registry
 	watcher          *watcher.Watcher
 	linker           *linker.Linker
@@ -199,8 +201,10 @@
 	l.throttler = &throttler.Throttler{
 		Allocation: l.limitAllocation, Send: l.linker.SendLimits, Broadcast: l.linker.BroadcastLimits, Logger: l.Logger, Metrics: l.registry,
 	}
+	l.requests, l.abortRequests = context.WithCancelCause(context.Background())
 	l.relayer = &relayer.Relayer{
-		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
+		Context: l.requests,
+		Wire:    l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
 		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, ExitTime: l.requestExitTime, Instances: l.linker.InstanceCount,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
 		Limiter: &limiter.Limiter{
--- a/launcher/pages.go
+++ b/launcher/pages.go
@@ -142,7 +142,8 @@
 // the lease, keeps serving for deregistrationDelay so that the load balancer
 // removes the instance, and then waits for running requests until exitReserve
 // before the end of the grace period. Requests for streams that arrive in that time are
-// refused if they may take longer.
+// refused if they may take longer. Requests without a response at its end get an error
+// response.
 func (l *Launcher) shutDown() {
 	grace := l.Deployment.Bounds.Grace
 	l.Logger.Info("stopping", "grace", grace.String())
@@ -163,14 +164,28 @@
 		l.awaitQuiet(grace / 8)
 	}
 	_ = l.listener.Close()
-	for (l.listener.CloseIdle() > 0 || l.relayer.ActiveRequests() > 0) && time.Now().Before(deadline) {
-		time.Sleep(drainPollInterval)
+	if active := l.drain(deadline); active > 0 {
+		l.Logger.Info("grace period is over, requests aborted", "active", active)
+		l.abortRequests(relayer.ErrStopping)
+		l.drain(time.Now().Add(abortTimeout))
 	}
 	l.linker.BroadcastStatus()
 	time.Sleep(drainPollInterval)
 	l.Logger.Info("drained", "active", l.relayer.ActiveRequests())
 }
 
+// drain waits until no request is in progress, and closes the connections that are idle.
+// It returns the number of requests that are in progress at the deadline.
+func (l *Launcher) drain(deadline time.Time) (active int) {
+	for l.listener.CloseIdle() > 0 || l.relayer.ActiveRequests() > 0 {
+		if !time.Now().Before(deadline) {
+			return l.relayer.ActiveRequests()
+		}
+		time.Sleep(drainPollInterval)
+	}
+	return 0
+}
+
 // requestExitTime returns the time at which responses in progress are cut off, or zero
 // while the instance accepts all requests.
 func (l *Launcher) requestExitTime() time.Time {
@@ -191,6 +206,7 @@
 }
 
 const (
+	abortTimeout      = 200 * time.Millisecond // For the responses to aborted requests.
 	drainPollInterval = 50 * time.Millisecond  // Between checks for running requests during shutdown.
 	quietPeriod       = 200 * time.Millisecond // Time without new connections after which the listener is closed.
 )
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -401,6 +401,10 @@
 		x.refuse(http.StatusServiceUnavailable, "TimeUp", "time is up; the request has not run", upstreamsFullRetryAfter)
 	case errors.Is(cause, errDeadlineExceeded):
 		x.refuse(http.StatusGatewayTimeout, "TimeUp", "upstream did not answer in time", 0)
+	case errors.Is(cause, ErrStopping) && x.possibleRuns == 0 && e.execution == notExecuted:
+		x.refuseStopping()
+	case errors.Is(cause, ErrStopping):
+		x.refuse(http.StatusBadGateway, "Stopping", "instance is stopping; the request may have run", 0)
 	case errors.Is(e.cause, errOverloaded):
 		x.refuseOverloaded()
 	case x.possibleRuns == 0 && errors.Is(e.cause, errQuarantined):
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	r := &relayer.Relayer{Wire: platform.Wire{}, Watcher: w, Placer: p, Limiter: l,
+//	r := &relayer.Relayer{Context: ctx, Wire: platform.Wire{}, Watcher: w, Placer: p, Limiter: l,
 //		Pool: pool, Logger: log, ...}
 //	server := &fasthttp.Server{Handler: r.Handle}
 //	err := server.Serve(&relayer.Listener{Listener: listener})
@@ -60,11 +60,14 @@
 const (
 	errClientDisconnected = errors.ConstError("client disconnected")
 	errDeadlineExceeded   = errors.ConstError("request deadline exceeded")
+	// ErrStopping is the cancellation cause of Relayer.Context when the instance exits.
+	ErrStopping = errors.ConstError("instance is stopping")
 )
 
 // Relayer handles client requests. Set the exported fields before the first
 // request.
 type Relayer struct {
+	Context          context.Context // Requests in progress are aborted when it is cancelled.
 	Wire             savoryloft.WireFormat
 	Watcher          *watcher.Watcher
 	Placer           *placer.Placer
@@ -132,7 +135,7 @@
 func (r *Relayer) Handle(httpCtx *fasthttp.RequestCtx) {
 	r.active.Add(1)
 	x := &exchange{relayer: r, httpCtx: httpCtx, received: time.Now(), triedUpstreams: map[string]bool{}, probed: make(chan bool, maxSends)}
-	x.ctx, x.cancel = context.WithCancelCause(context.Background())
+	x.ctx, x.cancel = context.WithCancelCause(r.Context)
 	if c, ok := httpCtx.Conn().(*clientConn); ok {
 		x.client = c
 		c.startDisconnectWatch(x.cancel)
@@ -155,7 +158,7 @@
 	x.setDeadline()
 	streaming := x.route.Kind == savoryloft.StreamingCall
 	if exit := r.ExitTime(); streaming && !exit.IsZero() && x.deadline.After(exit) {
-		x.refuse(fasthttp.StatusServiceUnavailable, "Stopping", "instance is stopping; the request has not run", stoppingRetryAfter)
+		x.refuseStopping()
 		return
 	}
 	r.Limiter.RecordRequest(x.received, x.service)
@@ -283,6 +286,11 @@
 	x.finish(code, status)
 }
 
+// refuseStopping refuses a request that this instance may not complete before it exits.
+func (x *exchange) refuseStopping() {
+	x.refuse(fasthttp.StatusServiceUnavailable, "Stopping", "instance is stopping; the request has not run", stoppingRetryAfter)
+}
+
 // finish cancels the exchange's context, logs the request and records its
 // metrics. Later calls have no effect.
 func (x *exchange) finish(outcome string, status int) {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -292,6 +292,8 @@
 		outcome = "CallerLeft"
 	case errors.Is(cause, errDeadlineExceeded):
 		outcome = "TimeUp"
+	case errors.Is(cause, ErrStopping):
+		outcome = "Stopping"
 	default:
 		outcome = "StreamBroken"
 		x.relayer.Logger.Info("stream broken", "id", x.call.ID, "upstream", x.upstream, "after", s.lastEventID, "error", err.Error())
