A planned stop awaits responses that are being written

What callers saw: a response that was still being written, to a client that read slowly, was cut when the instance stopped. Cause: a request counted as finished, and its connection as idle, when its response was known, before it was written; the process ended then. Now the connection counts as busy until the server reads the next request from it.

--- a/launcher/shutdown_test.go
+++ b/launcher/shutdown_test.go
@@ -104,7 +104,7 @@
 // Guards against a process that ends while it still writes a response, since the request
 // counted as finished before.
 func TestShutdownAwaitsResponsesThatAreBeingWritten(t *testing.T) {
-	const events = 300_000 // Several MB, more than the sockets buffer.
+	const events = 220_000 // 7 MB, more than the sockets buffer.
 	c := newCluster(t)
 	e := c.addEngine(func(*http.Request) standin.Behaviour { return standin.CutResponse })
 	e.EventCount = events
@@ -112,6 +112,7 @@
 	i := c.start(longRevocation)
 	c.waitForUpstreams(i, 1)
 	kept := dialKept(t, i)
+	require.NoError(t, kept.conn.(*net.TCPConn).SetReadBuffer(64<<10))
 	r := c.request(i, "once", "key-1")
 	r.Header.Set("X-Token-Count", "100,20")
 	kept.send(r)
--- a/relayer/caller.go
+++ b/relayer/caller.go
@@ -103,7 +103,8 @@
 	mu        sync.Mutex
 	received  bool          // The client has sent something.
 	readAhead []byte        // Data that the disconnect watch has read and the next Read returns.
-	busy      bool          // A request is being received or handled.
+	busy      bool          // A request is being received or handled, or its response is being written.
+	handled   bool          // The request has been handled: the next Read is for another one.
 	watchDone chan struct{} // Closed when the disconnect watch ends; nil while none runs.
 }
 
@@ -113,10 +114,13 @@
 	if len(c.readAhead) > 0 {
 		n := copy(b, c.readAhead)
 		c.readAhead = c.readAhead[n:]
-		c.busy = true
+		c.busy, c.handled = true, false
 		c.mu.Unlock()
 		return n, nil
 	}
+	if c.handled {
+		c.busy, c.handled = false, false
+	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(b)
 	if n > 0 {
@@ -168,7 +172,7 @@
 func (c *clientConn) startDisconnectWatch(cancel context.CancelCauseFunc) {
 	done := make(chan struct{})
 	c.mu.Lock()
-	c.watchDone = done
+	c.watchDone, c.busy, c.handled = done, true, false
 	c.mu.Unlock()
 	_ = c.SetReadDeadline(time.Time{})
 	go func() {
@@ -202,6 +206,6 @@
 	<-done
 	_ = c.SetReadDeadline(time.Time{})
 	c.mu.Lock()
-	c.busy = false
+	c.handled = true
 	c.mu.Unlock()
 }
