A request that crosses the close of an idle connection is read to its end

What callers could see in a planned stop: a request whose first part arrived as its connection was closed as idle got a 400 and no retry, since the read of its rest failed. Cause: the check that the connection is idle and the read deadline that ends it were not one step. Now Read sets the server's deadline back if data has arrived.

TestRequestThatCrossesTheCloseOfAnIdleConnectionIsRead failed before: the deadline remained the one that ends the connection.

--- a/relayer/caller.go
+++ b/relayer/caller.go
@@ -106,6 +106,9 @@
 	busy      bool          // A request is being received or handled, or its response is being written.
 	handled   bool          // The request has been handled: the next Read is for another one.
 	watchDone chan struct{} // Closed when the disconnect watch ends; nil while none runs.
+
+	readDeadline time.Time // The last one that SetReadDeadline has set.
+	closing      bool      // closeIfIdle has set another one, which ends the pending Read.
 }
 
 // Read implements net.Conn.
@@ -125,12 +128,25 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.busy, c.received = true, true
-		c.mu.Unlock()
+		if c.closing {
+			// The request has crossed closeIfIdle.
+			c.closing = false
+			_ = c.Conn.SetReadDeadline(c.readDeadline)
+		}
 	}
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline, c.closing = t, false
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Write implements net.Conn. It writes nothing to a client that has not sent
 // anything: the HTTP server answers a connection on which it has waited in vain,
 // and the client would take that for the response to its first request.
@@ -156,13 +172,14 @@
 // on it and it is not new.
 func (c *clientConn) closeIfIdle() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	idle := !c.busy && c.watchDone == nil && (c.received || time.Since(c.acceptedAt) > firstRequestTime)
-	c.mu.Unlock()
 	// A request may have arrived that the server has not read yet.
 	if idle = idle && exchanger.IsIdle(c.Conn); idle {
-		// The server's pending read fails, and the server closes the connection. A
-		// connection on which a request has begun to arrive is busy and stays open.
-		_ = c.SetReadDeadline(time.Now())
+		// The server's pending read fails, and the server closes the connection. If a
+		// request arrives before that, Read sets the deadline back.
+		c.closing = true
+		_ = c.Conn.SetReadDeadline(time.Now())
 	}
 	return idle
 }
