A silent stream that can not be resumed is kept

Cause: the stream was given up before it was known that it could be resumed. Now it is only if the retry budget has room and another upstream is eligible; otherwise the instance waits on, until the request's deadline.

TestSilentStreamThatCanNotBeResumedIsKept failed before: the response was cut after 3 s of silence.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -22,6 +22,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,6 +99,7 @@
 	reader           *bufio.Reader
 	writer           *bufio.Writer
 	readTimeout      time.Duration
+	extendRead       func() time.Duration // See ExtendReads.
 	bytesWritten     atomic.Int64
 	writtenBefore    int64 // Value of bytesWritten at the start of the current exchange.
 	reusable         bool  // The last response was read completely, and the server keeps the connection open.
@@ -366,6 +368,14 @@
 	}
 	_ = r.c.SetReadDeadline(time.Now().Add(r.c.readTimeout))
 	n, err := r.c.Conn.Read(b)
+	for n == 0 && r.c.extendRead != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		extension := r.c.extendRead()
+		if extension <= 0 {
+			break
+		}
+		_ = r.c.SetReadDeadline(time.Now().Add(extension))
+		n, err = r.c.Conn.Read(b)
+	}
 	if r.c.headBytesLeft != noHead {
 		r.c.headBytesLeft = max(r.c.headBytesLeft-n, 0)
 	}
--- a/exchanger/raw.go
+++ b/exchanger/raw.go
@@ -20,7 +20,7 @@
 // connection. The connection is closed when ctx ends. A body of 16 KiB or more is
 // written in the background.
 func (c *Conn) Send(ctx context.Context, head, body []byte, timeout time.Duration) error {
-	c.readTimeout = timeout
+	c.readTimeout, c.extendRead = timeout, nil
 	c.writtenBefore = c.bytesWritten.Load()
 	c.reusable = false
 	c.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -61,6 +61,10 @@
 // SetReadTimeout sets the timeout of each later read from the connection.
 func (c *Conn) SetReadTimeout(timeout time.Duration) { c.readTimeout = timeout }
 
+// ExtendReads makes reads that time out call extension and wait for the time that it
+// returns; they fail if that is zero. It applies to the current exchange.
+func (c *Conn) ExtendReads(extension func() time.Duration) { c.extendRead = extension }
+
 // ReadResponseBody reads the body of a response from ReadResponse and marks the
 // response as completely read. It returns an error when the body is longer than
 // limit bytes.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -376,6 +377,23 @@
 	return x.sends == 0 || x.relayer.Limiter.Allow(time.Now(), x.service)
 }
 
+// canResume reports whether the request may be sent again, and another upstream could take
+// it, if the one that runs it is given up.
+func (x *exchange) canResume() bool {
+	if x.ctx.Err() != nil || !x.retryable() || x.possibleRuns >= x.route.MaxAttempts || x.sends >= maxSends || x.trial || !x.resolveAgain() {
+		return false
+	}
+	r := x.relayer
+	if !r.Limiter.Permits(time.Now(), x.service) {
+		return false
+	}
+	req := x.placerRequest()
+	req.Exclude = maps.Clone(req.Exclude)
+	req.Exclude[x.upstream] = true
+	_, ok := r.Placer.Choose(time.Now(), req, r.Watcher.Upstreams(x.service))
+	return ok
+}
+
 // retryable reports whether the request may run more than once.
 func (x *exchange) retryable() bool {
 	return x.route.Kind == savoryloft.IdempotentCall || x.route.Kind == savoryloft.StreamingCall && x.route.Resumable
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -95,6 +95,7 @@
 		a.release(placer.Failed)
 		return x.recordFailure(a.choice, &sendError{maybeExecuted, errors.Errorf("upstream resumed after event %s with event %s", s.lastEventID, id)})
 	}
+	a.conn.ExtendReads(s.extension)
 	a.firstEventAt = time.Now()
 	a.run.RecordFirstToken(a.firstEventAt)
 	a.notifyPrefillChange()
@@ -152,6 +153,10 @@
 			return s.brokenBy
 		}
 		left := time.Until(end)
+		if left <= 0 && !s.attempt.firstEventAt.IsZero() {
+			left = s.extension()
+			end = time.Now().Add(left)
+		}
 		if left <= 0 {
 			return errors.Errorf("%s sent no complete event for %s", s.attempt.choice.Upstream.ID, timeout)
 		}
@@ -256,6 +261,15 @@
 	return max(minEventTimeout, eventTimeoutFactor*x.route.EventIntervalObjective)
 }
 
+// extension returns how much longer to wait for an upstream that has sent no event within
+// the time limit: zero if the stream can be resumed on another one.
+func (s *stream) extension() time.Duration {
+	if s.exchange.canResume() {
+		return 0
+	}
+	return s.eventTimeout()
+}
+
 // resume continues the stream on another upstream after the last event that was
 // sent to the client. If no retry is permitted or none succeeds, it returns the
 // error with which the response must end.
