--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -74,9 +74,12 @@
 
 	incarnation      int
 	stopping         atomic.Bool
-	quarantinesRead  chan struct{} // Closed once the quarantines in the member list have been read, or could not be read.
-	membersKnown     atomic.Bool   // The member list has been read, or could not be read.
-	peerLoadsChanged atomic.Bool   // Set until the placer has the peers' current loads.
+	requests         context.Context // Cancelled to abort the requests in progress.
+	abortRequests    context.CancelCauseFunc
+	exitTime         atomic.Pointer[time.Time] // Set in a shutdown, once streams are refused that may not end before.
+	quarantinesRead  chan struct{}             // Closed once the quarantines in the member list have been read, or could not be read.
+	membersKnown     atomic.Bool               // The member list has been read, or could not be read.
+	peerLoadsChanged atomic.Bool               // Set until the placer has the peers' current loads.
 	registry         metrics.Registry
 	watcher          *watcher.Watcher
 	linker           *linker.Linker
@@ -208,9 +211,11 @@
 		Send:        l.linker.SendOrigins, Broadcast: l.linker.BroadcastOrigins, Reply: l.linker.ReplyOrigins,
 		Logger: l.Logger, Metrics: l.registry,
 	}
+	l.requests, l.abortRequests = context.WithCancelCause(context.Background())
 	l.relayer = &relayer.Relayer{
-		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
-		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, Instances: l.linker.InstanceCount,
+		Context: l.requests,
+		Wire:    l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
+		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, ExitTime: l.requestExitTime, Instances: l.linker.InstanceCount,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
 		Limiter: &limiter.Limiter{
 			Ratio: d.Bounds.RetryRatio, Slack: d.Bounds.RetrySlack, Window: d.Bounds.RetryWindow, Instances: l.linker.InstanceCount,
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -96,6 +96,7 @@
 		return x.recordFailure(a.choice, &sendError{maybeExecuted, errors.Errorf("upstream resumed after event %s with event %s", s.lastEventID, id)})
 	}
 	x.beginStream(a.choice.Upstream)
+	a.conn.ExtendReads(s.extension)
 	a.firstEventAt = time.Now()
 	a.run.RecordFirstToken(a.firstEventAt)
 	a.notifyPrefillChange()
@@ -153,6 +154,10 @@
 			return s.brokenBy
 		}
 		left := time.Until(end)
+		if left <= 0 && !s.attempt.firstEventAt.IsZero() {
+			left = s.extension()
+			end = time.Now().Add(left)
+		}
 		if left <= 0 {
 			return errors.Errorf("%s sent no complete event for %s", s.attempt.choice.Upstream.ID, timeout)
 		}
@@ -257,6 +262,15 @@
 	return max(minEventTimeout, eventTimeoutFactor*x.route.EventIntervalObjective)
 }
 
+// extension returns how much longer to wait for an upstream that has sent no event within
+// the time limit: zero if the stream can be resumed on another one.
+func (s *stream) extension() time.Duration {
+	if s.exchange.canResume() {
+		return 0
+	}
+	return s.eventTimeout()
+}
+
 // resume continues the stream on another upstream after the last event that was
 // sent to the client. If no retry is permitted or none succeeds, it returns the
 // error with which the response must end.
@@ -293,6 +307,8 @@
 		outcome = "CallerLeft"
 	case errors.Is(cause, errDeadlineExceeded):
 		outcome = "TimeUp"
+	case errors.Is(cause, ErrStopping):
+		outcome = "Stopping"
 	default:
 		outcome = "StreamBroken"
 		x.relayer.Logger.Info("stream broken", "id", x.call.ID, "upstream", x.upstream, "after", s.lastEventID, "error", err.Error())
