Test: refusals that a faulty upstream writes once more

Reported by other operators: a faulty runner wrote an earlier refusal once more on a kept connection; clients were told 'not run, try again' for requests that had run, or such a request ran at a second runner.

TestRepeatedRefusalsAreDiscarded plays 144 variants: status 503, 429, 421 and 400, with the ID of the earlier request or none; while the connection is idle, on the next request, in one segment with its response, in two parts, after its head and after it; one, two and three copies; on plain and streamed routes, resumable or not.

--- /dev/null
+++ b/launcher/repeat_test.go
@@ -0,0 +1,99 @@
+package launcher
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft/platform/standin"
+)
+
+// runCounts counts the runs of requests by ID.
+type runCounts struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (c *runCounts) add(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.runs == nil {
+		c.runs = map[string]int{}
+	}
+	c.runs[id]++
+}
+
+func (c *runCounts) of(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[id]
+}
+
+// addRepeater starts an engine that repeats its refusals and adds it to the registry under
+// each of the IDs.
+func (c *cluster) addRepeater(p *standin.Repeater, ids ...string) {
+	l := c.listen()
+	c.t.Cleanup(func() { _ = l.Close() })
+	go p.Serve(l)
+	for _, id := range ids {
+		c.register(id, l.Addr().String(), "ready")
+	}
+}
+
+// notRunStatuses are those that promise that a request has not run.
+var notRunStatuses = []int{
+	http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+}
+
+// Guards against a repeated refusal of an earlier request that is taken for the refusal of the
+// next one on the connection: a client is told that its request has not run although it has,
+// or it runs at a second upstream.
+func TestRepeatedRefusalsAreDiscarded(t *testing.T) {
+	const requests = 6
+	for _, status := range []int{503, 429, 421, 400} {
+		for _, unnamed := range []bool{false, true} {
+			for when := range standin.RepeatTimes {
+				for _, count := range []int{1, 2, 3} {
+					p := standin.Repeater{Status: status, Unnamed: unnamed, Time: standin.RepeatTime(when), Count: count}
+					t.Run(fmt.Sprintf("%d, unnamed %t, %s, %d times", status, unnamed, p.Time, count), func(t *testing.T) {
+						t.Parallel()
+						testRepeatedRefusals(t, p, requests)
+					})
+				}
+			}
+		}
+	}
+}
+
+func testRepeatedRefusals(t *testing.T, p standin.Repeater, requests int) {
+	c := newCluster(t)
+	var ran runCounts
+	p.Ran = ran.add
+	second := p
+	c.addRepeater(&p, "i-first")
+	c.addRepeater(&second, "i-second")
+	i := c.start(longRevocation)
+	c.waitForUpstreams(i, 2)
+	for _, route := range []string{"once", "twice", "stream", "resume"} {
+		for range requests {
+			r := c.request(i, route, "key-1")
+			resp := c.do(r)
+			runs := ran.of(standin.AttemptID(r))
+			if slices.Contains(notRunStatuses, resp.status) {
+				require.Zero(t, runs, "%s: the client is told with status %d that it has not run", route, resp.status)
+			}
+			if !c.mayRepeat(route) {
+				require.LessOrEqual(t, runs, 1, route)
+			}
+			if resp.status == http.StatusOK {
+				require.NotZero(t, runs, route)
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+}
