Relayer: a refusal without an ID counts only as the first response

What callers saw: a response 503, 'the request has not run', although it had run, at two upstreams even, when a faulty upstream writes the refusal of another request and then one without an ID on a new connection.

Cause: on a new connection a refusal without an ID counted as that of the request, also after a response to another one, which shows that the connection carries what belongs to no request.

Such a refusal is now skipped like other late responses, so that the request may have run.

--- a/launcher/repeat_test.go
+++ b/launcher/repeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/platform/standin"
 )
 
@@ -97,3 +99,41 @@
 		}
 	}
 }
+
+// Guards against a refusal without an ID that is taken for that of the request although the
+// connection has carried something before: the query for the upstream's report, or a
+// response to another request.
+func TestUnnamedRefusalOfSomethingElse(t *testing.T) {
+	for _, route := range []string{"once", "stream", "resume"} {
+		for _, tt := range []struct {
+			name  string
+			serve func(l net.Listener, ran func(id string))
+		}{
+			{"after a response to another request", standin.ServeUnnamedRefusalAfterAnother},
+		} {
+			t.Run(route+", "+tt.name, func(t *testing.T) {
+				c := newCluster(t)
+				var ran runCounts
+				for _, id := range []string{"i-first", "i-second"} {
+					l := c.listen()
+					defer l.Close()
+					go tt.serve(l, ran.add)
+					c.log.Set(savoryloft.TopicRegistry, id, registryEntry(l.Addr().String(), 1))
+				}
+				i := c.start(longRevocation)
+				c.waitForUpstreams(i, 2)
+				for range 4 {
+					r := c.request(i, route, "key-1")
+					resp := c.do(r)
+					runs := ran.of(standin.AttemptID(r))
+					if slices.Contains(notRunStatuses, resp.status) {
+						require.Zero(t, runs, "status %d", resp.status)
+					}
+					if !c.mayRepeat(route) {
+						require.LessOrEqual(t, runs, 1)
+					}
+				}
+			})
+		}
+	}
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -190,7 +190,7 @@
 		timer := time.AfterFunc(timeout, a.cancel)
 		defer timer.Stop()
 	}
-	for range maxStaleResponses + 1 {
+	for n := range maxStaleResponses + 1 {
 		resp, err := a.conn.ReadResponse(a.ctx, a.exchange.call.Method)
 		if err != nil {
 			return err
@@ -198,7 +198,8 @@
 		a.response = resp
 		a.head = a.exchange.relayer.Wire.DecodeAnswer(resp)
 		a.followUpstream()
-		if a.head.ID == a.exchange.call.ID || a.head.ID == "" && a.head.NotRun && !a.conn.Reused() {
+		isFirst := n == 0 && !a.conn.Reused() // Nothing else can have been refused on the connection.
+		if a.head.ID == a.exchange.call.ID || a.head.ID == "" && a.head.NotRun && isFirst {
 			a.conn.SetKeepAliveTimeout(a.head.KeepAlive)
 			a.observeLimit()
 			return nil
