Exchanger: a connection that has carried a query counts as used

What callers saw: 503, 'the request has not run', although it had run, at two upstreams even. Before a stream that can be resumed, a new connection carries the query for the upstream's report. A faulty upstream that refuses the query, which has no ID, and writes this refusal again before the response to the request was believed, since the connection counted as new until it was taken from the pool.

Reused now counts what was sent on the connection.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -104,7 +104,7 @@
 	reusable         bool  // The last response was read completely, and the server keeps the connection open.
 	idleSince        time.Time
 	keepAliveTimeout time.Duration // Server's keep-alive timeout; 0 when unknown.
-	reused           bool          // The connection was idle in the pool before this use.
+	exchanges        int           // Requests that were sent, including the current one.
 	closeOnRelease   bool
 	bodyWritten      chan error  // Receives the result of the background body write; nil if there is none.
 	stopCancel       func() bool // Stops the AfterFunc that closes the connection when the context ends.
@@ -144,7 +144,6 @@
 		l.conns = l.conns[:len(l.conns)-1]
 		// Unread data would be read as the response to the next request.
 		if time.Since(c.idleSince) < c.idleTimeout() && IsIdle(c.Conn) {
-			c.reused = true
 			return c
 		}
 		_ = c.Close()
@@ -208,6 +207,7 @@
 // is closed when ctx ends.
 func (c *Conn) Exchange(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
 	c.readTimeout = timeout
+	c.exchanges++
 	c.writtenBefore = c.bytesWritten.Load()
 	c.reusable = false
 	c.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -326,8 +326,9 @@
 	return defaultMaxBuffered
 }
 
-// Reused reports whether the connection has carried a request before.
-func (c *Conn) Reused() bool { return c.reused }
+// Reused reports whether the connection has carried a request or a query before the
+// current one.
+func (c *Conn) Reused() bool { return c.exchanges > 1 }
 
 // MarkComplete marks the response as completely read, so that Release keeps the
 // connection open.
--- a/exchanger/raw.go
+++ b/exchanger/raw.go
@@ -21,6 +21,7 @@
 // written in the background.
 func (c *Conn) Send(ctx context.Context, head, body []byte, timeout time.Duration) error {
 	c.readTimeout = timeout
+	c.exchanges++
 	c.writtenBefore = c.bytesWritten.Load()
 	c.reusable = false
 	c.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
--- a/launcher/repeat_test.go
+++ b/launcher/repeat_test.go
@@ -109,6 +109,7 @@
 			name  string
 			serve func(l net.Listener, ran func(id string))
 		}{
+			{"after a refused query", standin.ServeRefusedQueries},
 			{"after a response to another request", standin.ServeUnnamedRefusalAfterAnother},
 		} {
 			t.Run(route+", "+tt.name, func(t *testing.T) {
