Relayer: a request is not sent again on a connection on which it was refused

What callers saw: 503, 'the request has not run', although it had run. A faulty upstream refused a request, and wrote the refusal again on the kept connection when the request came a second time, which it ran: sent again by the client under its ID, or by the instance to a second registry entry with the same address. The copy names the request, so that the check of the ID lets it pass.

Connections remember the requests refused on them, and such a request gets a new connection. After 32 refusals a connection is not kept, so that the list stays short.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -103,8 +103,9 @@
 	writtenBefore    int64 // Value of bytesWritten at the start of the current exchange.
 	reusable         bool  // The last response was read completely, and the server keeps the connection open.
 	idleSince        time.Time
-	keepAliveTimeout time.Duration // Server's keep-alive timeout; 0 when unknown.
-	exchanges        int           // Requests that were sent, including the current one.
+	keepAliveTimeout time.Duration   // Server's keep-alive timeout; 0 when unknown.
+	exchanges        int             // Requests that were sent, including the current one.
+	refused          map[string]bool // Requests that the server has refused; see MarkRefused.
 	closeOnRelease   bool
 	bodyWritten      chan error  // Receives the result of the background body write; nil if there is none.
 	stopCancel       func() bool // Stops the AfterFunc that closes the connection when the context ends.
@@ -330,6 +331,24 @@
 // current one.
 func (c *Conn) Reused() bool { return c.exchanges > 1 }
 
+// maxRefused is the number of refused requests after which a connection is not kept.
+const maxRefused = 32
+
+// MarkRefused records that the server has refused a request, which is not to be sent on the
+// connection again: a copy of the refusal could not be told from the response.
+func (c *Conn) MarkRefused(id string) {
+	if c.refused == nil {
+		c.refused = map[string]bool{}
+	}
+	c.refused[id] = true
+	if len(c.refused) >= maxRefused {
+		c.CloseOnRelease()
+	}
+}
+
+// HasRefused reports whether the server has refused a request on the connection.
+func (c *Conn) HasRefused(id string) bool { return c.refused[id] }
+
 // MarkComplete marks the response as completely read, so that Release keeps the
 // connection open.
 func (c *Conn) MarkComplete() { c.reusable = true }
--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -253,6 +253,15 @@
 	return r
 }
 
+// repeat builds a request once more, with the ID that it had.
+func (c *cluster) repeat(r *http.Request) *http.Request {
+	again := r.Clone(context.Background())
+	body, err := r.GetBody()
+	require.NoError(c.t, err)
+	again.Body = body
+	return again
+}
+
 func (c *cluster) do(r *http.Request) response {
 	resp, err := http.DefaultClient.Do(r)
 	require.NoError(c.t, err)
--- a/launcher/repeat_test.go
+++ b/launcher/repeat_test.go
@@ -138,3 +138,42 @@
 		}
 	}
 }
+
+// Guards against a copy of the refusal of a request that is taken for that of its next send on
+// the same connection: to an upstream that has a second entry in the registry, or because the
+// client sends it again under its ID.
+func TestRefusalRepeatedToTheSameRequest(t *testing.T) {
+	for _, route := range []string{"once", "stream", "resume"} {
+		for _, when := range []standin.RepeatTime{standin.WhileIdle, standin.OnRequest, standin.WithResponse, standin.Split} {
+			for _, tt := range []struct {
+				name string
+				ids  []string
+			}{
+				{"two entries", []string{"i-first", "i-second"}},
+				{"sent again", []string{"i-first"}},
+			} {
+				t.Run(fmt.Sprintf("%s, %s, %s", route, when, tt.name), func(t *testing.T) {
+					c := newCluster(t)
+					var ran runCounts
+					c.addRepeater(&standin.Repeater{Status: 503, Time: when, Ran: ran.add}, tt.ids...)
+					i := c.start(longRevocation)
+					c.waitForUpstreams(i, len(tt.ids))
+					for range 5 {
+						r := c.request(i, route, "key-1")
+						id := standin.AttemptID(r)
+						for range 2 {
+							before := ran.of(id)
+							resp := c.do(r)
+							runs := ran.of(id) - before
+							require.LessOrEqual(t, runs, 1)
+							if slices.Contains(notRunStatuses, resp.status) {
+								require.Zero(t, runs, "status %d", resp.status)
+							}
+							r = c.repeat(r)
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -143,6 +143,7 @@
 		return nil, a.abort(err)
 	}
 	if a.head.NotRun {
+		a.conn.MarkRefused(x.call.ID)
 		// Read the body so that the connection can be reused.
 		_, _ = a.conn.ReadResponseBody(a.ctx, a.response, maxResponseBytes)
 		outcome := placer.Refused
@@ -176,6 +177,10 @@
 	ctx, cancel := context.WithTimeout(a.ctx, dialTimeout)
 	defer cancel()
 	conn, err := a.exchange.relayer.Pool.Get(ctx, a.choice.Upstream.Address, exchanger.Reuse)
+	if err == nil && conn.HasRefused(a.exchange.call.ID) {
+		_ = conn.Close()
+		conn, err = a.exchange.relayer.Pool.Get(ctx, a.choice.Upstream.Address, exchanger.Fresh)
+	}
 	if err != nil {
 		return err
 	}
