Relayer: only the response to the request tells of the upstream's state

What callers saw: 503 because all upstreams were paused or left. A faulty upstream's copy of an earlier refusal with Retry-After or Server-Leaving, which was skipped as a response, still paused the upstream or marked it as leaving, and one with status 421 spoke against the requests whose connections had broken there.

Cause: the state was read before the ID was compared.

The state is read from the response to the request only; an upstream that leaves says so in all of them.

--- a/launcher/repeat_test.go
+++ b/launcher/repeat_test.go
@@ -177,3 +177,31 @@
 		}
 	}
 }
+
+// Guards against a pause, a leave or an end of the upstream that is read from a copy of a
+// refusal, which belongs to no request.
+func TestRepeatedRefusalSaysNothingOfTheUpstream(t *testing.T) {
+	for _, tt := range []struct {
+		name, header string
+	}{
+		{"pause", "Retry-After: 60\r\n"},
+		{"leave", "Server-Leaving: 1\r\n"},
+		{"limit", "Server-Limit: 0\r\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t)
+			l := c.listen()
+			defer l.Close()
+			go standin.ServeStrayRefusals(l, tt.header)
+			c.register("i-stray", l.Addr().String(), "ready")
+			i := c.start(longRevocation)
+			c.waitForUpstreams(i, 1)
+			for range 4 {
+				for _, route := range []string{"once", "stream", "resume"} {
+					require.Equal(t, http.StatusOK, c.call(i, route, "key-1").status, route)
+				}
+			}
+			require.False(t, i.launcher.watcher.Upstreams("s")[0].Draining)
+		})
+	}
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -202,10 +202,10 @@
 		}
 		a.response = resp
 		a.head = a.exchange.relayer.Wire.DecodeAnswer(resp)
-		a.followUpstream()
 		isFirst := n == 0 && !a.conn.Reused() // Nothing else can have been refused on the connection.
 		if a.head.ID == a.exchange.call.ID || a.head.ID == "" && a.head.NotRun && isFirst {
 			a.conn.SetKeepAliveTimeout(a.head.KeepAlive)
+			a.followUpstream()
 			a.observeLimit()
 			return nil
 		}
