Dispatcher: a rejection counts only if it is that of the attempt

What callers saw on the product's own interface: 400 UpstreamRejected for a valid request, which is not tried again, when an engine writes the rejection of an earlier request once more on a kept connection. No client was told 'not run': requests that must not be repeated are sent on new connections, and all other failures say that the outcome is unknown.

Cause: the status was read before the ID was compared.

Evidence: TestRepeatedRejectionIsDiscarded failed before with and without an ID in the copy ('status: 400, errorCode: UpstreamRejected', want 200).

A rejection with another ID, or without one on a connection that was used before, is a failed attempt, and the next one goes on a new connection.

--- a/dispatcher/chat.go
+++ b/dispatcher/chat.go
@@ -96,6 +96,7 @@
 	grant         *admitter.Grant
 	progressAt    time.Time // Time of the last progress report in this attempt; zero before the first.
 	emitErr       error     // Error returned by emit: the client can no longer be written to.
+	freshOnly     bool      // A kept connection had a response that may be to an earlier request.
 }
 
 // Chat runs a chat completion as a stream. It calls emit for each chunk once
@@ -177,7 +178,7 @@
 	ctx, span := d.startSpan(g.Context, "attempt", g.Upstream)
 	defer span.End()
 	mode := exchanger.Fresh
-	if s.call.Route.Idempotent {
+	if s.call.Route.Idempotent && !s.freshOnly {
 		mode = exchanger.Reuse
 	}
 	conn, err := d.Connections.Get(ctx, g.Upstream.Address, mode)
@@ -240,13 +241,17 @@
 	if err := conn.Exchange(ctx, req, resp, d.ReadIdleTimeout); err != nil {
 		return first, err
 	}
+	echo := string(resp.Header.Peek(requestIDHeader))
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
-		if isRejection(status) {
+		// Not all upstreams name the request that they reject.
+		if isRejection(status) && (echo == id || echo == "" && !conn.Reused()) {
 			return first, &rejection{status: status}
 		}
+		s.freshOnly = true
 		return first, errors.Errorf("upstream responded with status %d", status)
 	}
-	if echo := string(resp.Header.Peek(requestIDHeader)); echo != id {
+	if echo != id {
+		s.freshOnly = true
 		return first, errors.Annotatef(errAttemptMismatch, "got %q, want %q", echo, id)
 	}
 	body := resp.BodyStream()
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -21,6 +21,10 @@
 	SilentAfter  int     // Stop sending after this many tokens, but keep the connection open; never when zero.
 	SilentAtEnd  bool    // Stop sending after the end marker, without the end of the response.
 	CrossAnswers bool    // Respond with the request ID and the text of another request.
+	// RepeatedRejection is the ID in a rejection of an earlier request, which is sent
+	// before the response to each request on a connection but the first; "" for one
+	// without an ID.
+	RepeatedRejection *string
 }
 
 // Engine emulates an inference engine with continuous batching. Its response
@@ -145,6 +149,9 @@
 	if req.MaxTokens <= 0 {
 		req.MaxTokens = defaultMaxTokens
 	}
+	if f.RepeatedRejection != nil && ctx.ConnRequestNum() > 1 {
+		_, _ = fmt.Fprintf(ctx.Conn(), "HTTP/1.1 400 Bad Request\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", *f.RepeatedRejection)
+	}
 	id := string(ctx.Request.Header.Peek("X-Request-Id"))
 	if f.CrossAnswers {
 		id += "-other"
--- a/server/stream_test.go
+++ b/server/stream_test.go
@@ -37,6 +37,24 @@
 	}
 }
 
+// Guards against an engine's rejection of an earlier request, written once more on a kept
+// connection, that is taken for the response to the next one.
+func TestRepeatedRejectionIsDiscarded(t *testing.T) {
+	for _, id := range []string{"earlier", ""} {
+		t.Run(fmt.Sprintf("ID %q", id), func(t *testing.T) {
+			withFleet(t, 1, func(f *fleet) {
+				for _, e := range f.engines {
+					e.SetFaults(emulator.EngineFaults{RepeatedRejection: &id})
+				}
+				for n := range 8 {
+					prompt := fmt.Sprint("prompt ", n)
+					require.Equal(t, chatResult{status: 200, text: chatText(prompt, 5), done: true}, f.chat(0, apiKeyA, "quotes", prompt, 5))
+				}
+			})
+		})
+	}
+}
+
 // Guards against a finished stream that is held back or run again after its end marker.
 func TestStreamIsCompleteAtItsEndMarker(t *testing.T) {
 	withFleet(t, 1, func(f *fleet) {
