--- a/launcher/odd_test.go
+++ b/launcher/odd_test.go
@@ -325,3 +325,26 @@
 		require.Eventually(t, func() bool { return i.launcher.watcher.Version() == c.version }, eventuallyTimeout, 10*time.Millisecond)
 	}
 }
+
+// Guards against usage that is reported no more after an odd record in the duties topic.
+func TestUsageGoesOnAfterAnOddDutyRecord(t *testing.T) {
+	c := newCluster(t)
+	c.addEngine(nil)
+	i := c.start(longRevocation)
+	c.waitForUpstreams(i, 1)
+	reported := func() int {
+		reports, _ := c.duties.Snapshot()
+		return len(reports)
+	}
+	require.Eventually(t, func() bool { return reported() > 0 }, eventuallyTimeout, 10*time.Millisecond)
+	odd := []byte(`{"Instance":"odd","Incarnation":7,"Sequence":1,"Kind":"Figures","Figures":{"Window":9000000000000000000,"Counts":{"account":1}}}`)
+	for at := 0; ; at++ {
+		if _, err := c.log.AppendAt(t.Context(), savoryloft.TopicDuties, at, odd); err == nil {
+			break
+		}
+	}
+	time.Sleep(3 * time.Second) // For windows that were committed before.
+	before := reported()
+	require.Equal(t, http.StatusOK, c.call(i, "once", "key-1").status)
+	require.Eventually(t, func() bool { return reported() >= before+2 }, eventuallyTimeout, 10*time.Millisecond)
+}
