--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -144,6 +144,7 @@
 		return nil, a.abort(err)
 	}
 	if a.head.NotRun {
+		a.conn.MarkRefused(x.call.ID)
 		// Read the body so that the connection can be reused.
 		_, _ = a.conn.ReadResponseBody(a.ctx, a.response, maxResponseBytes)
 		outcome := placer.Refused
@@ -177,6 +178,10 @@
 	ctx, cancel := context.WithTimeout(a.ctx, dialTimeout)
 	defer cancel()
 	conn, err := a.exchange.relayer.Pool.Get(ctx, a.choice.Upstream.Address, exchanger.Reuse)
+	if err == nil && conn.HasRefused(a.exchange.call.ID) {
+		_ = conn.Close()
+		conn, err = a.exchange.relayer.Pool.Get(ctx, a.choice.Upstream.Address, exchanger.Fresh)
+	}
 	if err != nil {
 		return err
 	}
@@ -191,16 +196,17 @@
 		timer := time.AfterFunc(timeout, a.cancel)
 		defer timer.Stop()
 	}
-	for range maxStaleResponses + 1 {
+	for n := range maxStaleResponses + 1 {
 		resp, err := a.conn.ReadResponse(a.ctx, a.exchange.call.Method)
 		if err != nil {
 			return err
 		}
 		a.response = resp
 		a.head = a.exchange.relayer.Wire.DecodeAnswer(resp)
-		a.followUpstream()
-		if a.head.ID == a.exchange.call.ID || a.head.ID == "" && a.head.NotRun && !a.conn.Reused() {
+		isFirst := n == 0 && !a.conn.Reused() // Nothing else can have been refused on the connection.
+		if a.head.ID == a.exchange.call.ID || a.head.ID == "" && a.head.NotRun && isFirst {
 			a.conn.SetKeepAliveTimeout(a.head.KeepAlive)
+			a.followUpstream()
 			a.observeLimit()
 			return nil
 		}
