A slow log does not delay a planned stop

What callers saw: the lease holder, when it stopped, first released the lease, and that call waited for an earlier one in progress. With a log that did not respond the listener was closed up to 1.9 s later than planned, so that requests were accepted 4 s and more after SIGTERM, and cut at the end of the grace period. Cause: steps of the stop that depend on the log ran before those that clients depend on. Now the release runs beside them.

--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -47,6 +47,8 @@
 	attempts   int
 
 	membersDelay time.Duration // Of reads of the member list.
+	dutiesDelay  atomic.Int64  // Of appends of duty records, in ns.
+	dutiesCalls  atomic.Int64  // Appends of duty records that wait for dutiesDelay.
 }
 
 // instance is one running Launcher.
@@ -167,7 +169,7 @@
 	pool := &exchanger.Pool{Dial: exchanger.DialTCP}
 	l := &Launcher{
 		Deployment: d, Wire: platform.Wire{}, Decoder: platform.Decoder{},
-		Log:        &delayedLog{&platform.LogClient{Address: c.logServer.Listener.Addr().String(), Pool: pool}, c.membersDelay},
+		Log:        &delayedLog{&platform.LogClient{Address: c.logServer.Listener.Addr().String(), Pool: pool}, c, c.membersDelay},
 		DutyTarget: &platform.DutyClient{Address: c.dutyServer.Listener.Addr().String(), Instance: d.Instance, Pool: pool, Timeout: time.Second},
 		Pool:       pool, Logger: logr.Discard(), Tracer: tracer.Noop(),
 		ReadinessPath: platform.ReadinessPath, MetricsPath: platform.MetricsPath,
@@ -258,10 +260,21 @@
 	return c.do(c.request(i, route, key))
 }
 
-// delayedLog is a log whose member list is read with a delay.
+// delayedLog is a log whose member list is read, and whose duty records are appended,
+// with a delay.
 type delayedLog struct {
 	savoryloft.RecordLog
-	delay time.Duration
+	cluster *cluster
+	delay   time.Duration
+}
+
+func (l *delayedLog) AppendAt(ctx context.Context, t savoryloft.Topic, at int, value []byte) (era int, err error) {
+	if d := time.Duration(l.cluster.dutiesDelay.Load()); t == savoryloft.TopicDuties && d > 0 {
+		l.cluster.dutiesCalls.Add(1)
+		savoryloft.Sleep(ctx, d)
+		l.cluster.dutiesCalls.Add(-1)
+	}
+	return l.RecordLog.AppendAt(ctx, t, at, value)
 }
 
 func (l *delayedLog) Newest(ctx context.Context, t savoryloft.Topic) (savoryloft.RecordPage, error) {
--- a/launcher/pages.go
+++ b/launcher/pages.go
@@ -149,12 +149,7 @@
 	l.Logger.Info("stopping", "grace", grace.String())
 	l.stopping.Store(true)
 	deadline := time.Now().Add(grace - exitReserve)
-	ctx, cancel := context.WithTimeout(context.Background(), leaseReleaseTimeout)
-	defer cancel()
-	if err := l.claimer.Release(ctx); err != nil {
-		l.Logger.Info("lease release failed", "step", savoryloft.StepLease, "error", err.Error())
-	}
-	l.linker.BroadcastStatus()
+	go l.releaseLease() // The log may be slow to respond.
 	time.Sleep(deregistrationDelay)
 	l.exitTime.Store(&deadline)
 	l.awaitQuiet(grace / 8)
@@ -174,6 +169,16 @@
 	l.Logger.Info("drained", "active", l.relayer.ActiveRequests())
 }
 
+// releaseLease releases the lease, if this instance holds it, and informs the peers.
+func (l *Launcher) releaseLease() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaseReleaseTimeout)
+	defer cancel()
+	if err := l.claimer.Release(ctx); err != nil {
+		l.Logger.Info("lease release failed", "step", savoryloft.StepLease, "error", err.Error())
+	}
+	l.linker.BroadcastStatus()
+}
+
 // drain waits until no request is in progress, and closes the connections that are idle.
 // It returns the number of requests that are in progress at the deadline.
 func (l *Launcher) drain(deadline time.Time) (active int) {
--- a/launcher/shutdown_test.go
+++ b/launcher/shutdown_test.go
@@ -125,3 +125,21 @@
 	require.Equal(t, len(fullStream(events)), len(resp.body))
 	require.NoError(t, <-i.done)
 }
+
+// Guards against requests that are accepted later than 3 s after a planned stop began, since
+// the lease holder waited for a log that was slow before it closed its listener.
+func TestSlowLogDoesNotDelayAShutdown(t *testing.T) {
+	c := newCluster(t)
+	i := c.start(longRevocation)
+	require.Eventually(t, func() bool {
+		_, _, held := i.launcher.claimer.Held()
+		return held
+	}, eventuallyTimeout, time.Millisecond)
+	c.dutiesDelay.Store(int64(1500 * time.Millisecond)) // As long as a call to the log may take.
+	require.Eventually(t, func() bool { return c.dutiesCalls.Load() > 0 }, eventuallyTimeout, time.Millisecond)
+	i.cancel()
+	time.Sleep(3 * time.Second)
+	_, err := net.Dial("tcp", strings.TrimPrefix(i.url, "http://"))
+	require.Error(t, err, "no new connections are accepted")
+	require.NoError(t, <-i.done)
+}
