--- a/check.go
+++ b/check.go
@@ -2,7 +2,9 @@
 
 import (
 	"math"
+	"net"
 	"slices"
+	"strconv"
 
 	"github.com/juju/errors"
 )
@@ -92,6 +94,24 @@
 	return nil
 }
 
+// maxUnixMs is the latest start of a process that is taken for one; it is in the year 2248.
+const maxUnixMs = 1 << 43
+
+// Check returns an error when a greeting names no instance that can be dialed.
+func (g LinkGreeting) Check() error {
+	host, port, err := net.SplitHostPort(g.Address)
+	if err != nil {
+		return errors.Annotate(err, "address")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return errors.Errorf("address %q has no host or no port from 1 to 65535", g.Address)
+	}
+	if g.Instance == "" || g.Incarnation < 0 || g.Incarnation > maxUnixMs || g.Power < 0 || g.Protocol < 0 {
+		return errors.Errorf("greeting of %q has no name or a number out of range", g.Instance)
+	}
+	return nil
+}
+
 // Check returns an error when an exchange violates its schema.
 func (e LimitExchange) Check() error {
 	for _, l := range e.Limits {
@@ -135,6 +155,39 @@
 	return nil
 }
 
+const (
+	maxWindowCount = 1 << 40 // Of requests of an account in a window, or so far.
+	maxServiceSize = 1 << 20
+)
+
+// Check returns an error when a record has numbers out of range.
+func (d DutyRecord) Check() error {
+	if d.Incarnation < 0 || d.Incarnation > maxUnixMs || d.Sequence < 0 {
+		return errors.Errorf("record of %q has a number out of range", d.Instance)
+	}
+	if f := d.Figures; f != nil && (f.Window < 0 || !areCounts(f.Counts)) {
+		return errors.Errorf("figures of window %d are out of range", f.Window)
+	}
+	for _, p := range d.Partials {
+		if p.Window < 0 || !areCounts(p.Counts) {
+			return errors.Errorf("partial counts of window %d are out of range", p.Window)
+		}
+	}
+	if d.Size != nil && (d.Size.Upstreams < 0 || d.Size.Upstreams > maxServiceSize) {
+		return errors.Errorf("size of service %q is out of range", d.Size.Service)
+	}
+	return nil
+}
+
+func areCounts(counts map[string]int) bool {
+	for _, n := range counts {
+		if n < 0 || n > maxWindowCount {
+			return false
+		}
+	}
+	return true
+}
+
 // Check returns an error when facts violate their schema.
 func (d DutyFacts) Check() error {
 	for _, f := range d.Figures {
--- a/exchanger/raw.go
+++ b/exchanger/raw.go
@@ -20,7 +20,7 @@
 // connection. The connection is closed when ctx ends. A body of 16 KiB or more is
 // written in the background.
 func (c *Conn) Send(ctx context.Context, head, body []byte, timeout time.Duration) error {
-	c.readTimeout = timeout
+	c.readTimeout, c.extendRead = timeout, nil
 	c.writtenBefore = c.bytesWritten.Load()
 	c.reusable = false
 	c.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -58,9 +58,36 @@
 	return nil, errors.Errorf("too many informational responses from %s", c.Address)
 }
 
+// Query sends a request without a body and returns the body and status of its response,
+// which must come within the timeout. The connection can be used for another request
+// afterwards. If it cannot, Query returns an error.
+func (c *Conn) Query(ctx context.Context, head []byte, limit int64, timeout time.Duration) (body []byte, status int, err error) {
+	if err := c.Send(ctx, head, nil, timeout); err != nil {
+		return nil, 0, err
+	}
+	resp, err := c.ReadResponse(ctx, http.MethodGet)
+	if err != nil {
+		return nil, 0, err
+	}
+	if body, err = c.ReadResponseBody(ctx, resp, limit); err != nil {
+		return nil, 0, err
+	}
+	stopped := c.stopCancel()
+	c.stopCancel = nil
+	if !stopped || !c.reusable || c.reader.Buffered() > 0 {
+		c.closeOnRelease = true
+		return nil, 0, errors.Errorf("connection to %s ends with the response to a query", c.Address)
+	}
+	return body, resp.StatusCode, nil
+}
+
 // SetReadTimeout sets the timeout of each later read from the connection.
 func (c *Conn) SetReadTimeout(timeout time.Duration) { c.readTimeout = timeout }
 
+// ExtendReads makes reads that time out call extension and wait for the time that it
+// returns; they fail if that is zero. It applies to the current exchange.
+func (c *Conn) ExtendReads(extension func() time.Duration) { c.extendRead = extension }
+
 // ReadResponseBody reads the body of a response from ReadResponse and marks the
 // response as completely read. It returns an error when the body is longer than
 // limit bytes.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -37,6 +37,7 @@
 	"savoryloft.example/savoryloft/quarantiner"
 	"savoryloft.example/savoryloft/relayer"
 	"savoryloft.example/savoryloft/throttler"
+	"savoryloft.example/savoryloft/tracker"
 	"savoryloft.example/savoryloft/watcher"
 )
 
@@ -52,6 +53,7 @@
 	exitReserve           = 700 * time.Millisecond  // Part of the grace period reserved for the process to exit.
 	leaseReleaseTimeout   = 400 * time.Millisecond
 	leaderTimeout         = 1500 * time.Millisecond // Six status intervals without a report of a lease holder.
+	maxClockError         = 24 * time.Hour          // Of an instance that has only just started.
 	relayPatience         = time.Second             // Time in which a new deployment's instances get their first configuration from a reader.
 )
 
@@ -72,9 +74,12 @@
 
 	incarnation      int
 	stopping         atomic.Bool
-	quarantinesRead  chan struct{} // Closed once the quarantines in the member list have been read, or could not be read.
-	membersKnown     atomic.Bool   // The member list has been read, or could not be read.
-	peerLoadsChanged atomic.Bool   // Set until the placer has the peers' current loads.
+	requests         context.Context // Cancelled to abort the requests in progress.
+	abortRequests    context.CancelCauseFunc
+	exitTime         atomic.Pointer[time.Time] // Set in a shutdown, once streams are refused that may not end before.
+	quarantinesRead  chan struct{}             // Closed once the quarantines in the member list have been read, or could not be read.
+	membersKnown     atomic.Bool               // The member list has been read, or could not be read.
+	peerLoadsChanged atomic.Bool               // Set until the placer has the peers' current loads.
 	registry         metrics.Registry
 	watcher          *watcher.Watcher
 	linker           *linker.Linker
@@ -84,6 +89,7 @@
 	placer           *placer.Placer
 	quarantine       *quarantiner.Quarantiner
 	throttler        *throttler.Throttler
+	tracker          *tracker.Tracker
 	relayer          *relayer.Relayer
 	listener         *relayer.Listener
 }
@@ -142,7 +148,7 @@
 // cancelled.
 func (l *Launcher) backgroundTasks() []func(context.Context) error {
 	d := l.Deployment
-	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.maintainMembership, l.cleanUp, l.logCounters}
+	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.maintainMembership, l.cleanUp, l.logCounters}
 	if d.Duties.UsageReports || d.Duties.Orders {
 		list = append(list, l.claimer.Run)
 	}
@@ -190,7 +196,7 @@
 	}
 	l.claimer = &claimer.Claimer{
 		Log: l.Log, Instance: d.Instance, Incarnation: l.incarnation, TTL: d.Bounds.LeaseTTL,
-		Position: l.readerRank, PeerHoldsLease: l.peerHoldsLease, YieldedAt: l.linker.YieldedAt, Partials: l.partialCounts, OnCommit: l.linker.BroadcastDuties, Logger: l.Logger,
+		Position: l.readerRank, PeerHoldsLease: l.peerHoldsLease, YieldedAt: l.linker.YieldedAt, MaxWindow: l.maxWindow, Partials: l.partialCounts, OnCommit: l.linker.BroadcastDuties, Logger: l.Logger,
 	}
 	l.quarantine = &quarantiner.Quarantiner{
 		Dial: l.Pool.Dial, Notify: l.linker.BroadcastSuspicions, Logger: l.Logger, Metrics: l.registry,
@@ -198,9 +204,18 @@
 	l.throttler = &throttler.Throttler{
 		Allocation: l.limitAllocation, Send: l.linker.SendLimits, Broadcast: l.linker.BroadcastLimits, Logger: l.Logger, Metrics: l.registry,
 	}
+	l.tracker = &tracker.Tracker{
+		Log: l.Log, Services: l.serviceNames, Upstreams: l.watcher.Upstreams, Era: l.watcher.Era, Now: l.clusterTime, NewDeployment: d.Bootstrap,
+		RegistryAge: func() (time.Duration, bool) { return l.watcher.Age(savoryloft.TopicRegistry) },
+		IsWriter:    func() bool { return l.readerRank() == 0 },
+		Send:        l.linker.SendOrigins, Broadcast: l.linker.BroadcastOrigins, Reply: l.linker.ReplyOrigins,
+		Logger: l.Logger, Metrics: l.registry,
+	}
+	l.requests, l.abortRequests = context.WithCancelCause(context.Background())
 	l.relayer = &relayer.Relayer{
-		Wire: l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
-		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, Instances: l.linker.InstanceCount,
+		Context: l.requests,
+		Wire:    l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
+		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, ExitTime: l.requestExitTime, Instances: l.linker.InstanceCount,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
 		Limiter: &limiter.Limiter{
 			Ratio: d.Bounds.RetryRatio, Slack: d.Bounds.RetrySlack, Window: d.Bounds.RetryWindow, Instances: l.linker.InstanceCount,
@@ -269,6 +284,14 @@
 	return l.counter.Totals(window)
 }
 
+// maxWindow returns the highest window that any instance may have counts of now.
+func (l *Launcher) maxWindow() int {
+	if l.Deployment.Bounds.UsageWindow <= 0 {
+		return math.MaxInt
+	}
+	return l.counter.WindowAt(l.clusterTime().Add(maxClockError))
+}
+
 // partialCounts returns the counts so far of the previous and the current
 // window, unless their final figures are in the log.
 func (l *Launcher) partialCounts() []savoryloft.PartialCounts {
@@ -317,6 +340,13 @@
 	return list
 }
 
+func (l *Launcher) serviceNames() []string {
+	if t := l.watcher.Table(); t != nil {
+		return t.Services()
+	}
+	return nil
+}
+
 // runningRequests returns the number of running requests of a service, summed
 // over all instances.
 func (l *Launcher) runningRequests(service string) int {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -68,6 +69,9 @@
 		Service: x.service, Parts: x.call.Parts, PromptTokens: x.call.PromptTokens,
 		OutputTokens: x.call.OutputTokens, Exclude: x.triedUpstreams, Objective: x.route.Objective,
 	}
+	if x.resumable() && !x.begun() {
+		req.VersionCosts = x.relayer.Tracker.Surcharges(x.service)
+	}
 	if x.call.OutputHint > 0 {
 		req.OutputTokens = min(x.call.OutputHint, max(x.call.OutputTokens, 1))
 	}
@@ -117,7 +121,11 @@
 		trace.WithAttributes(attribute.String("upstream", choice.Upstream.ID)))
 	if err := a.connect(); err != nil {
 		x.abandonTrial()
-		a.release(placer.Failed)
+		outcome := placer.Failed
+		if errors.Is(err, errStaleEntry) {
+			outcome = placer.Refused
+		}
+		a.release(outcome)
 		return nil, x.recordFailure(choice, &sendError{notExecuted, err})
 	}
 	d := savoryloft.Dispatch{
@@ -169,8 +177,11 @@
 	ctx, cancel := context.WithTimeout(a.ctx, dialTimeout)
 	defer cancel()
 	conn, err := a.exchange.relayer.Pool.Get(ctx, a.choice.Upstream.Address, exchanger.Reuse)
+	if err != nil {
+		return err
+	}
 	a.conn = conn
-	return err
+	return a.verifyProcess(ctx)
 }
 
 // readResponseHead reads the status line and header of the response. It skips
@@ -364,7 +375,7 @@
 	if x.ctx.Err() != nil || x.sends >= maxSends || !x.resolveAgain() {
 		return false
 	}
-	if slices.ContainsFunc([]error{errNoUpstream, errOverloaded, errQuarantined, errLimited}, func(final error) bool { return errors.Is(e.cause, final) }) {
+	if slices.ContainsFunc([]error{errNoUpstream, errVersionGone, errOverloaded, errQuarantined, errLimited}, func(final error) bool { return errors.Is(e.cause, final) }) {
 		return false
 	}
 	if e.execution == maybeExecuted && (!x.retryable() || x.possibleRuns >= x.route.MaxAttempts) {
@@ -376,6 +387,23 @@
 	return x.sends == 0 || x.relayer.Limiter.Allow(time.Now(), x.service)
 }
 
+// canResume reports whether the request may be sent again, and another upstream could take
+// it, if the one that runs it is given up.
+func (x *exchange) canResume() bool {
+	if x.ctx.Err() != nil || !x.retryable() || x.possibleRuns >= x.route.MaxAttempts || x.sends >= maxSends || x.trial || !x.resolveAgain() {
+		return false
+	}
+	r := x.relayer
+	if !r.Limiter.Permits(time.Now(), x.service) {
+		return false
+	}
+	req := x.placerRequest()
+	req.Exclude = maps.Clone(req.Exclude)
+	req.Exclude[x.upstream] = true
+	_, _, ok := x.place(req)
+	return ok
+}
+
 // retryable reports whether the request may run more than once.
 func (x *exchange) retryable() bool {
 	return x.route.Kind == savoryloft.IdempotentCall || x.route.Kind == savoryloft.StreamingCall && x.route.Resumable
@@ -401,12 +429,18 @@
 		x.refuse(http.StatusServiceUnavailable, "TimeUp", "time is up; the request has not run", upstreamsFullRetryAfter)
 	case errors.Is(cause, errDeadlineExceeded):
 		x.refuse(http.StatusGatewayTimeout, "TimeUp", "upstream did not answer in time", 0)
+	case errors.Is(cause, ErrStopping) && x.possibleRuns == 0 && e.execution == notExecuted:
+		x.refuseStopping()
+	case errors.Is(cause, ErrStopping):
+		x.refuse(http.StatusBadGateway, "Stopping", "instance is stopping; the request may have run", 0)
 	case errors.Is(e.cause, errOverloaded):
 		x.refuseOverloaded()
 	case x.possibleRuns == 0 && errors.Is(e.cause, errQuarantined):
 		x.refuse(http.StatusServiceUnavailable, "Quarantined", errQuarantined.Error()+"; the request has not run", x.quarantineWait)
 	case x.possibleRuns == 0 && errors.Is(e.cause, errLimited):
 		x.refuse(http.StatusServiceUnavailable, "Limited", errLimited.Error()+"; the request has not run", x.limitWait)
+	case x.possibleRuns == 0 && errors.Is(e.cause, errVersionGone):
+		x.refuse(http.StatusServiceUnavailable, "VersionGone", errVersionGone.Error()+"; the request has not run", versionGoneRetryAfter)
 	case x.possibleRuns > 0 || e.execution == maybeExecuted:
 		x.refuse(http.StatusBadGateway, "UpstreamFailed", "upstream failed; the request may have run", 0)
 	case errors.Is(e.cause, errNoUpstream):
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	r := &relayer.Relayer{Wire: platform.Wire{}, Watcher: w, Placer: p, Limiter: l,
+//	r := &relayer.Relayer{Context: ctx, Wire: platform.Wire{}, Watcher: w, Placer: p, Limiter: l,
 //		Pool: pool, Logger: log, ...}
 //	server := &fasthttp.Server{Handler: r.Handle}
 //	err := server.Serve(&relayer.Listener{Listener: listener})
@@ -36,6 +36,7 @@
 	"savoryloft.example/savoryloft/quarantiner"
 	"savoryloft.example/savoryloft/router"
 	"savoryloft.example/savoryloft/throttler"
+	"savoryloft.example/savoryloft/tracker"
 	"savoryloft.example/savoryloft/watcher"
 )
 
@@ -52,6 +53,7 @@
 	firstConfigWait         = 100 * time.Millisecond // An instance that starts usually has a configuration and the quarantines by then.
 	noUpstreamRetryAfter    = 700 * time.Millisecond // Registrations arrive about once a second.
 	upstreamsFullRetryAfter = 300 * time.Millisecond // About the duration of one request.
+	stoppingRetryAfter      = 50 * time.Millisecond  // Retries reach other instances.
 	retryJitter             = 0.5                    // Maximum random extension of Retry-After as a share of it, so that retries spread out.
 )
 
@@ -59,11 +61,14 @@
 const (
 	errClientDisconnected = errors.ConstError("client disconnected")
 	errDeadlineExceeded   = errors.ConstError("request deadline exceeded")
+	// ErrStopping is the cancellation cause of Relayer.Context when the instance exits.
+	ErrStopping = errors.ConstError("instance is stopping")
 )
 
 // Relayer handles client requests. Set the exported fields before the first
 // request.
 type Relayer struct {
+	Context          context.Context // Requests in progress are aborted when it is cancelled.
 	Wire             savoryloft.WireFormat
 	Watcher          *watcher.Watcher
 	Placer           *placer.Placer
@@ -71,6 +76,7 @@
 	Quarantine       *quarantiner.Quarantiner
 	QuarantinesRead  <-chan struct{} // Closed once the quarantines of other instances, or of earlier ones, are known; nil if there are none.
 	Throttler        *throttler.Throttler
+	Tracker          *tracker.Tracker
 	Pool             *exchanger.Pool
 	CountRequest     func(account string) // Counts a request for an account's usage when an upstream may have started to run it.
 	PrefillChanged   func(uncached int)   // Called with a prompt's uncached tokens when it is sent to an upstream, and when the first event of a stream arrives.
@@ -78,6 +84,7 @@
 	Instances        func() int           // Returns the number of instances, this one included.
 	Revocation       time.Duration        // Maximum age of the configuration at which keys are accepted; bounds the use of a revoked key.
 	Stopping         func() bool          // Reports whether the instance is shutting down; client connections are then closed after the response.
+	ExitTime         func() time.Time     // Returns when responses in progress are cut off in a shutdown; zero while all new requests are still accepted.
 	Logger           logr.Logger
 	Tracer           trace.Tracer
 	Metrics          metrics.Registry
@@ -102,6 +109,7 @@
 	route     *savoryloft.PathRoute
 	identity  router.Identity
 	service   string
+	origin    tracker.Origin // Where the stream began; empty before its first event.
 
 	triedUpstreams   map[string]bool     // Upstreams that refused or failed.
 	sends            int                 // Attempts in which the request was sent.
@@ -130,7 +138,7 @@
 func (r *Relayer) Handle(httpCtx *fasthttp.RequestCtx) {
 	r.active.Add(1)
 	x := &exchange{relayer: r, httpCtx: httpCtx, received: time.Now(), triedUpstreams: map[string]bool{}, probed: make(chan bool, maxSends)}
-	x.ctx, x.cancel = context.WithCancelCause(context.Background())
+	x.ctx, x.cancel = context.WithCancelCause(r.Context)
 	if c, ok := httpCtx.Conn().(*clientConn); ok {
 		x.client = c
 		c.startDisconnectWatch(x.cancel)
@@ -151,9 +159,16 @@
 		return
 	}
 	x.setDeadline()
+	streaming := x.route.Kind == savoryloft.StreamingCall
+	if exit := r.ExitTime(); streaming && !exit.IsZero() && x.deadline.After(exit) {
+		x.refuseStopping()
+		return
+	}
 	r.Limiter.RecordRequest(x.received, x.service)
-	if x.route.Kind == savoryloft.StreamingCall {
-		x.serveStream()
+	if streaming {
+		if x.resolveOrigin() {
+			x.serveStream()
+		}
 		return
 	}
 	x.serveBuffered()
@@ -200,7 +215,7 @@
 		return x.refuseUnmatched(fasthttp.StatusUnauthorized, "BadKey", "key is missing or not valid")
 	}
 	x.identity = identity
-	x.service = x.table.SelectService(x.route, x.call.ID)
+	x.service = x.selectService(x.table, x.route)
 	if x.call.ID == "" {
 		x.refuse(fasthttp.StatusBadRequest, "NoID", "request has no attempt ID", 0)
 		return false
@@ -208,6 +223,16 @@
 	return true
 }
 
+// selectService returns the service that a route's requests go to. That of a stream which
+// the client takes up is the one at which it began, as long as the route still has it.
+func (x *exchange) selectService(t *router.Table, route *savoryloft.PathRoute) string {
+	id := x.call.ID
+	if x.call.Resumes != "" {
+		id = x.call.Resumes
+	}
+	return t.SelectService(route, id)
+}
+
 // awaitQuarantines waits for a time, if this instance has just started, until it knows the
 // quarantines.
 func (x *exchange) awaitQuarantines() {
@@ -256,7 +281,7 @@
 		if !ok {
 			return false
 		}
-		x.table, x.route, x.identity, x.service = t, route, identity, t.SelectService(route, x.call.ID)
+		x.table, x.route, x.identity, x.service = t, route, identity, x.selectService(t, route)
 	}
 	return known && (!x.table.NeedsKey(x.route) || age <= x.relayer.Revocation-revocationMargin)
 }
@@ -276,6 +301,11 @@
 	x.finish(code, status)
 }
 
+// refuseStopping refuses a request that this instance may not complete before it exits.
+func (x *exchange) refuseStopping() {
+	x.refuse(fasthttp.StatusServiceUnavailable, "Stopping", "instance is stopping; the request has not run", stoppingRetryAfter)
+}
+
 // finish cancels the exchange's context, logs the request and records its
 // metrics. Later calls have no effect.
 func (x *exchange) finish(outcome string, status int) {
