--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -225,9 +225,9 @@
 		}[s.randomInt(9)]
 	}}
 	s.publishConfiguration()
-	s.releases = 1
+	s.releases = s.randomInt(2) // So that some runs begin with one version.
 	for i := range engineCount {
-		e := s.newEngine(i, fmt.Sprintf("i-%d", i), fmt.Sprint("v", i%2))
+		e := s.newEngine(i, fmt.Sprintf("i-%d", i), fmt.Sprint("v", i%(s.releases+1)))
 		s.engines = append(s.engines, e)
 		s.startEngine(i, e)
 	}
@@ -237,7 +237,7 @@
 	for i := range instanceCount {
 		n := &instance{other: otherBinary != "" && i%2 == 1, ip: s.ipPrefix + strconv.Itoa(i+1), settings: filepath.Join(s.dir, fmt.Sprintf("entry-%d.toml", i))}
 		text := fmt.Sprintf(settingsTemplate, i, n.ip, s.ipPrefix, s.startProxy(store), target)
-		require.NoError(s.t, os.WriteFile(n.settings, []byte(text), 0o600))
+		require.NoError(s.t, os.WriteFile(n.settings, []byte(firstStart+text), 0o600))
 		file, err := os.Create(n.settings + ".log")
 		require.NoError(s.t, err)
 		n.log = file
@@ -248,6 +248,9 @@
 	s.copied = s.log.Copy()
 	for _, n := range s.instances {
 		require.Eventually(s.t, n.ready, 15*time.Second, 20*time.Millisecond)
+		text, err := os.ReadFile(n.settings)
+		require.NoError(s.t, err)
+		require.NoError(s.t, os.WriteFile(n.settings, []byte(strings.TrimPrefix(string(text), firstStart)), 0o600))
 	}
 }
 
@@ -298,6 +301,9 @@
 	s.register(i)
 }
 
+// firstStart is the beginning of the settings when all instances start for the first time.
+const firstStart = "is_bootstrap = true\n"
+
 const settingsTemplate = `node_name = "entry-%[1]d"
 ip = "%[2]s"
 zone = "a"
--- a/soaker/version_test.go
+++ b/soaker/version_test.go
@@ -98,13 +98,19 @@
 }
 
 // release replaces some upstreams by ones of a newer version, one after the other or
-// overlapping.
+// overlapping. At times all instances are lost meanwhile.
 func (s *soakRun) release(group *sync.WaitGroup) {
 	s.mu.Lock()
 	s.releases++
 	version := fmt.Sprint("v", s.releases)
 	list := s.rng.Perm(engineCount)[:1+s.rng.IntN(engineCount)]
 	s.mu.Unlock()
+	if s.randomInt(3) == 0 {
+		group.Go(func() {
+			time.Sleep(time.Duration(s.randomInt(1000)) * time.Millisecond)
+			s.loseInstances(time.Duration(s.randomInt(1000)) * time.Millisecond)
+		})
+	}
 	overlapping := s.randomInt(2) == 0
 	for _, i := range list {
 		if !s.faultsActive.Load() {
