--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -28,6 +28,7 @@
 )
 
 const (
+	stopTime        = 6 * time.Second        // Between the order to stop an instance and its next start.
 	processDownTime = 700 * time.Millisecond // Between the crash of an engine's process and its next start.
 	engineCount     = 5
 	callersEach     = 3 // For each instance.
@@ -144,6 +145,7 @@
 	done     chan struct{} // Closed when the process has ended.
 	other    bool          // It runs another build.
 	excused  []span        // Times in which it was disturbed; see excuse.
+	stopped  []span        // Times in which it was told to stop or has just started again.
 }
 
 // request is one request of a caller and its response.
@@ -223,9 +225,9 @@
 		}[s.randomInt(9)]
 	}}
 	s.publishConfiguration()
-	s.releases = 1
+	s.releases = s.randomInt(2) // So that some runs begin with one version.
 	for i := range engineCount {
-		e := s.newEngine(i, fmt.Sprintf("i-%d", i), fmt.Sprint("v", i%2))
+		e := s.newEngine(i, fmt.Sprintf("i-%d", i), fmt.Sprint("v", i%(s.releases+1)))
 		s.engines = append(s.engines, e)
 		s.startEngine(i, e)
 	}
@@ -235,7 +237,7 @@
 	for i := range instanceCount {
 		n := &instance{other: otherBinary != "" && i%2 == 1, ip: s.ipPrefix + strconv.Itoa(i+1), settings: filepath.Join(s.dir, fmt.Sprintf("entry-%d.toml", i))}
 		text := fmt.Sprintf(settingsTemplate, i, n.ip, s.ipPrefix, s.startProxy(store), target)
-		require.NoError(s.t, os.WriteFile(n.settings, []byte(text), 0o600))
+		require.NoError(s.t, os.WriteFile(n.settings, []byte(firstStart+text), 0o600))
 		file, err := os.Create(n.settings + ".log")
 		require.NoError(s.t, err)
 		n.log = file
@@ -246,6 +248,9 @@
 	s.copied = s.log.Copy()
 	for _, n := range s.instances {
 		require.Eventually(s.t, n.ready, 15*time.Second, 20*time.Millisecond)
+		text, err := os.ReadFile(n.settings)
+		require.NoError(s.t, err)
+		require.NoError(s.t, os.WriteFile(n.settings, []byte(strings.TrimPrefix(string(text), firstStart)), 0o600))
 	}
 }
 
@@ -296,6 +301,9 @@
 	s.register(i)
 }
 
+// firstStart is the beginning of the settings when all instances start for the first time.
+const firstStart = "is_bootstrap = true\n"
+
 const settingsTemplate = `node_name = "entry-%[1]d"
 ip = "%[2]s"
 zone = "a"
@@ -526,6 +534,18 @@
 	<-done
 }
 
+// stop tells the process to stop, and starts it again after stopTime.
+func (n *instance) stop(s *soakRun, group *sync.WaitGroup) {
+	n.mu.Lock()
+	n.stopped = append(n.stopped, span{time.Now(), time.Now().Add(stopTime + contactTime)})
+	n.mu.Unlock()
+	n.signal(syscall.SIGTERM)
+	group.Go(func() {
+		time.Sleep(stopTime)
+		n.restart(s, 0)
+	})
+}
+
 // restart kills the process and starts it again after a time.
 func (n *instance) restart(s *soakRun, away time.Duration) {
 	n.restarts.Lock()
@@ -591,11 +611,7 @@
 		n.restart(s, 0)
 	case 4:
 		n.signal(syscall.SIGCONT)
-		n.signal(syscall.SIGTERM)
-		group.Go(func() {
-			time.Sleep(6 * time.Second)
-			n.restart(s, 0)
-		})
+		n.stop(s, group)
 	case 5:
 		s.log.SetDown(true)
 		group.Go(func() {
@@ -618,11 +634,7 @@
 		case 0:
 			n.restart(s, 0)
 		case 1:
-			n.signal(syscall.SIGTERM)
-			group.Go(func() {
-				time.Sleep(6 * time.Second)
-				n.restart(s, 0)
-			})
+			n.stop(s, group)
 		case 2:
 			n.signal(syscall.SIGHUP)
 			s.publishConfiguration()
