--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -48,8 +48,8 @@
 	attempts   int
 
 	membersDelay time.Duration // Of reads of the member list.
-	logger       logr.Logger   // Of the instances; the zero value discards.
 	bootstrap    bool          // The instances are the first ones of a new deployment.
+	logger       logr.Logger   // Of the instances; the zero value discards.
 }
 
 // instance is one running Launcher.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -392,6 +393,23 @@
 	return x.sends == 0 || x.relayer.Limiter.Allow(time.Now(), x.service)
 }
 
+// canResume reports whether the request may be sent again, and another upstream could take
+// it, if the one that runs it is given up.
+func (x *exchange) canResume() bool {
+	if x.ctx.Err() != nil || !x.retryable() || x.possibleRuns >= x.route.MaxAttempts || x.sends >= maxSends || x.trial || !x.resolveAgain() {
+		return false
+	}
+	r := x.relayer
+	if !r.Limiter.Permits(time.Now(), x.service) {
+		return false
+	}
+	req := x.placerRequest()
+	req.Exclude = maps.Clone(req.Exclude)
+	req.Exclude[x.upstream] = true
+	_, _, ok := x.place(req)
+	return ok
+}
+
 // retryable reports whether the request may run more than once.
 func (x *exchange) retryable() bool {
 	return x.route.Kind == savoryloft.IdempotentCall || x.route.Kind == savoryloft.StreamingCall && x.route.Resumable
@@ -417,6 +435,10 @@
 		x.refuse(http.StatusServiceUnavailable, "TimeUp", "time is up; the request has not run", upstreamsFullRetryAfter)
 	case errors.Is(cause, errDeadlineExceeded):
 		x.refuse(http.StatusGatewayTimeout, "TimeUp", "upstream did not answer in time", 0)
+	case errors.Is(cause, ErrStopping) && x.possibleRuns == 0 && e.execution == notExecuted:
+		x.refuseStopping()
+	case errors.Is(cause, ErrStopping):
+		x.refuse(http.StatusBadGateway, "Stopping", "instance is stopping; the request may have run", 0)
 	case errors.Is(e.cause, errOverloaded):
 		x.refuseOverloaded()
 	case x.possibleRuns == 0 && errors.Is(e.cause, errQuarantined):
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	r := &relayer.Relayer{Wire: platform.Wire{}, Watcher: w, Placer: p, Limiter: l,
+//	r := &relayer.Relayer{Context: ctx, Wire: platform.Wire{}, Watcher: w, Placer: p, Limiter: l,
 //		Pool: pool, Logger: log, ...}
 //	server := &fasthttp.Server{Handler: r.Handle}
 //	err := server.Serve(&relayer.Listener{Listener: listener})
@@ -53,6 +53,7 @@
 	firstConfigWait         = 100 * time.Millisecond // An instance that starts usually has a configuration and the quarantines by then.
 	noUpstreamRetryAfter    = 700 * time.Millisecond // Registrations arrive about once a second.
 	upstreamsFullRetryAfter = 300 * time.Millisecond // About the duration of one request.
+	stoppingRetryAfter      = 50 * time.Millisecond  // Retries reach other instances.
 	retryJitter             = 0.5                    // Maximum random extension of Retry-After as a share of it, so that retries spread out.
 )
 
@@ -60,11 +61,14 @@
 const (
 	errClientDisconnected = errors.ConstError("client disconnected")
 	errDeadlineExceeded   = errors.ConstError("request deadline exceeded")
+	// ErrStopping is the cancellation cause of Relayer.Context when the instance exits.
+	ErrStopping = errors.ConstError("instance is stopping")
 )
 
 // Relayer handles client requests. Set the exported fields before the first
 // request.
 type Relayer struct {
+	Context          context.Context // Requests in progress are aborted when it is cancelled.
 	Wire             savoryloft.WireFormat
 	Watcher          *watcher.Watcher
 	Placer           *placer.Placer
@@ -80,6 +84,7 @@
 	Instances        func() int           // Returns the number of instances, this one included.
 	Revocation       time.Duration        // Maximum age of the configuration at which keys are accepted; bounds the use of a revoked key.
 	Stopping         func() bool          // Reports whether the instance is shutting down; client connections are then closed after the response.
+	ExitTime         func() time.Time     // Returns when responses in progress are cut off in a shutdown; zero while all new requests are still accepted.
 	Logger           logr.Logger
 	Tracer           trace.Tracer
 	Metrics          metrics.Registry
@@ -133,7 +138,7 @@
 func (r *Relayer) Handle(httpCtx *fasthttp.RequestCtx) {
 	r.active.Add(1)
 	x := &exchange{relayer: r, httpCtx: httpCtx, received: time.Now(), triedUpstreams: map[string]bool{}, probed: make(chan bool, maxSends)}
-	x.ctx, x.cancel = context.WithCancelCause(context.Background())
+	x.ctx, x.cancel = context.WithCancelCause(r.Context)
 	if c, ok := httpCtx.Conn().(*clientConn); ok {
 		x.client = c
 		c.startDisconnectWatch(x.cancel)
@@ -154,8 +159,13 @@
 		return
 	}
 	x.setDeadline()
+	streaming := x.route.Kind == savoryloft.StreamingCall
+	if exit := r.ExitTime(); streaming && !exit.IsZero() && x.deadline.After(exit) {
+		x.refuseStopping()
+		return
+	}
 	r.Limiter.RecordRequest(x.received, x.service)
-	if x.route.Kind == savoryloft.StreamingCall {
+	if streaming {
 		if x.resolveOrigin() {
 			x.serveStream()
 		}
@@ -291,6 +301,11 @@
 	x.finish(code, status)
 }
 
+// refuseStopping refuses a request that this instance may not complete before it exits.
+func (x *exchange) refuseStopping() {
+	x.refuse(fasthttp.StatusServiceUnavailable, "Stopping", "instance is stopping; the request has not run", stoppingRetryAfter)
+}
+
 // finish cancels the exchange's context, logs the request and records its
 // metrics. Later calls have no effect.
 func (x *exchange) finish(outcome string, status int) {
