--- a/launcher/odd_test.go
+++ b/launcher/odd_test.go
@@ -266,6 +266,7 @@
 		{"not JSON", "odd", "\xff"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			c := newCluster(t)
 			logged := c.recordLines()
 			c.addEngine(nil)
