A stop during an outage of the log hands over all usage

What callers saw: none; usage was missing from reports. Cause: a flush that fails with the pending deltas does not encode later usage, and the handover took the pending ones alone. Now it encodes the rest first; sequence numbers stay in order.

--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -120,7 +120,11 @@
 		if err == nil {
 			return nil
 		}
-		if handErr := handOver(ctx, r.pendingDeltas()); handErr == nil {
+		deltas, encodeErr := r.encodePending()
+		if encodeErr != nil {
+			return encodeErr
+		}
+		if handErr := handOver(ctx, deltas); handErr == nil {
 			return nil
 		}
 		select {
@@ -131,15 +135,19 @@
 	}
 }
 
-// pendingDeltas returns the deltas without an acknowledged append.
-func (r *Recorder) pendingDeltas() []string {
+// encodePending encodes the recorded usage and returns all deltas without an
+// acknowledged append.
+func (r *Recorder) encodePending() ([]string, error) {
 	r.flushSlot <- struct{}{}
 	defer func() { <-r.flushSlot }()
+	if err := r.encodeDeltas(); err != nil {
+		return nil, err
+	}
 	list := make([]string, len(r.pending))
 	for i, d := range r.pending {
 		list[i] = string(d)
 	}
-	return list
+	return list, nil
 }
 
 // AddPending queues deltas that a stopping instance could not append. They keep the
--- a/server/usage_test.go
+++ b/server/usage_test.go
@@ -165,3 +165,21 @@
 		require.LessOrEqual(t, tokens, f.generatedTokens())
 	})
 }
+
+// Guards against usage that is lost in a stop while the log is out: that recorded after an
+// append had failed was not handed over.
+func TestStopHandsOverUsageRecordedInAnOutage(t *testing.T) {
+	withFleet(t, 2, func(f *fleet) {
+		f.platform.SetFaults(emulator.PlatformFaults{LogDown: true})
+		const chats = 8
+		for n := range chats {
+			require.True(t, f.chat(1, apiKeyA, "quotes", fmt.Sprint("turn ", n), 20).done)
+		}
+		t.Log(f.stopEntry(1)) // The lease holder can not release the lease.
+		f.platform.SetFaults(emulator.PlatformFaults{})
+		time.Sleep(2 * time.Minute)
+		requests, tokens := f.reportedUsage()
+		require.Equal(t, chats, requests)
+		require.Equal(t, f.generatedTokens(), tokens)
+	})
+}
