A request that outlasts the grace period of a stop does not skip its later steps

What callers saw: none; usage was missing from reports and the lease was not released. When a request outlasted Stop.Grace, the shutdown of the server deployment returned there, without the last appends, the handover of usage and the release of the lease (0 of 8 requests reported in the test, where the log was out). Now all steps run, and the first error is returned.

--- a/server/harness_test.go
+++ b/server/harness_test.go
@@ -49,6 +49,7 @@
 	servers   []*fasthttp.Server
 	log       *logCapture
 	noteCount int
+	stopGrace string // Of the entry instances that are started from now on.
 }
 
 type entry struct {
@@ -84,7 +85,7 @@
 func newFleet(t *testing.T, entryCount int) *fleet {
 	f := &fleet{
 		t: t, network: emulator.NewNetwork(), platform: &emulator.Platform{},
-		log: &logCapture{lines: make(chan string, 100_000)},
+		log: &logCapture{lines: make(chan string, 100_000)}, stopGrace: "2m",
 	}
 	f.serve(platformHost, platformAddr, f.platform.Server())
 	for i := range 2 {
@@ -128,8 +129,8 @@
 		"Listen": {"Callers": %q, "Operators": %q, "Peers": %q},
 		"Platform": {"Address": %q},
 		"Usage": {"Window": "10s", "Grace": "3s"},
-		"Stop": {"Notice": "3s", "Grace": "2m"}
-	}`, entryName(i), i%4, callerAddr(i), operatorAddr(i), peerAddr(i), platformAddr)
+		"Stop": {"Notice": "3s", "Grace": %q}
+	}`, entryName(i), i%4, callerAddr(i), operatorAddr(i), peerAddr(i), platformAddr, f.stopGrace)
 	settings, err := parser.Settings("test", []byte(text))
 	require.NoError(f.t, err)
 	host := entryName(i)
--- a/server/server.go
+++ b/server/server.go
@@ -39,7 +39,7 @@
 )
 
 const (
-	finalAppendTimeout   = 30 * time.Second // Bounds the last appends to the log during a shutdown.
+	finalAppendTimeout   = 30 * time.Second // Bounds each of the last calls to the log during a shutdown.
 	keepAliveIdleTimeout = 90 * time.Second
 	readBufferBytes      = 16 << 10 // Also limits the request line and headers of a request.
 )
@@ -238,24 +238,28 @@
 // requests are accepted for the notice period, so that the load balancer can
 // remove the instance first. Then running requests finish, pending journal and
 // usage records are appended to the log, and the lease is released. Usage that
-// can not be appended is handed over to a peer.
+// can not be appended is handed over to a peer. A step that fails does not skip the
+// next ones; the first error is returned.
 func (s *Server) shutDown(callers *fasthttp.Server) error {
 	s.Logger.Info("stopping", "notice", s.Settings.Stop.Notice, "grace", s.Settings.Stop.Grace)
 	s.stopping.Store(true)
 	s.gossiper.Leave()
 	time.Sleep(s.Settings.Stop.Notice.Std())
-	ctx, cancel := context.WithTimeout(context.Background(), s.Settings.Stop.Grace.Std())
-	defer cancel()
-	if err := callers.ShutdownWithContext(ctx); err != nil {
-		return errors.Annotate(err, "finish running requests")
-	}
-	appendCtx, cancelAppends := context.WithTimeout(context.Background(), finalAppendTimeout)
-	defer cancelAppends()
-	if err := s.journaler.Wait(appendCtx); err != nil {
-		return errors.Trace(err)
-	}
-	if err := s.recorder.Finish(appendCtx, s.gossiper.HandOverUsage); err != nil {
-		return errors.Trace(err)
+	var first error
+	for _, step := range []struct {
+		timeout time.Duration
+		run     func(context.Context) error
+	}{
+		{s.Settings.Stop.Grace.Std(), callers.ShutdownWithContext},
+		{finalAppendTimeout, s.journaler.Wait},
+		{finalAppendTimeout, func(ctx context.Context) error { return s.recorder.Finish(ctx, s.gossiper.HandOverUsage) }},
+		{finalAppendTimeout, s.elector.Release},
+	} {
+		ctx, cancel := context.WithTimeout(context.Background(), step.timeout)
+		if err := step.run(ctx); err != nil && first == nil {
+			first = errors.Annotate(err, "shut down")
+		}
+		cancel()
 	}
-	return errors.Trace(s.elector.Release(appendCtx))
+	return first
 }
--- a/server/usage_test.go
+++ b/server/usage_test.go
@@ -183,3 +183,28 @@
 		require.Equal(t, f.generatedTokens(), tokens)
 	})
 }
+
+// Guards against usage that is lost when a request outlasts the grace period of a stop.
+func TestStopWithALongRequestHandsOverUsage(t *testing.T) {
+	withFleet(t, 2, func(f *fleet) {
+		require.NoError(t, f.stopEntry(1))
+		f.stopGrace = "5s"
+		f.startEntry(1)
+		f.waitReady()
+		f.platform.SetFaults(emulator.PlatformFaults{LogDown: true})
+		const chats = 8
+		for n := range chats {
+			require.True(t, f.chat(1, apiKeyA, "quotes", fmt.Sprint("turn ", n), 20).done)
+		}
+		cut := make(chan chatResult, 1)
+		go func() { cut <- f.chat(1, apiKeyA, "quotes", "long", 2000) }()
+		time.Sleep(time.Second)
+		require.Error(t, f.stopEntry(1), "a request outlasts the grace period")
+		f.platform.SetFaults(emulator.PlatformFaults{})
+		<-cut
+		time.Sleep(2 * time.Minute)
+		requests, tokens := f.reportedUsage()
+		require.GreaterOrEqual(t, requests, chats)
+		require.GreaterOrEqual(t, tokens, chats*20)
+	})
+}
