--- a/linker/linker.go
+++ b/linker/linker.go
@@ -324,13 +324,18 @@
 // BroadcastDuties sends records of the duties topic to the hubs, which are the
 // instances that may act on them.
 func (l *Linker) BroadcastDuties(f savoryloft.DutyFacts) {
+	l.sendToHubs(savoryloft.LinkFrame{Duties: &f})
+}
+
+// sendToHubs sends a frame on all links to hubs.
+func (l *Linker) sendToHubs(f savoryloft.LinkFrame) {
 	l.init()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.currentTopology(savoryloft.Uptime())
 	for name, k := range l.links {
 		if t.hubs[name] {
-			k.send(savoryloft.LinkFrame{Duties: &f})
+			k.send(f)
 		}
 	}
 }
@@ -339,12 +344,17 @@
 // one to the peer that it was received from. Instances send only what is new to them,
 // so each receives it once on each link.
 func (l *Linker) BroadcastSuspicions(s savoryloft.Suspicions, from string) {
+	l.sendToAll(savoryloft.LinkFrame{Suspicions: &s}, from)
+}
+
+// sendToAll sends a frame on all links except the one to a peer.
+func (l *Linker) sendToAll(f savoryloft.LinkFrame, except string) {
 	l.init()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, k := range l.links {
-		if name != from {
-			k.send(savoryloft.LinkFrame{Suspicions: &s})
+		if name != except {
+			k.send(f)
 		}
 	}
 }
--- a/linker/origins.go
+++ b/linker/origins.go
@@ -7,27 +7,12 @@
 
 // SendOrigins sends where streams began, or asks for it, to the instances that keep it.
 func (l *Linker) SendOrigins(o savoryloft.StreamOrigins) {
-	l.init()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	t := l.currentTopology(savoryloft.Uptime())
-	for name, k := range l.links {
-		if t.hubs[name] {
-			k.send(savoryloft.LinkFrame{Origins: &o})
-		}
-	}
+	l.sendToHubs(savoryloft.LinkFrame{Origins: &o})
 }
 
 // BroadcastOrigins sends policies on all links except the one to a peer.
 func (l *Linker) BroadcastOrigins(o savoryloft.StreamOrigins, except string) {
-	l.init()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for name, k := range l.links {
-		if name != except {
-			k.send(savoryloft.LinkFrame{Origins: &o})
-		}
-	}
+	l.sendToAll(savoryloft.LinkFrame{Origins: &o}, except)
 }
 
 // ReplyOrigins sends origins to one peer.
