--- a/launcher/shutdown_test.go
+++ b/launcher/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryloft.example/savoryloft/platform/standin"
+	"savoryloft.example/savoryloft/relayer"
 )
 
 // keptConn is a client's connection that carries several requests.
@@ -125,3 +127,47 @@
 	require.Equal(t, len(fullStream(events)), len(resp.body))
 	require.NoError(t, <-i.done)
 }
+
+// Guards against requests that are sent to an upstream, and then cut, as the process ends:
+// none was in progress at the end of the grace period, but one was still being received.
+func TestRequestReceivedAfterTheGracePeriodIsNotSent(t *testing.T) {
+	c := newCluster(t)
+	c.addEngine(nil)
+	i := c.start(longRevocation)
+	c.waitForUpstreams(i, 1)
+	r := c.request(i, "once", "key-1")
+	var text bytes.Buffer
+	require.NoError(t, r.Write(&text))
+	kept := dialKept(t, i)
+	first := text.Next(text.Len() - 4)
+	_, err := kept.conn.Write(first)
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	i.cancel()
+	require.NoError(t, <-i.done)
+	_, err = kept.conn.Write(text.Bytes())
+	require.NoError(t, err)
+	require.NoError(t, kept.conn.SetReadDeadline(time.Now().Add(time.Second)))
+	if resp := kept.read(r); resp.err == nil {
+		require.Equal(t, http.StatusServiceUnavailable, resp.status)
+	}
+	require.Zero(t, c.startedRuns(standin.AttemptID(r)))
+}
+
+// Guards against requests that are sent to an upstream although they have been aborted
+// already, and then fail as if they had run.
+func TestAbortedRequestIsNotSent(t *testing.T) {
+	for _, route := range []string{"once", "twice", "stream", "resume"} {
+		t.Run(route, func(t *testing.T) {
+			c := newCluster(t)
+			e := c.addEngine(nil)
+			i := c.start(longRevocation)
+			c.waitForUpstreams(i, 1)
+			require.Equal(t, http.StatusOK, c.call(i, route, "key-1").status, "leaves an idle connection to the upstream")
+			i.launcher.abortRequests(relayer.ErrStopping)
+			sent := len(e.Requests())
+			require.Equal(t, http.StatusServiceUnavailable, c.call(i, route, "key-1").status, "the request has not run")
+			require.Len(t, e.Requests(), sent)
+		})
+	}
+}
--- a/launcher/upstream_test.go
+++ b/launcher/upstream_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
 	"savoryloft.example/savoryloft"
@@ -307,3 +309,41 @@
 	require.Equal(t, 1, c.startedRuns(standin.AttemptID(r)))
 	<-other
 }
+
+// Guards against streams that are given up after a silence because the retry budget has
+// room, and then cut because other streams have used it up.
+func TestSilentStreamsAreGivenUpOnlyWithinTheRetryBudget(t *testing.T) {
+	const streams = 4
+	c := newCluster(t)
+	// The instance is slow between the decision to give a stream up and its next send.
+	c.logger = funcr.New(func(_, args string) {
+		if strings.Contains(args, "attempt failed") {
+			time.Sleep(50 * time.Millisecond)
+		}
+	}, funcr.Options{})
+	e := c.addEngine(nil)
+	e.PrefillRate, e.EventInterval = 10, 50*time.Millisecond
+	i := c.start(longRevocation)
+	c.waitForUpstreams(i, 1)
+	i.launcher.relayer.Limiter.Ratio, i.launcher.relayer.Limiter.Slack = 0, 2 // Permits one retry.
+	got := make(chan response, streams)
+	for range streams {
+		r := c.request(i, "resume", "key-1")
+		r.Header.Set("X-Deadline-Ms", "5000")
+		go func() { got <- c.do(r) }()
+	}
+	require.Eventually(t, func() bool { return len(e.Requests()) == streams }, eventuallyTimeout, time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	long := c.requestWithParts(i, "stream", "key-1", "cc:33000") // Prefilled for 3.3 s; the limit is 3 s.
+	other := make(chan response, 1)
+	go func() { other <- c.do(long) }()
+	require.Eventually(t, func() bool { return len(e.Requests()) == streams+1 }, eventuallyTimeout, time.Millisecond)
+	c.addEngine(nil)
+	c.waitForUpstreams(i, 2)
+	for range streams {
+		resp := <-got
+		require.NoError(t, resp.err)
+		require.Equal(t, fullStream(6), resp.body)
+	}
+	<-other
+}
--- a/relayer/caller_test.go
+++ b/relayer/caller_test.go
@@ -1,12 +1,17 @@
 package relayer
 
 import (
+	"bufio"
 	"net"
+	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 )
 
 // crossingConn is a connection on which data arrives as its read deadline is set.
@@ -51,3 +56,63 @@
 	defer raw.mu.Unlock()
 	require.Equal(t, idleUntil, raw.deadline, "the rest of the request is awaited")
 }
+
+// Guards against a planned stop that ends while a request is being read that has crossed
+// the close of the last connection.
+func TestConnectionsAreOpenUntilTheServerHasClosedThem(t *testing.T) {
+	raw := &crossingConn{arrived: make(chan struct{})}
+	l := &Listener{}
+	c := &clientConn{Conn: raw, listener: l, received: true}
+	l.conns = map[*clientConn]struct{}{c: {}}
+	read := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 64))
+		read <- err
+	}()
+	require.Equal(t, 1, l.CloseIdle(), "the read has not ended yet")
+	require.NoError(t, <-read)
+	require.Equal(t, 1, l.CloseIdle(), "the request is being received")
+}
+
+// Guards against a pipelined request that is cut off in the middle in a planned stop, since
+// its first part was read together with the request before.
+func TestPipelinedRequestIsNotIdle(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := &Listener{Listener: tcp}
+	server := &fasthttp.Server{ReadTimeout: time.Minute, Handler: func(ctx *fasthttp.RequestCtx) {
+		c := ctx.Conn().(*clientConn)
+		c.startDisconnectWatch(func(error) {})
+		c.stopDisconnectWatch()
+	}}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	conn, err := net.Dial("tcp", tcp.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\nPOST / HTTP/1.1\r\nHost: h\r\n"))
+	require.NoError(t, err)
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	time.Sleep(50 * time.Millisecond)
+	require.Equal(t, 1, l.CloseIdle())
+	time.Sleep(50 * time.Millisecond)
+	_, err = conn.Write([]byte("Content-Length: 0\r\n\r\n"))
+	require.NoError(t, err)
+	resp, err = http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Eventually(t, func() bool { return l.CloseIdle() == 0 }, time.Second, time.Millisecond)
+	require.NoError(t, tcp.Close())
+	require.NoError(t, <-served)
+}
+
+// Guards against requests that are not retried since they arrived too slowly: the client
+// would take the status for a fault of the request.
+func TestRequestThatArrivesTooSlowlyMayBeRetried(t *testing.T) {
+	ctx := &fasthttp.RequestCtx{}
+	HandleProtocolError(ctx, errors.Annotate(os.ErrDeadlineExceeded, "read body"))
+	require.Equal(t, http.StatusRequestTimeout, ctx.Response.StatusCode())
+}
