Requests that are received as the process ends are refused

What callers could see: a request that was received completely after the grace period, and before the process ended (50 ms or more), was sent to an upstream and then cut. Cause: requests were aborted only if one was in progress at the end of the grace period; one that was still being received, or that crossed the close of its connection, was not counted. Now requests are aborted whenever the instance is about to end.

--- a/launcher/pages.go
+++ b/launcher/pages.go
@@ -166,9 +166,10 @@
 	_ = l.listener.Close()
 	if active := l.drain(deadline); active > 0 {
 		l.Logger.Info("grace period is over, requests aborted", "active", active)
-		l.abortRequests(relayer.ErrStopping)
-		l.drain(time.Now().Add(abortTimeout))
 	}
+	// A request that is received from now on is refused.
+	l.abortRequests(relayer.ErrStopping)
+	l.drain(time.Now().Add(abortTimeout))
 	l.linker.BroadcastStatus()
 	time.Sleep(drainPollInterval)
 	l.Logger.Info("drained", "active", l.relayer.ActiveRequests())
