Aborted requests are not sent

What callers could see: a request that was aborted before it was sent, for example while it waited for a token or as it arrived at the end of a planned stop, got 502 and was not retried if it is not idempotent, and an upstream began to run it in vain. Cause: an idle connection was taken and written to without a look at the request's context.

TestAbortedRequestIsNotSent failed before: 502 instead of 503 on all four routes.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -111,6 +111,9 @@
 	}
 	req := x.placerRequest()
 	choice, err := x.chooseUpstream(req)
+	if err == nil {
+		err = x.cancelCause()
+	}
 	if err != nil {
 		x.abandonTrial()
 		return nil, &sendError{notExecuted, err}
