A planned stop awaits the close of idle connections

What callers could see: a request that arrived as its connection was closed as idle was sent to an upstream and cut as the process ended. Cause: such a connection did not count as open, so if it was the last one, the stop ended while the request was read. Now it counts until the server has closed it.

TestConnectionsAreOpenUntilTheServerHasClosedThem failed before: no connection was open after the first call.

--- a/relayer/caller.go
+++ b/relayer/caller.go
@@ -76,8 +76,9 @@
 // noInterface is an index that no network interface has: the kernel counts them from 1.
 const noInterface = math.MaxInt32
 
-// CloseIdle closes the connections that have no request in progress and are not new,
-// and returns the number of the others.
+// CloseIdle makes the server close the connections that have no request in progress and
+// are not new. It returns the number of connections that have been open, these included: a
+// request may still cross the close.
 func (l *Listener) CloseIdle() (open int) {
 	l.mu.Lock()
 	conns := make([]*clientConn, 0, len(l.conns))
@@ -86,11 +87,9 @@
 	}
 	l.mu.Unlock()
 	for _, c := range conns {
-		if !c.closeIfIdle() {
-			open++
-		}
+		c.closeIfIdle()
 	}
-	return open
+	return len(conns)
 }
 
 // clientConn is a client's connection. The HTTP server reads requests from it.
@@ -168,8 +167,8 @@
 	return c.Conn.Close()
 }
 
-// closeIfIdle closes the connection, and returns true, if no request is in progress
-// on it and it is not new.
+// closeIfIdle makes the server close the connection, and returns true, if no request is in
+// progress on it and it is not new.
 func (c *clientConn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
