A connection with part of a pipelined request is not idle

What callers could see in a planned stop: a client that had sent the first part of its next request before the response got 400 for it, and no retry. Cause: a connection counted as idle once the server read on after a response, also if that read completed a request of which it had the beginning. Now the state of the server tells whether it does.

TestPipelinedRequestIsNotIdle failed before: 400 for the second request. Its first check can not fail any more, since all connections that are not closed yet count as open.

--- a/launcher/pages.go
+++ b/launcher/pages.go
@@ -50,6 +50,7 @@
 		ReadTimeout:                   headerTimeout,
 		IdleTimeout:                   idleTimeout,
 		HeaderReceived:                l.requestConfig,
+		ConnState:                     l.listener.ObserveState,
 		ErrorHandler:                  relayer.HandleProtocolError,
 		Logger:                        logger.Discard{},
 	}
--- a/relayer/caller.go
+++ b/relayer/caller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
 	"savoryloft.example/savoryloft/exchanger"
@@ -92,6 +93,24 @@
 	return len(conns)
 }
 
+// ObserveState records the state of a connection in the HTTP server. Set it as the
+// server's ConnState.
+func (*Listener) ObserveState(conn net.Conn, state fasthttp.ConnState) {
+	c, ok := conn.(*clientConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case fasthttp.StateActive:
+		c.busy = true
+	case fasthttp.StateIdle:
+		c.busy = false
+	default:
+	}
+}
+
 // clientConn is a client's connection. The HTTP server reads requests from it.
 // While a request is being handled, startDisconnectWatch reads from it instead.
 type clientConn struct {
@@ -102,8 +121,7 @@
 	mu        sync.Mutex
 	received  bool          // The client has sent something.
 	readAhead []byte        // Data that the disconnect watch has read and the next Read returns.
-	busy      bool          // A request is being received or handled, or its response is being written.
-	handled   bool          // The request has been handled: the next Read is for another one.
+	busy      bool          // A request is being received or handled, or its response is being written; see ObserveState.
 	watchDone chan struct{} // Closed when the disconnect watch ends; nil while none runs.
 
 	readDeadline time.Time // The last one that SetReadDeadline has set.
@@ -116,13 +134,10 @@
 	if len(c.readAhead) > 0 {
 		n := copy(b, c.readAhead)
 		c.readAhead = c.readAhead[n:]
-		c.busy, c.handled = true, false
+		c.busy = true
 		c.mu.Unlock()
 		return n, nil
 	}
-	if c.handled {
-		c.busy, c.handled = false, false
-	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(b)
 	if n > 0 {
@@ -172,7 +187,7 @@
 func (c *clientConn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle := !c.busy && c.watchDone == nil && (c.received || time.Since(c.acceptedAt) > firstRequestTime)
+	idle := !c.busy && c.watchDone == nil && len(c.readAhead) == 0 && (c.received || time.Since(c.acceptedAt) > firstRequestTime)
 	// A request may have arrived that the server has not read yet.
 	if idle = idle && exchanger.IsIdle(c.Conn); idle {
 		// The server's pending read fails, and the server closes the connection. If a
@@ -188,7 +203,7 @@
 func (c *clientConn) startDisconnectWatch(cancel context.CancelCauseFunc) {
 	done := make(chan struct{})
 	c.mu.Lock()
-	c.watchDone, c.busy, c.handled = done, true, false
+	c.watchDone = done
 	c.mu.Unlock()
 	_ = c.SetReadDeadline(time.Time{})
 	go func() {
@@ -221,7 +236,4 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 	<-done
 	_ = c.SetReadDeadline(time.Time{})
-	c.mu.Lock()
-	c.handled = true
-	c.mu.Unlock()
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -7,8 +7,9 @@
 //
 //	r := &relayer.Relayer{Context: ctx, Wire: platform.Wire{}, Watcher: w, Placer: p, Limiter: l,
 //		Pool: pool, Logger: log, ...}
-//	server := &fasthttp.Server{Handler: r.Handle}
-//	err := server.Serve(&relayer.Listener{Listener: listener})
+//	l := &relayer.Listener{Listener: listener}
+//	server := &fasthttp.Server{Handler: r.Handle, ConnState: l.ObserveState}
+//	err := server.Serve(l)
 //
 // An error response with status 429 or 503 guarantees that the request has not
 // run and never will. A request that may have run fails with 502 or 504.
