Requests that arrive too slowly may be retried

Cause: every error of reading a request was taken for a fault of the request. Now a timeout is answered with 408. Found by reading.

TestRequestThatArrivesTooSlowlyMayBeRetried failed before: 400 for a part of the header, of the body and of a chunk.

--- a/relayer/caller_test.go
+++ b/relayer/caller_test.go
@@ -4,12 +4,10 @@
 	"bufio"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 )
@@ -112,7 +110,29 @@
 // Guards against requests that are not retried since they arrived too slowly: the client
 // would take the status for a fault of the request.
 func TestRequestThatArrivesTooSlowlyMayBeRetried(t *testing.T) {
-	ctx := &fasthttp.RequestCtx{}
-	HandleProtocolError(ctx, errors.Annotate(os.ErrDeadlineExceeded, "read body"))
-	require.Equal(t, http.StatusRequestTimeout, ctx.Response.StatusCode())
+	for _, tt := range []struct{ name, received string }{
+		{"part of the header", "POST / HTTP/1.1\r\nHost: h\r\n"},
+		{"part of the body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n123"},
+		{"part of a chunk", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n123"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			server := &fasthttp.Server{ReadTimeout: 50 * time.Millisecond, ErrorHandler: HandleProtocolError, Handler: func(*fasthttp.RequestCtx) {
+				t.Error("the request is not complete")
+			}}
+			served := make(chan error, 1)
+			go func() { served <- server.Serve(tcp) }()
+			conn, err := net.Dial("tcp", tcp.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = conn.Write([]byte(tt.received))
+			require.NoError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+			require.NoError(t, tcp.Close())
+			require.NoError(t, <-served)
+		})
+	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -390,11 +391,14 @@
 func HandleProtocolError(httpCtx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
 	var tooLarge *fasthttp.ErrSmallBuffer
+	var timeout net.Error
 	switch {
 	case errors.As(err, &tooLarge):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status = fasthttp.StatusRequestTimeout
 	}
 	httpCtx.Response.Reset()
 	httpCtx.SetStatusCode(status)
