SIGHUP does not end an instance that starts

What callers could see: an instance ended by itself if it was told of changed settings while it started. Cause: the handler of SIGHUP was installed only when the components had been built, and until then the signal ends the process. Now it is installed before the settings are read; only the start of the runtime is left. Not seen in a play; found by reading.

TestHangupDuringStartUpDoesNotEndTheProcess failed before: signal: hangup.

--- a/cmd/savoryloft/edge.go
+++ b/cmd/savoryloft/edge.go
@@ -83,6 +83,8 @@
 func runEdge(file string, verbosity int) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	modified := modificationTime(file)
 	d, err := platform.ReadSettings(file)
 	if err != nil {
@@ -103,7 +105,7 @@
 		Pool:       pool, Logger: log, Tracer: tracer.Noop(),
 		ReadinessPath: platform.ReadinessPath, MetricsPath: platform.MetricsPath,
 	}
-	reload := &reloader{file: file, modified: modified, current: d, logger: log, addSeeds: l.AddSeeds}
+	reload := &reloader{file: file, hangups: hangups, modified: modified, current: d, logger: log, addSeeds: l.AddSeeds}
 	go reload.run(ctx)
 	return l.Run(ctx)
 }
@@ -127,7 +129,8 @@
 // effect.
 type reloader struct {
 	file     string
-	modified time.Time // Modification time of the file before current was read; zero if it is unknown.
+	hangups  <-chan os.Signal // Receives each SIGHUP.
+	modified time.Time        // Modification time of the file before current was read; zero if it is unknown.
 	current  savoryloft.Deployment
 	logger   logr.Logger
 	addSeeds func(addresses []string) // Adds addresses of instances to connect to.
@@ -136,15 +139,13 @@
 const pollInterval = 2 * time.Second // Between checks of the modification time; the file may change without a signal.
 
 func (r *reloader) run(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-r.hangups:
 			r.reload("SIGHUP")
 		case <-t.C:
 			r.reloadIfChanged()
