A silent stream is given up only with its retry counted

What callers could see: streams were cut after a silence of their upstream if several of them fell silent at the same time, as all do that an upstream serves while it reads in a long prompt, and the retry budget had room for fewer. Cause: each was given up since the budget had room, and counted its retry only afterwards. A stream whose upstreams had broken twice, or whose route had changed to one without retries, was given up though its retry was refused as well (by reading, no test). Now the decision to give a stream up is the one that counts its retry, and it checks the same conditions as the retry.

TestSilentStreamsAreGivenUpOnlyWithinTheRetryBudget failed before: unexpected EOF. It now also checks that the one stream that the budget permits is resumed.

--- a/launcher/upstream_test.go
+++ b/launcher/upstream_test.go
@@ -338,7 +338,7 @@
 	other := make(chan response, 1)
 	go func() { other <- c.do(long) }()
 	require.Eventually(t, func() bool { return len(e.Requests()) == streams+1 }, eventuallyTimeout, time.Millisecond)
-	c.addEngine(nil)
+	second := c.addEngine(nil)
 	c.waitForUpstreams(i, 2)
 	for range streams {
 		resp := <-got
@@ -346,4 +346,5 @@
 		require.Equal(t, fullStream(6), resp.body)
 	}
 	<-other
+	require.Len(t, second.Requests(), 1, "one stream is resumed")
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -56,29 +56,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w := l.windowAt(now, service)
-	if !l.permits(w) {
-		return false
-	}
-	w.retries[w.bucket%bucketsPerWindow]++
-	return true
-}
-
-// Permits reports whether the budget of a service permits one more retry.
-func (l *Limiter) Permits(now time.Time, service string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.permits(l.windowAt(now, service))
-}
-
-// permits is Permits for the service's window. The caller holds l.mu.
-func (l *Limiter) permits(w *slidingWindow) bool {
 	requests, retries := 0, 0
 	for i := range bucketsPerWindow {
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
 	budget := budgetFraction * (l.Ratio*float64(requests) + float64(l.Slack)/float64(max(l.Instances(), 1)))
-	return float64(retries+1) <= budget
+	if float64(retries+1) > budget {
+		return false
+	}
+	w.retries[w.bucket%bucketsPerWindow]++
+	return true
 }
 
 // windowAt returns the window of a service, advanced to now. It clears expired
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -387,24 +387,31 @@
 	if x.trial && x.sends > 0 || x.brokenSends >= maxBrokenSends && x.hasEndedUpstream() {
 		return false
 	}
+	if x.retryReserved {
+		x.retryReserved = false
+		return true
+	}
 	return x.sends == 0 || x.relayer.Limiter.Allow(time.Now(), x.service)
 }
 
-// canResume reports whether the request may be sent again, and another upstream could take
-// it, if the one that runs it is given up.
-func (x *exchange) canResume() bool {
-	if x.ctx.Err() != nil || !x.retryable() || x.possibleRuns >= x.route.MaxAttempts || x.sends >= maxSends || x.trial || !x.resolveAgain() {
+// reserveResumption reports whether the request may be sent again, and another upstream
+// could take it, if the one that runs it is given up. That retry then counts toward the
+// service's retry budget.
+func (x *exchange) reserveResumption() bool {
+	if x.ctx.Err() != nil || x.sends >= maxSends || x.trial || !x.resolveAgain() {
 		return false
 	}
-	r := x.relayer
-	if !r.Limiter.Permits(time.Now(), x.service) {
+	if !x.retryable() || x.possibleRuns >= x.route.MaxAttempts || x.brokenSends >= maxBrokenSends && x.hasEndedUpstream() {
 		return false
 	}
 	req := x.placerRequest()
 	req.Exclude = maps.Clone(req.Exclude)
 	req.Exclude[x.upstream] = true
-	_, _, ok := x.place(req)
-	return ok
+	if _, _, ok := x.place(req); !ok {
+		return false
+	}
+	x.retryReserved = x.retryReserved || x.relayer.Limiter.Allow(time.Now(), x.service)
+	return x.retryReserved
 }
 
 // retryable reports whether the request may run more than once.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -116,6 +116,7 @@
 	triedUpstreams   map[string]bool     // Upstreams that refused or failed.
 	sends            int                 // Attempts in which the request was sent.
 	possibleRuns     int                 // Attempts in which an upstream may have run the request.
+	retryReserved    bool                // The next retry counts toward the budget already.
 	brokenSends      int                 // Sends whose connection broke before the response was complete.
 	probed           chan bool           // Receives for each of these sends whether its upstream has ended.
 	probesRead       int                 // Results received from probed.
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -265,7 +265,7 @@
 // extension returns how much longer to wait for an upstream that has sent no event within
 // the time limit: zero if the stream can be resumed on another one.
 func (s *stream) extension() time.Duration {
-	if s.exchange.canResume() {
+	if s.exchange.reserveResumption() {
 		return 0
 	}
 	return s.eventTimeout()
