--- a/soaker/version_test.go
+++ b/soaker/version_test.go
@@ -98,13 +98,19 @@
 }
 
 // release replaces some upstreams by ones of a newer version, one after the other or
-// overlapping.
+// overlapping. At times all instances are lost meanwhile.
 func (s *soakRun) release(group *sync.WaitGroup) {
 	s.mu.Lock()
 	s.releases++
 	version := fmt.Sprint("v", s.releases)
 	list := s.rng.Perm(engineCount)[:1+s.rng.IntN(engineCount)]
 	s.mu.Unlock()
+	if s.randomInt(3) == 0 {
+		group.Go(func() {
+			time.Sleep(time.Duration(s.randomInt(1000)) * time.Millisecond)
+			s.loseInstances(time.Duration(s.randomInt(1000)) * time.Millisecond)
+		})
+	}
 	overlapping := s.randomInt(2) == 0
 	for _, i := range list {
 		if !s.faultsActive.Load() {
@@ -269,6 +275,11 @@
 	}
 }
 
+// inTouch reports whether the instance was neither disturbed nor stopped between two times.
+func (n *instance) inTouch(from, to time.Time) bool {
+	return !slices.ContainsFunc(slices.Concat(n.excused, n.stopped), func(p span) bool { return p.from.Before(to) && p.to.After(from) })
+}
+
 // validKey returns a key that is not withdrawn.
 func (s *soakRun) validKey() (key string) {
 	s.mu.Lock()
@@ -304,8 +315,8 @@
 	}
 	all := standin.CountShares(s.streams, func(*standin.StreamTry, string) bool { return true })
 	calm := standin.CountShares(s.streams, func(t *standin.StreamTry, version string) bool {
-		other := s.requests[t.Call.ID].instance.other
-		return t.Sent.After(from) && !other && (version == "" || s.servingAll(version, t.Sent, t.Ended) >= 2)
+		n := s.requests[t.Call.ID].instance
+		return t.Sent.After(from) && !n.other && n.inTouch(t.Sent, t.Ended) && (version == "" || s.servingAll(version, t.Sent, t.Ended) >= 2)
 	})
 	s.t.Logf("versions: %d; streams of clients: %+v, without faults %+v", s.releases+1, all, calm)
 	require.True(s.t, calm.Fair(), "streams that were taken up did not go on: %+v", calm)
