An extension of reads ends with its exchange

What could happen: idle connections to upstreams kept the request that they had carried last, with its body, in memory, and a read of a later exchange that does not set an extension would have waited on as that request. Cause: the extension that keeps silent streams was reset only by the next send. Nothing was seen of it; found by reading.

TestExtendedReadsEndWithTheExchange failed before: three calls of the extension in the next exchange.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -360,6 +360,7 @@
 // followed by unread data, when the request body was not sent completely, when
 // the context of the exchange has ended, or after CloseOnRelease.
 func (c *Conn) Release() {
+	c.extendRead = nil
 	cancelled := c.stopCancel != nil && !c.stopCancel()
 	if !c.reusable || c.closeOnRelease || cancelled || c.reader.Buffered() > 0 || !c.bodySent() {
 		_ = c.Close()
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -144,3 +144,34 @@
 	require.ErrorIs(t, err, os.ErrPermission)
 	require.False(t, sent)
 }
+
+// Guards against reads that never time out, and against idle connections that keep the
+// request before in memory, since an extension of reads outlasts its exchange.
+func TestExtendedReadsEndWithTheExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{}
+		u.handle = func(c net.Conn, r *bufio.Reader) {
+			if u.requests.Load() == 1 {
+				respondOK(c, r)
+			}
+		}
+		p := &exchanger.Pool{Dial: u.dial}
+		defer p.CloseIdle()
+		conn, err := p.Get(t.Context(), "u", exchanger.Reuse)
+		require.NoError(t, err)
+		require.NoError(t, conn.Send(t.Context(), []byte("GET / HTTP/1.1\r\nHost: u\r\n\r\n"), nil, time.Second))
+		resp, err := conn.ReadResponse(t.Context(), "GET")
+		require.NoError(t, err)
+		extensions := 0
+		conn.ExtendReads(func() time.Duration {
+			extensions++
+			return time.Second * time.Duration(3-extensions)
+		})
+		_, err = conn.ReadResponseBody(t.Context(), resp, 100)
+		require.NoError(t, err)
+		conn.Release()
+		_, _, err = exchange(t.Context(), p, exchanger.Reuse, "GET")
+		require.ErrorIs(t, err, fasthttp.ErrTimeout)
+		require.Zero(t, extensions)
+	})
+}
