Server: requests in progress at the end of the grace period are aborted

What callers could see of an instance that is run by `serve`: a request that was still in progress when Stop.Grace had passed ended with a closed connection. Now the requests are aborted: streams end with an error event, others get 503 if they have not run and 504 if they may have; the rest of the stop follows, and Run still returns the error.

No test shows the appends and the lease.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -291,8 +291,14 @@
 	if sent {
 		e.Run = savoryloft.RunUnknown
 	}
-	if errors.Is(cause, savoryloft.ErrKeyWithdrawn) {
+	switch {
+	case errors.Is(cause, savoryloft.ErrKeyWithdrawn):
 		e.StatusCode, e.Code, e.Message = 401, "KeyWithdrawn", "the key was withdrawn"
+	case errors.Is(cause, savoryloft.ErrStopping):
+		e.StatusCode, e.Code, e.Message = 503, "Stopping", "the instance is stopping"
+		if sent {
+			e.StatusCode = 504
+		}
 	}
 	return e
 }
--- a/errors.go
+++ b/errors.go
@@ -85,6 +85,9 @@
 	ErrLeaseLost = errors.ConstError("lease is not held for long enough")
 	// ErrKeyWithdrawn is the cancellation cause of requests whose key was withdrawn.
 	ErrKeyWithdrawn = errors.ConstError("key was withdrawn")
+	// ErrStopping is the cancellation cause of requests that are in progress when the
+	// instance ends.
+	ErrStopping = errors.ConstError("instance is stopping")
 	// ErrPreempted is the cancellation cause of an attempt whose slot is given to a
 	// request of a higher tier.
 	ErrPreempted = errors.ConstError("preempted by a higher tier")
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	r := &receiver.Receiver{Follower: f, Dispatcher: d, Journaler: j, Recorder: rec, CheckServing: check}
+//	r := &receiver.Receiver{Context: ctx, Follower: f, Dispatcher: d, Journaler: j, Recorder: rec, CheckServing: check}
 //	server := &fasthttp.Server{Handler: r.Handle}
 //	err := server.Serve(listener)
 package receiver
@@ -41,6 +41,7 @@
 // Receiver handles client requests. Set the exported fields before the first
 // request.
 type Receiver struct {
+	Context    context.Context // Requests in progress are aborted when it is cancelled.
 	Follower   *follower.Follower
 	Dispatcher *dispatcher.Dispatcher
 	Journaler  *journaler.Journaler
@@ -88,6 +89,8 @@
 	spanCtx, span := r.Tracer.Start(parent, "receive", trace.WithAttributes(attribute.String("request", x.id)))
 	x.span = span
 	x.ctx, x.cancel = context.WithCancelCause(spanCtx)
+	stop := context.AfterFunc(r.Context, func() { x.cancel(context.Cause(r.Context)) })
+	context.AfterFunc(x.ctx, func() { stop() })
 	ctx.Response.Header.Set("X-Request-Id", x.id)
 	return x
 }
--- a/server/server.go
+++ b/server/server.go
@@ -40,6 +40,8 @@
 
 const (
 	finalAppendTimeout   = 30 * time.Second // Bounds the last appends to the log during a shutdown.
+	abortTimeout         = 2 * time.Second  // For the responses to aborted requests.
+	abortPollInterval    = 50 * time.Millisecond
 	keepAliveIdleTimeout = 90 * time.Second
 	readBufferBytes      = 16 << 10 // Also limits the request line and headers of a request.
 )
@@ -64,6 +66,8 @@
 	journaler   *journaler.Journaler
 	recorder    *recorder.Recorder
 	receiver    *receiver.Receiver
+	requests    context.Context // Cancelled to abort the requests in progress.
+	abort       context.CancelCauseFunc
 	gossiper    *gossiper.Gossiper
 	elector     *elector.Elector
 	scaler      *scaler.Scaler
@@ -170,7 +174,9 @@
 		Interval: st.Usage.FlushInterval.Std(), Window: st.Usage.Window.Std(),
 	}
 	s.gossiper.ReceiveUsage = s.recorder.AddPending
+	s.requests, s.abort = context.WithCancelCause(context.Background())
 	s.receiver = &receiver.Receiver{
+		Context:  s.requests,
 		Follower: s.follower, Dispatcher: s.dispatcher, Journaler: s.journaler, Recorder: s.recorder,
 		CheckServing: s.checkServing, Logger: s.Logger, Tracer: s.Tracer, Metrics: s.metrics,
 	}
@@ -236,9 +242,9 @@
 
 // shutDown shuts the instance down gracefully. Readiness fails at once, but
 // requests are accepted for the notice period, so that the load balancer can
-// remove the instance first. Then running requests finish, pending journal and
-// usage records are appended to the log, and the lease is released. Usage that
-// can not be appended is handed over to a peer.
+// remove the instance first. Then running requests finish, or are aborted at the end of
+// the grace period, pending journal and usage records are appended to the log, and the
+// lease is released. Usage that can not be appended is handed over to a peer.
 func (s *Server) shutDown(callers *fasthttp.Server) error {
 	s.Logger.Info("stopping", "notice", s.Settings.Stop.Notice, "grace", s.Settings.Stop.Grace)
 	s.stopping.Store(true)
@@ -246,8 +252,12 @@
 	time.Sleep(s.Settings.Stop.Notice.Std())
 	ctx, cancel := context.WithTimeout(context.Background(), s.Settings.Stop.Grace.Std())
 	defer cancel()
-	if err := callers.ShutdownWithContext(ctx); err != nil {
-		return errors.Annotate(err, "finish running requests")
+	aborted := errors.Annotate(callers.ShutdownWithContext(ctx), "finish running requests")
+	if aborted != nil {
+		s.abort(savoryloft.ErrStopping)
+		for end := time.Now().Add(abortTimeout); callers.GetOpenConnectionsCount() > 0 && time.Now().Before(end); {
+			time.Sleep(abortPollInterval)
+		}
 	}
 	appendCtx, cancelAppends := context.WithTimeout(context.Background(), finalAppendTimeout)
 	defer cancelAppends()
@@ -257,5 +267,8 @@
 	if err := s.recorder.Finish(appendCtx, s.gossiper.HandOverUsage); err != nil {
 		return errors.Trace(err)
 	}
-	return errors.Trace(s.elector.Release(appendCtx))
+	if err := s.elector.Release(appendCtx); err != nil {
+		return errors.Trace(err)
+	}
+	return aborted
 }
