--- a/server/server.go
+++ b/server/server.go
@@ -39,7 +39,7 @@
 )
 
 const (
-	finalAppendTimeout   = 30 * time.Second // Bounds the last appends to the log during a shutdown.
+	finalAppendTimeout   = 30 * time.Second // Bounds each of the last calls to the log during a shutdown.
 	abortTimeout         = 2 * time.Second  // For the responses to aborted requests.
 	abortPollInterval    = 50 * time.Millisecond
 	keepAliveIdleTimeout = 90 * time.Second
@@ -244,31 +244,42 @@
 // requests are accepted for the notice period, so that the load balancer can
 // remove the instance first. Then running requests finish, or are aborted at the end of
 // the grace period, pending journal and usage records are appended to the log, and the
-// lease is released. Usage that can not be appended is handed over to a peer.
+// lease is released. Usage that can not be appended is handed over to a peer. A step that
+// fails does not skip the next ones; the first error is returned.
 func (s *Server) shutDown(callers *fasthttp.Server) error {
 	s.Logger.Info("stopping", "notice", s.Settings.Stop.Notice, "grace", s.Settings.Stop.Grace)
 	s.stopping.Store(true)
 	s.gossiper.Leave()
 	time.Sleep(s.Settings.Stop.Notice.Std())
-	ctx, cancel := context.WithTimeout(context.Background(), s.Settings.Stop.Grace.Std())
-	defer cancel()
-	aborted := errors.Annotate(callers.ShutdownWithContext(ctx), "finish running requests")
-	if aborted != nil {
-		s.abort(savoryloft.ErrStopping)
-		for end := time.Now().Add(abortTimeout); callers.GetOpenConnectionsCount() > 0 && time.Now().Before(end); {
-			time.Sleep(abortPollInterval)
+	var first error
+	for _, step := range []struct {
+		timeout time.Duration
+		run     func(context.Context) error
+	}{
+		{s.Settings.Stop.Grace.Std(), func(ctx context.Context) error { return s.finishRequests(ctx, callers) }},
+		{finalAppendTimeout, s.journaler.Wait},
+		{finalAppendTimeout, func(ctx context.Context) error { return s.recorder.Finish(ctx, s.gossiper.HandOverUsage) }},
+		{finalAppendTimeout, s.elector.Release},
+	} {
+		ctx, cancel := context.WithTimeout(context.Background(), step.timeout)
+		if err := step.run(ctx); err != nil && first == nil {
+			first = errors.Annotate(err, "shut down")
 		}
+		cancel()
 	}
-	appendCtx, cancelAppends := context.WithTimeout(context.Background(), finalAppendTimeout)
-	defer cancelAppends()
-	if err := s.journaler.Wait(appendCtx); err != nil {
-		return errors.Trace(err)
-	}
-	if err := s.recorder.Finish(appendCtx, s.gossiper.HandOverUsage); err != nil {
-		return errors.Trace(err)
+	return first
+}
+
+// finishRequests waits until the running requests have finished. It aborts those that are
+// left when ctx ends.
+func (s *Server) finishRequests(ctx context.Context, callers *fasthttp.Server) error {
+	err := callers.ShutdownWithContext(ctx)
+	if err == nil {
+		return nil
 	}
-	if err := s.elector.Release(appendCtx); err != nil {
-		return errors.Trace(err)
+	s.abort(savoryloft.ErrStopping)
+	for end := time.Now().Add(abortTimeout); callers.GetOpenConnectionsCount() > 0 && time.Now().Before(end); {
+		time.Sleep(abortPollInterval)
 	}
-	return aborted
+	return errors.Annotate(err, "finish running requests")
 }
