--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -7,8 +7,9 @@
 //
 //	r := &relayer.Relayer{Context: ctx, Wire: platform.Wire{}, Watcher: w, Placer: p, Limiter: l,
 //		Pool: pool, Logger: log, ...}
-//	server := &fasthttp.Server{Handler: r.Handle}
-//	err := server.Serve(&relayer.Listener{Listener: listener})
+//	l := &relayer.Listener{Listener: listener}
+//	server := &fasthttp.Server{Handler: r.Handle, ConnState: l.ObserveState}
+//	err := server.Serve(l)
 //
 // An error response with status 429 or 503 guarantees that the request has not
 // run and never will. A request that may have run fails with 502 or 504.
@@ -17,6 +18,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -114,6 +116,7 @@
 	triedUpstreams   map[string]bool     // Upstreams that refused or failed.
 	sends            int                 // Attempts in which the request was sent.
 	possibleRuns     int                 // Attempts in which an upstream may have run the request.
+	retryReserved    bool                // The next retry counts toward the budget already.
 	brokenSends      int                 // Sends whose connection broke before the response was complete.
 	probed           chan bool           // Receives for each of these sends whether its upstream has ended.
 	probesRead       int                 // Results received from probed.
@@ -389,11 +392,14 @@
 func HandleProtocolError(httpCtx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
 	var tooLarge *fasthttp.ErrSmallBuffer
+	var timeout net.Error
 	switch {
 	case errors.As(err, &tooLarge):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status = fasthttp.StatusRequestTimeout
 	}
 	httpCtx.Response.Reset()
 	httpCtx.SetStatusCode(status)
--- a/server/server.go
+++ b/server/server.go
@@ -40,6 +40,8 @@
 
 const (
 	finalAppendTimeout   = 30 * time.Second // Bounds each of the last calls to the log during a shutdown.
+	abortTimeout         = 2 * time.Second  // For the responses to aborted requests.
+	abortPollInterval    = 50 * time.Millisecond
 	keepAliveIdleTimeout = 90 * time.Second
 	readBufferBytes      = 16 << 10 // Also limits the request line and headers of a request.
 )
@@ -64,6 +66,8 @@
 	journaler   *journaler.Journaler
 	recorder    *recorder.Recorder
 	receiver    *receiver.Receiver
+	requests    context.Context // Cancelled to abort the requests in progress.
+	abort       context.CancelCauseFunc
 	gossiper    *gossiper.Gossiper
 	elector     *elector.Elector
 	scaler      *scaler.Scaler
@@ -170,7 +174,9 @@
 		Interval: st.Usage.FlushInterval.Std(), Window: st.Usage.Window.Std(),
 	}
 	s.gossiper.ReceiveUsage = s.recorder.AddPending
+	s.requests, s.abort = context.WithCancelCause(context.Background())
 	s.receiver = &receiver.Receiver{
+		Context:  s.requests,
 		Follower: s.follower, Dispatcher: s.dispatcher, Journaler: s.journaler, Recorder: s.recorder,
 		CheckServing: s.checkServing, Logger: s.Logger, Tracer: s.Tracer, Metrics: s.metrics,
 	}
@@ -236,10 +242,10 @@
 
 // shutDown shuts the instance down gracefully. Readiness fails at once, but
 // requests are accepted for the notice period, so that the load balancer can
-// remove the instance first. Then running requests finish, pending journal and
-// usage records are appended to the log, and the lease is released. Usage that
-// can not be appended is handed over to a peer. A step that fails does not skip the
-// next ones; the first error is returned.
+// remove the instance first. Then running requests finish, or are aborted at the end of
+// the grace period, pending journal and usage records are appended to the log, and the
+// lease is released. Usage that can not be appended is handed over to a peer. A step that
+// fails does not skip the next ones; the first error is returned.
 func (s *Server) shutDown(callers *fasthttp.Server) error {
 	s.Logger.Info("stopping", "notice", s.Settings.Stop.Notice, "grace", s.Settings.Stop.Grace)
 	s.stopping.Store(true)
@@ -250,7 +256,7 @@
 		timeout time.Duration
 		run     func(context.Context) error
 	}{
-		{s.Settings.Stop.Grace.Std(), callers.ShutdownWithContext},
+		{s.Settings.Stop.Grace.Std(), func(ctx context.Context) error { return s.finishRequests(ctx, callers) }},
 		{finalAppendTimeout, s.journaler.Wait},
 		{finalAppendTimeout, func(ctx context.Context) error { return s.recorder.Finish(ctx, s.gossiper.HandOverUsage) }},
 		{finalAppendTimeout, s.elector.Release},
@@ -263,3 +269,17 @@
 	}
 	return first
 }
+
+// finishRequests waits until the running requests have finished. It aborts those that are
+// left when ctx ends.
+func (s *Server) finishRequests(ctx context.Context, callers *fasthttp.Server) error {
+	err := callers.ShutdownWithContext(ctx)
+	if err == nil {
+		return nil
+	}
+	s.abort(savoryloft.ErrStopping)
+	for end := time.Now().Add(abortTimeout); callers.GetOpenConnectionsCount() > 0 && time.Now().Before(end); {
+		time.Sleep(abortPollInterval)
+	}
+	return errors.Annotate(err, "finish running requests")
+}
