Tracker: instances read the log again at most each 5 s

After a loss of all instances each reads it when it starts; more reads only find what was written since, which peers tell anyway.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -47,7 +47,7 @@
 	findTimeout    = 1500 * time.Millisecond // For an answer of a peer, or for a read of the registry that began after the request: at most two polls and a status later.
 	findInterval   = 10 * time.Millisecond   // Between looks for an answer.
 	askTimeout     = 150 * time.Millisecond  // For an answer of a peer, before the log is read.
-	reloadInterval = time.Second             // Between reads of the log by an instance that finds no origin.
+	reloadInterval = 5 * time.Second         // Between reads of the log by an instance that finds no origin.
 	maxStreams     = 50_000                  // Kept at once; the rest is refused when its clients take it up.
 	keyBytes       = 12
 )
