Streams stay at the service that began them after the shares of a route have changed

What callers could see: a stream that its client took up was refused, since the shares of its route had changed and another service was chosen for the take-up. On a route with several services the policy of one of them does not tell where a stream began, so those are recorded (TestStreamsOfSeveralServicesAreRecorded).

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -19,6 +19,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -226,14 +227,14 @@
 	return true
 }
 
-// selectService returns the service that a route's requests go to. That of a stream which
-// the client takes up is the one at which it began, as long as the route still has it.
+// selectService returns the service that the request goes to. A stream that has begun stays
+// at its service as long as the route has that.
 func (x *exchange) selectService(t *router.Table, route *savoryloft.PathRoute) string {
-	id := x.call.ID
-	if x.call.Resumes != "" {
-		id = x.call.Resumes
+	isOrigin := func(s savoryloft.ServiceShare) bool { return s.Service == x.origin.Service && s.Weight > 0 }
+	if x.begun() && slices.ContainsFunc(route.Shares, isOrigin) {
+		return x.origin.Service
 	}
-	return t.SelectService(route, id)
+	return t.SelectService(route, x.call.ID)
 }
 
 // awaitQuarantines waits for a time, if this instance has just started, until it knows the
--- a/relayer/version.go
+++ b/relayer/version.go
@@ -44,13 +44,18 @@
 		attempt = x.call.ID
 	}
 	key := tracker.Key(x.identity.Account, attempt)
-	o, err := x.relayer.Tracker.Find(x.ctx, key, x.service)
+	service := x.service
+	if x.severalServices() {
+		service = ""
+	}
+	o, err := x.relayer.Tracker.Find(x.ctx, key, service)
 	if err != nil {
 		x.refuse(http.StatusServiceUnavailable, "UnknownOrigin", err.Error()+"; the request has not run", unknownOriginRetryAfter)
 		return false
 	}
 	x.origin = o
-	x.relayer.Tracker.Begin(key, o)
+	x.service = x.selectService(x.table, x.route)
+	x.relayer.Tracker.Begin(key, o, x.severalServices())
 	return true
 }
 
@@ -61,9 +66,12 @@
 		return
 	}
 	x.origin = tracker.Origin{Service: x.service, Version: u.Version}
-	x.relayer.Tracker.Begin(tracker.Key(x.identity.Account, x.call.ID), x.origin)
+	x.relayer.Tracker.Begin(tracker.Key(x.identity.Account, x.call.ID), x.origin, x.severalServices())
 }
 
+// severalServices reports whether the route's requests go to several services.
+func (x *exchange) severalServices() bool { return len(x.route.Shares) > 1 }
+
 // begun reports whether the client has received events of the stream.
 func (x *exchange) begun() bool { return x.origin.Service != "" }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -19,7 +19,7 @@
 //
 //	t := &tracker.Tracker{Log: log, Services: services, Upstreams: watcher.Upstreams, ...}
 //	go t.Run(ctx)
-//	t.Begin(tracker.Key(account, attempt), tracker.Origin{Service: "assistants", Version: "v1"})
+//	t.Begin(tracker.Key(account, attempt), tracker.Origin{Service: "assistants", Version: "v1"}, false)
 //	origin, err := t.Find(ctx, tracker.Key(account, resumes), "assistants")
 package tracker
 
@@ -132,14 +132,15 @@
 }
 
 // Begin records where a stream has begun. If the version is not known, the stream
-// cannot be resumed.
-func (t *Tracker) Begin(key string, o Origin) {
+// cannot be resumed. If several services may have begun it, the policy does not tell its
+// origin, and it is recorded in any case.
+func (t *Tracker) Begin(key string, o Origin, severalServices bool) {
 	t.init()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.add(key, o)
 	s.own = true
-	if t.validPolicy(o.Service) != o.Version || o.Version == "" {
+	if severalServices || t.validPolicy(o.Service) != o.Version || o.Version == "" {
 		t.queue(key, s)
 	}
 }
@@ -184,7 +185,8 @@
 }
 
 // Find returns where a stream began that a client takes up. It returns ErrUnknown if that
-// is not known, after it has asked the peers and the log.
+// is not known, after it has asked the peers and the log. service is the only one that may
+// have begun it, or "".
 func (t *Tracker) Find(ctx context.Context, key, service string) (Origin, error) {
 	t.init()
 	asked := savoryloft.Uptime()
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -145,7 +145,7 @@
 
 func (d *deployment) begin(tracker int, version string, keys ...string) {
 	for _, key := range keys {
-		d.trackers[tracker].Begin(key, Origin{service, version})
+		d.trackers[tracker].Begin(key, Origin{service, version}, false)
 	}
 }
 
@@ -243,6 +243,26 @@
 	})
 }
 
+// Guards against a stream that may have begun at one of several services and is taken for
+// one of the service whose policy is asked for, or forgotten since that has one version.
+func TestStreamsOfSeveralServicesAreRecorded(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.register("v1")
+		d.start(2)
+		d.trackers[0].Begin("a", Origin{service, "v1"}, true)
+		time.Sleep(time.Second)
+		find := func(key string) error {
+			_, err := d.trackers[1].Find(context.Background(), key, "")
+			return err
+		}
+		require.NoError(t, find("a"))
+		require.ErrorIs(t, find("nobody's"), ErrUnknown)
+		d.stop()
+		d.start(2)
+		require.NoError(t, find("a"))
+	})
+}
+
 // Guards against a policy that claims what this instance cannot know: its registry may
 // lack a version, or the log may have been restored from a copy older than a withdrawal.
 func TestPolicyNeedsConfirmation(t *testing.T) {
