Try a quarantined part once its crashes were under suspected requests

Callers saw: none reported; found in TestPartsOfHarmfulRequestsAreServed with other rules for parts, where all requests with a sound part were refused for 20 s after the harmful requests had stopped.

Cause: a part's quarantine ends early once all its crashes were under requests that are known to be harmful. A request that may be sound, since others ran beside it, is not known to be until its trial, which never comes if its client does not send it again.

Evidence: TestPartIsTriedWhenRequestsAreSuspected failed before: no trial of the part was admitted.

Why it works: a part is tried early also if the requests are only suspected. If the part is the cause after all, the trial ends one upstream more.

--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -105,6 +105,27 @@
 	}
 }
 
+// Guards against a sound part that is refused for long because the requests that crashed its
+// upstreams come no more before their trials.
+func TestPartIsTriedWhenRequestsAreSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q, _ := newQuarantiner()
+		crash := func(u, fingerprint, ids string) {
+			q.crashUnderRequests(u, request(fingerprint, ids), request("beside-"+u, ""))
+		}
+		for n := range 3 {
+			q.crashUnderRequests(fmt.Sprint("u-", n), request(fmt.Sprint("harmful-", n), "p"))
+		}
+		require.False(t, q.admits("p"))
+		for n := range 3 {
+			for k := range 2 {
+				crash(fmt.Sprint("v-", n, "-", k), fmt.Sprint("harmful-", n), "")
+			}
+		}
+		require.True(t, q.Admit(prompt("p")).Trial)
+	})
+}
+
 // Guards against quarantines because connections break while their upstreams are there.
 func TestOnlyUpstreamsThatEndedCount(t *testing.T) {
 	for _, dial := range []func(context.Context, string) (net.Conn, error){
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -225,10 +225,13 @@
 	return restricted
 }
 
-// harmfulIn returns the suspects of a crash that are quarantined and unlikely to be sound.
-func (q *Quarantiner) harmfulIn(c *crash) (harmful []string) {
+// harmfulIn returns the suspects of a crash that are quarantined and unlikely to be sound;
+// for a part, also the requests that may be: their clients may not send them again, so that
+// no trial tells.
+func (q *Quarantiner) harmfulIn(c *crash, forPart bool) (harmful []string) {
 	for _, id := range q.restrictedIn(c) {
-		if v := q.verdicts[id]; v.state == Quarantined && !v.short {
+		v := q.verdicts[id]
+		if v.state == Quarantined && !v.short || forPart && isRequest(id) {
 			harmful = append(harmful, id)
 		}
 	}
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -90,9 +90,13 @@
 	}
 	explained := map[string]bool{} // By suspect that is restricted: all its crashes are.
 	for _, c := range q.crashes {
-		harmful := q.harmfulIn(c)
+		forRequests, forParts := q.harmfulIn(c, false), q.harmfulIn(c, true)
 		for id, e := range c.suspects {
 			if e.counted && q.isRestricted(id) {
+				harmful := forParts
+				if isRequest(id) {
+					harmful = forRequests
+				}
 				known, ok := explained[id]
 				explained[id] = (known || !ok) && explainedBy(harmful, id)
 			}
