Try a prompt part early if other requests ran beside it

Cause: p1 came with the harmful part and ran beside the crashing request, so it had the most crashes, or as many as the harmful part and the greater depth. A part was taken for the certain cause unless a request that ran beside it had been on two upstreams that ended, and always after four crashes, which a sound part that many requests share reaches as well.

Why it works: what holds for requests holds for parts now: unless a single request ran on one of the upstreams, the part is refused for one to three seconds, and a trial tells. A harmful part that never ran alone ends one upstream more.

--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -105,6 +105,29 @@
 	}
 }
 
+// Guards against a sound part that is refused for long because it came with a harmful one,
+// and beside a request that crashed its upstreams.
+func TestPartBesideHarmfulOnesIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q, _ := newQuarantiner()
+		crashing := request("crashing", "")
+		q.crashUnderRequests("u-0", prompt("harmful p0"), prompt("p3"))
+		q.crashUnderRequests("u-1", prompt("harmful p1"), prompt("p4"))
+		q.crashUnderRequests("u-2", crashing, prompt("p1"), prompt("p3"))
+		q.crashUnderRequests("u-3", prompt("harmful p5"), prompt("p1"))
+		require.LessOrEqual(t, q.Admit(prompt("p1")).Wait, uncertainPeriod+uncertainSpread)
+		time.Sleep(uncertainPeriod + uncertainSpread)
+		require.True(t, q.admits("p1"))
+		q.ObserveSuccess(prompt("p1"))
+		for n := range 2 {
+			q.crashUnderRequests(fmt.Sprint("u-", 4+n), prompt("harmful p6"), prompt("p4"))
+		}
+		a := q.Admit(prompt("harmful"))
+		require.True(t, !a.OK || a.Trial)
+		require.True(t, q.admits("p1"))
+	})
+}
+
 // Guards against a sound part that is refused for long because the requests that crashed its
 // upstreams come no more before their trials.
 func TestPartIsTriedWhenRequestsAreSuspected(t *testing.T) {
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -132,7 +132,7 @@
 			}
 			t.add(id, e, c, key)
 			t.crashes++
-			t.certain = t.certain || t.crashes >= manyCrashes || !q.ranWithOthers(c, id)
+			t.certain = t.certain || t.crashes >= manyCrashes && isRequest(id) || !q.ranWithOthers(c, id)
 		}
 	}
 	most := &tally{}
@@ -198,15 +198,16 @@
 }
 
 // ranWithOthers reports whether another request that may be the cause of a crash ran on the
-// upstream. Of a part, many requests with it are evidence enough unless one of them has been
-// on other upstreams that ended.
+// upstream. The requests of a crash are not known to have a part, so that a part is certain to
+// have been the cause only if a single request ran.
 func (q *Quarantiner) ranWithOthers(c *crash, suspect string) bool {
+	requests := 0
 	for id, e := range c.suspects {
-		if id != suspect && isRequest(id) && e.counted && (isRequest(suspect) || q.closelySuspected(id) || q.isRestricted(id)) {
-			return true
+		if id != suspect && isRequest(id) && e.counted {
+			requests++
 		}
 	}
-	return false
+	return requests > 1 || requests > 0 && isRequest(suspect)
 }
 
 // isRestricted reports whether a suspect is quarantined or on trial.
