Repeat the first trial of a suspect if others ran beside it

Callers saw: none did yet; found by reading. Where an account keeps crashing upstreams with ever new requests, a sound request that comes again and ran on three of them is refused for seconds. If its trial then hits another of them, it was refused for half an hour.

Cause: a trial whose upstream ended counted in full against the suspect, whatever else ran on the upstream.

Evidence: TestTrialBesideOthersIsRepeated failed before: the wait after the trial was 30 min.

Why it works: where others ran on each of the upstreams so far, the first trial that fails is repeated after one to three seconds; the second counts in full. So a harmful request is sent at most three times after the third crash, as TestQuarantinedRequestIsTriedRarely requires.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -347,12 +347,27 @@
 	for _, p := range c.Parts {
 		v := q.verdicts[p.Part]
 		if v != nil && v.state != Cleared && (v.state == Trial || !now.Before(v.until)) {
-			q.quarantine(s, p.Part, v, false, now)
+			uncertain := q.suspected[p.Part] == manyCrashes && q.mayBeSound(p.Part)
+			if uncertain {
+				v.strikes-- // The first trial is repeated.
+			}
+			q.quarantine(s, p.Part, v, uncertain, now)
 		}
 		q.contradict(s, p.Part, now)
 	}
 }
 
+// mayBeSound reports whether others ran on each of the upstreams that have ended under a
+// suspect.
+func (q *Quarantiner) mayBeSound(suspect string) bool {
+	for _, c := range q.crashes {
+		if e := c.suspects[suspect]; e != nil && e.counted && !q.ranWithOthers(c, suspect) {
+			return false
+		}
+	}
+	return true
+}
+
 func (q *Quarantiner) forgetOldestCrash() {
 	var oldest incarnation
 	var at time.Time
