Shorten a quarantine once other instances report what ran beside

Cause: an instance judges by the reports that it has. If the first report of the third crash held the sound request alone, that was certain proof, and the reports after it did not change the verdict: refused for ten minutes.

Evidence: row "two instances" of TestTrialBesideOthersIsRepeated failed before: no trial was admitted after three seconds.

Why it works: a later report of the same crash shortens a first quarantine, or one after the first trial, that would have been short with it.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -258,6 +258,7 @@
 		if added := q.mergeCrash(c, now); len(added.Parts) > 0 {
 			relayed.Crashes = append(relayed.Crashes, added)
 			q.judge(&own, added, now)
+			q.reconsider(&own, added, now)
 		}
 	}
 	if len(relayed.Crashes)+len(relayed.Verdicts) > 0 {
@@ -357,6 +358,22 @@
 	}
 }
 
+// reconsider shortens the quarantines that began before it was known that others ran on an
+// upstream: instances report a crash one by one.
+func (q *Quarantiner) reconsider(s *savoryloft.Suspicions, added savoryloft.UpstreamCrash, now time.Time) {
+	for id, e := range q.crashes[incarnation{added.Upstream, added.StartedAt}].suspects {
+		v := q.verdicts[id]
+		if !e.counted || v == nil || v.state != Quarantined || v.short {
+			continue
+		}
+		afterTrial := v.strikes == 2 && q.suspected[id] == manyCrashes
+		if (v.strikes == 1 && q.suspected[id] == minCrashes || afterTrial) && q.mayBeSound(id) {
+			v.strikes = 0
+			q.quarantine(s, id, v, true, now)
+		}
+	}
+}
+
 // mayBeSound reports whether others ran on each of the upstreams that have ended under a
 // suspect.
 func (q *Quarantiner) mayBeSound(suspect string) bool {
--- a/quarantiner/request_test.go
+++ b/quarantiner/request_test.go
@@ -131,24 +131,40 @@
 // Guards against a sound request that is refused for half an hour because an account that
 // keeps crashing upstreams with new requests ended the upstream of its trial.
 func TestTrialBesideOthersIsRepeated(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		q, _ := newQuarantiner()
-		sound := request("sound", "")
-		crash := func(n int) {
-			q.crashUnderRequests(fmt.Sprint("u-", n), sound, request(fmt.Sprint("harmful-", n), ""))
-		}
-		for n := range 3 {
-			crash(n)
-		}
-		time.Sleep(uncertainPeriod + uncertainSpread)
-		require.True(t, q.Admit(sound).Trial)
-		crash(3)
-		require.LessOrEqual(t, q.Admit(sound).Wait, uncertainPeriod+uncertainSpread)
-		time.Sleep(uncertainPeriod + uncertainSpread)
-		require.True(t, q.Admit(sound).Trial)
-		q.ObserveSuccess(sound)
-		require.Equal(t, Admission{OK: true}, q.Admit(sound))
-	})
+	for _, tt := range []struct {
+		name     string
+		separate bool // Another instance ran the others, and reports them later.
+	}{
+		{"one instance", false},
+		{"two instances", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q, _ := newQuarantiner()
+				sound := request("sound", "")
+				crash := func(n int) {
+					u, other := fmt.Sprint("u-", n), request(fmt.Sprint("harmful-", n), "")
+					if !tt.separate {
+						q.crashUnderRequests(u, sound, other)
+						return
+					}
+					q.crashUnderRequests(u, sound)
+					q.Merge(savoryloft.Suspicions{Crashes: []savoryloft.UpstreamCrash{encodeCrash(incarnation{upstream: u}, []Broken{{Request: other}})}}, "peer")
+				}
+				for n := range 3 {
+					crash(n)
+				}
+				time.Sleep(uncertainPeriod + uncertainSpread)
+				require.True(t, q.Admit(sound).Trial)
+				crash(3)
+				require.LessOrEqual(t, q.Admit(sound).Wait, uncertainPeriod+uncertainSpread)
+				time.Sleep(uncertainPeriod + uncertainSpread)
+				require.True(t, q.Admit(sound).Trial)
+				q.ObserveSuccess(sound)
+				require.Equal(t, Admission{OK: true}, q.Admit(sound))
+			})
+		})
+	}
 }
 
 // Guards against callers that are told to come back much later than the trial under way ends.
