--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -20,6 +20,7 @@
 //
 // When a quarantine ends, one request is admitted as a trial. If its upstream ends, the
 // suspect is quarantined again for a longer time; if it succeeds, the suspect is cleared.
+// The first trial is repeated after seconds if others ran on each of the upstreams.
 // A request is tried less often than a part, since only its own client needs it, and no
 // more after a few trials.
 //
