--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -20,6 +20,7 @@
 //
 // When a quarantine ends, one request is admitted as a trial. If its upstream ends, the
 // suspect is quarantined again for a longer time; if it succeeds, the suspect is cleared.
+// The first trial is repeated after seconds if others ran on each of the upstreams.
 // A request is tried less often than a part, since only its own client needs it, and no
 // more after a few trials.
 //
@@ -258,6 +259,7 @@
 		if added := q.mergeCrash(c, now); len(added.Parts) > 0 {
 			relayed.Crashes = append(relayed.Crashes, added)
 			q.judge(&own, added, now)
+			q.reconsider(&own, added, now)
 		}
 	}
 	if len(relayed.Crashes)+len(relayed.Verdicts) > 0 {
@@ -347,12 +349,43 @@
 	for _, p := range c.Parts {
 		v := q.verdicts[p.Part]
 		if v != nil && v.state != Cleared && (v.state == Trial || !now.Before(v.until)) {
-			q.quarantine(s, p.Part, v, false, now)
+			uncertain := q.suspected[p.Part] == manyCrashes && q.mayBeSound(p.Part)
+			if uncertain {
+				v.strikes-- // The first trial is repeated.
+			}
+			q.quarantine(s, p.Part, v, uncertain, now)
 		}
 		q.contradict(s, p.Part, now)
 	}
 }
 
+// reconsider shortens the quarantines that began before it was known that others ran on an
+// upstream: instances report a crash one by one.
+func (q *Quarantiner) reconsider(s *savoryloft.Suspicions, added savoryloft.UpstreamCrash, now time.Time) {
+	for id, e := range q.crashes[incarnation{added.Upstream, added.StartedAt}].suspects {
+		v := q.verdicts[id]
+		if !e.counted || v == nil || v.state != Quarantined || v.short {
+			continue
+		}
+		afterTrial := v.strikes == 2 && q.suspected[id] == manyCrashes
+		if (v.strikes == 1 && q.suspected[id] == minCrashes || afterTrial) && q.mayBeSound(id) {
+			v.strikes = 0
+			q.quarantine(s, id, v, true, now)
+		}
+	}
+}
+
+// mayBeSound reports whether others ran on each of the upstreams that have ended under a
+// suspect.
+func (q *Quarantiner) mayBeSound(suspect string) bool {
+	for _, c := range q.crashes {
+		if e := c.suspects[suspect]; e != nil && e.counted && !q.ranWithOthers(c, suspect) {
+			return false
+		}
+	}
+	return true
+}
+
 func (q *Quarantiner) forgetOldestCrash() {
 	var oldest incarnation
 	var at time.Time
