A kept connection that fails its check is replaced before a stream is sent

What callers could see: 503 for a stream that can be resumed, or an upstream that is avoided for seconds, since the kept connection on which the upstream was asked for its start time had been dropped, or led to a process that had ended: nothing of the request had left. Cause: the failure was taken for one of the upstream. A kept connection is now replaced by a new one, which is checked in turn. TestDroppedConnectionIsReplacedBeforeAStream failed before: 503, NoUpstream.

--- a/launcher/version_test.go
+++ b/launcher/version_test.go
@@ -450,3 +450,30 @@
 		})
 	}
 }
+
+// Guards against a stream that is refused, or an upstream that is avoided, since a kept
+// connection had been dropped when the upstream was asked for its start time.
+func TestDroppedConnectionIsReplacedBeforeAStream(t *testing.T) {
+	c := newCluster(t)
+	e := &standin.Engine{ID: "i-0", EventCount: 6, EventInterval: 5 * time.Millisecond}
+	used := sync.Map{}
+	server := c.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := used.Swap(r.RemoteAddr, true); ok && strings.HasSuffix(r.URL.Path, "/report") {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			require.NoError(t, err)
+			_ = conn.Close()
+			return
+		}
+		e.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	e.Start()
+	c.engines = append(c.engines, e)
+	c.register(e.ID, server.Listener.Addr().String(), "ready")
+	i := c.start(longRevocation)
+	c.waitForUpstreams(i, 1)
+	require.Equal(t, http.StatusOK, c.call(i, "once", "key-1").status)
+	resp := c.call(i, "resume", "key-1")
+	require.NoError(t, resp.err)
+	require.Equal(t, http.StatusOK, resp.status, resp.body)
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -181,14 +181,21 @@
 	ctx, cancel := context.WithTimeout(a.ctx, dialTimeout)
 	defer cancel()
 	conn, err := a.exchange.relayer.Pool.Get(ctx, a.choice.Upstream.Address, exchanger.Reuse)
-	if err == nil && conn.HasRefused(a.exchange.call.ID) {
-		_ = conn.Close()
-		conn, err = a.exchange.relayer.Pool.Get(ctx, a.choice.Upstream.Address, exchanger.Fresh)
-	}
 	if err != nil {
 		return err
 	}
 	a.conn = conn
+	if !conn.HasRefused(a.exchange.call.ID) {
+		if err = a.verifyProcess(ctx); err == nil || !conn.Reused() {
+			return err
+		}
+	}
+	// A kept connection may have been dropped, or lead to a process that has ended.
+	_ = conn.Close()
+	if conn, err = a.exchange.relayer.Pool.Get(ctx, a.choice.Upstream.Address, exchanger.Fresh); err != nil {
+		return err
+	}
+	a.conn = conn
 	return a.verifyProcess(ctx)
 }
 
