--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -22,6 +22,7 @@
 type scenario func(w *world, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
+	"takeup": takeUp,
 	"nested": nestedRoute,
 	"crowd":  crowd,
 	"leak":   leak,
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -282,23 +282,30 @@
 	born     int64
 	beats    int
 	listener net.Listener
-	// handle responds to a request on the connection. It returns false to close that.
-	handle func(r *runner, c net.Conn, req *http.Request, body []byte) bool
-	stop   chan struct{}
+	handle   work
+	stop     chan struct{}
 
 	mu    sync.Mutex
 	state string
 	conns map[net.Conn]bool
 }
 
-// addRunner starts a runner and registers it.
-func (w *world) addRunner(id, service string, handle func(r *runner, c net.Conn, req *http.Request, body []byte) bool) (*runner, error) {
+// work is what a runner does with a request on a connection. It returns false to close that.
+type work func(r *runner, c net.Conn, req *http.Request, body []byte) bool
+
+// addRunner starts a runner of the software version v1 and registers it.
+func (w *world) addRunner(id, service string, handle work) (*runner, error) {
+	return w.addRunnerOf(id, service, "v1", handle)
+}
+
+// addRunnerOf starts a runner of a software version and registers it.
+func (w *world) addRunnerOf(id, service, version string, handle work) (*runner, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	r := &runner{
-		world: w, id: id, service: service, version: "v1", zone: "a", address: l.Addr().String(), born: time.Now().UnixMilli(),
+		world: w, id: id, service: service, version: version, zone: "a", address: l.Addr().String(), born: time.Now().UnixMilli(),
 		listener: l, handle: handle, stop: make(chan struct{}), state: "ready", conns: map[net.Conn]bool{},
 	}
 	w.runners = append(w.runners, r)
