--- a/review/lab/takeup.go
+++ b/review/lab/takeup.go
@@ -28,8 +28,12 @@
 	id := req.Header.Get("X-Attempt-Id")
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	r.world.log("%s (%s) runs %s after event %d", r.id, r.version, id, from)
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: s.%s\r\n"+
-		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, r.id); err != nil {
+	leaving := ""
+	if r.isLeaving() {
+		leaving = "Server-Leaving: 1\r\nConnection: close\r\n"
+	}
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: s.%s\r\n%s"+
+		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, r.id, leaving); err != nil {
 		return false
 	}
 	for i := from + 1; i <= streamEvents; i++ {
@@ -40,7 +44,7 @@
 		time.Sleep(eventPause)
 	}
 	_, err := fmt.Fprint(c, "0\r\n\r\n")
-	return err == nil
+	return err == nil && leaving == ""
 }
 
 // streamed is what a client has received of a stream.
