Requests keep the route under which they were accepted

Its route was removed while an upstream worked on it, its answer was lost, and it was sent again under a broader idempotent route.

Cause: before each retry the request was resolved again by the newest configuration, which replaced its route, account and service. Repeats, attempts, resumption and service were so decided by a configuration under which the request had never been sent.

Change: these are decided once, when the request is accepted. The newest configuration only says whether the key is still valid for the same account.

--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -42,7 +42,9 @@
 	duties     *standin.DutyServer
 	dutyServer *httptest.Server
 	version    int
-	keys       []string
+	keys       []string // Of "account".
+	otherKeys  []string // Of "other".
+	routes     []any    // Of the configuration; the usual ones when nil.
 	instances  []*instance
 	engines    []*standin.Engine
 	attempts   int
@@ -64,7 +66,7 @@
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, ip: instanceIP(), log: &faker.Log{}, duties: &standin.DutyServer{}, version: 1, keys: []string{"key-1", "key-2"}}
+	c := &cluster{t: t, ip: instanceIP(), log: &faker.Log{}, duties: &standin.DutyServer{}, version: 1, keys: []string{"key-1", "key-2"}, otherKeys: []string{"other-key"}}
 	c.logServer = c.serve(&standin.LogServer{Log: c.log})
 	c.dutyServer = c.serve(c.duties)
 	t.Cleanup(func() {
@@ -94,29 +96,35 @@
 	return server
 }
 
+// route returns a route of a configuration, whose prefix is its name.
+func route(name, kind string, attempts int, resumable bool) map[string]any {
+	return map[string]any{
+		"name": name, "host": host, "path_prefix": "/" + name + "/", "route_kind": kind, "timeout_ms": 5000,
+		"goal_ms": 1000, "itl_target_ms": 500, "priority": 1, "service": "s", "max_attempts": attempts, "resumable": resumable,
+	}
+}
+
 // writeConfiguration writes a configuration with the cluster's version and keys
 // to the log.
 func (c *cluster) writeConfiguration() {
-	route := func(name, kind string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "path_prefix": "/" + name + "/", "route_kind": kind, "timeout_ms": 5000,
-			"goal_ms": 1000, "itl_target_ms": 500, "priority": 1, "service": "s", "max_attempts": attempts, "resumable": resumable,
-		}
-	}
-	urgent := route("urgent", "streaming", 1, false)
-	urgent["priority"] = 0
-	value, err := json.Marshal(map[string]any{
-		"version": c.version,
-		"routes": []any{
+	routes := c.routes
+	if routes == nil {
+		urgent := route("urgent", "streaming", 1, false)
+		urgent["priority"] = 0
+		routes = []any{
 			urgent,
 			route("stream", "streaming", 1, false), route("resume", "streaming", 3, true),
 			route("once", "non_idempotent", 1, false), route("twice", "idempotent", 2, false),
-		},
+		}
+	}
+	value, err := json.Marshal(map[string]any{
+		"version":  c.version,
+		"routes":   routes,
 		"services": []any{map[string]any{"name": "s", "max_conns": 100, "inference_engine": map[string]any{"slots": 8, "kv_capacity": 100000}}},
 		"limits":   map[string]any{"max_body_bytes": 1 << 20},
 		"tenants": []any{
 			map[string]any{"name": "account", "api_keys": c.keys},
-			map[string]any{"name": "other", "api_keys": []string{"other-key"}},
+			map[string]any{"name": "other", "api_keys": c.otherKeys},
 		},
 	})
 	require.NoError(c.t, err)
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -388,7 +388,7 @@
 // permitted retry counts toward the service's retry budget, unless the request
 // was not sent yet.
 func (x *exchange) allowRetry(e *sendError) bool {
-	if x.ctx.Err() != nil || x.sends >= maxSends || !x.resolveAgain() {
+	if x.ctx.Err() != nil || x.sends >= maxSends || !x.stillPermitted() {
 		return false
 	}
 	if slices.ContainsFunc([]error{errNoUpstream, errVersionGone, errOverloaded, errQuarantined, errLimited}, func(final error) bool { return errors.Is(e.cause, final) }) {
@@ -411,7 +411,7 @@
 // could take it, if the one that runs it is given up. That retry then counts toward the
 // service's retry budget.
 func (x *exchange) reserveResumption() bool {
-	if x.ctx.Err() != nil || x.sends >= maxSends || x.trial || !x.resolveAgain() {
+	if x.ctx.Err() != nil || x.sends >= maxSends || x.trial || !x.stillPermitted() {
 		return false
 	}
 	if !x.retryable() || x.possibleRuns >= x.route.MaxAttempts || x.brokenSends >= maxBrokenSends && x.hasEndedUpstream() {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -107,8 +107,8 @@
 	received time.Time
 	deadline time.Time
 
-	table     *router.Table
-	configAge time.Duration // Age of the configuration at the last lookup.
+	table     *router.Table // Configuration under which the request was accepted.
+	configAge time.Duration // Age of the newest configuration when the key was last checked.
 	route     *savoryloft.PathRoute
 	identity  router.Identity
 	service   string
@@ -269,25 +269,20 @@
 	return false
 }
 
-// resolveAgain resolves the request again before a retry. It returns false when
-// the active configuration no longer permits the request.
-func (x *exchange) resolveAgain() bool {
+// stillPermitted reports whether the newest configuration still accepts the key of the
+// request. Everything else is decided by the configuration under which the request was
+// accepted, for all of its attempts: a later route for its path may allow what was
+// forbidden when an upstream received it.
+func (x *exchange) stillPermitted() bool {
 	w := x.relayer.Watcher
-	t := w.Table()
+	newest := w.Table()
+	if !x.table.NeedsKey(x.route) || !newest.NeedsKey(x.route) {
+		return true
+	}
 	age, known := w.Age(savoryloft.TopicConfiguration)
 	x.configAge = age
-	if t != x.table {
-		route := t.FindRoute(x.call.Host, x.call.URI)
-		if route == nil {
-			return false
-		}
-		identity, ok := t.Authenticate(route, x.call.Credential)
-		if !ok {
-			return false
-		}
-		x.table, x.route, x.identity, x.service = t, route, identity, x.selectService(t, route)
-	}
-	return known && (!x.table.NeedsKey(x.route) || age <= x.relayer.Revocation-revocationMargin)
+	identity, ok := newest.Authenticate(x.route, x.call.Credential)
+	return ok && identity.Account == x.identity.Account && known && age <= x.relayer.Revocation-revocationMargin
 }
 
 // refuse sends an error response and finishes the exchange. A retryAfter of zero
--- a/server/once_test.go
+++ b/server/once_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/emulator"
 )
 
@@ -173,3 +174,37 @@
 		})
 	}
 }
+
+// Guards against an unkeyed call that is sent again since a release note, published while
+// it ran, has made its route idempotent, and against one that is not sent again since its
+// route is no longer idempotent.
+func TestCallKeepsTheRouteUnderWhichItWasSent(t *testing.T) {
+	for _, before := range []bool{false, true} {
+		t.Run(fmt.Sprintf("idempotent %t", before), func(t *testing.T) {
+			withFleet(t, 1, func(f *fleet) {
+				setIdempotent := func(idempotent bool) {
+					f.publish(savoryloft.Note{
+						ID: fmt.Sprintf("idempotent-%t", idempotent), Base: f.lastControlOffset(),
+						Changed: &savoryloft.Entities{Routes: []savoryloft.Route{{
+							Name: "bookings", Method: "POST", Path: "/bookings", Class: "confirmations", Pool: "booking", Idempotent: idempotent,
+						}}},
+					})
+					time.Sleep(4 * time.Second)
+				}
+				setIdempotent(before)
+				f.service.SetFaults(emulator.ServiceFaults{Delay: 4500 * time.Millisecond, LoseAnswers: 1})
+				go func() {
+					time.Sleep(100 * time.Millisecond)
+					setIdempotent(!before)
+				}()
+				status, body := f.post(0, "/bookings", apiKeyA, "call", "")
+				want, runs := 504, 1
+				if before {
+					want, runs = 200, 2
+				}
+				require.Equal(t, want, status, body)
+				require.Equal(t, runs, f.service.Executions()["call"])
+			})
+		})
+	}
+}
