Instances tell their peers of all streams that begin

Cause: under the policy of one version nobody was told where streams begin; only the instance itself could tell when the policy was withdrawn, and a frozen, killed or isolated one could not. Instances that had lost each other overwrote each other's records in the log.

Change: peers (in a fleet with hubs: these) are told of each stream, in a new field of link frames, which earlier builds pass over. An instance without peers writes its streams to the log. Writers use separate rings of records. Nothing is guessed that was not before.

TestTakeUpsAroundAReleaseBesideTrouble fails with the messages to peers, the writes of isolated instances or the separate rings taken out; TestStreamsOfALostInstanceInAFleet failed before.

--- a/frame.go
+++ b/frame.go
@@ -23,6 +23,7 @@
 			set = append(set, frameField{name, value})
 		}
 	}
+	add("Begun", f.Begun, len(f.Begun) > 0)
 	add("Duties", f.Duties, f.Duties != nil)
 	add("Features", f.Features, len(f.Features) > 0)
 	add("Greeting", f.Greeting, f.Greeting != nil)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -205,10 +205,11 @@
 		Allocation: l.limitAllocation, Send: l.linker.SendLimits, Broadcast: l.linker.BroadcastLimits, Logger: l.Logger, Metrics: l.registry,
 	}
 	l.tracker = &tracker.Tracker{
-		Log: l.Log, Services: l.serviceNames, Upstreams: l.watcher.Upstreams, Era: l.watcher.Era, Now: l.clusterTime, NewDeployment: d.Bootstrap,
+		Instance: d.Instance, Log: l.Log, Services: l.serviceNames, Upstreams: l.watcher.Upstreams, Era: l.watcher.Era, Now: l.clusterTime, NewDeployment: d.Bootstrap,
 		RegistryAge: func() (time.Duration, bool) { return l.watcher.Age(savoryloft.TopicRegistry) },
 		IsWriter:    func() bool { return l.readerRank() == 0 },
-		Send:        l.linker.SendOrigins, Broadcast: l.linker.BroadcastOrigins, Reply: l.linker.ReplyOrigins,
+		Isolated:    l.linker.IsIsolated,
+		Send:        l.linker.SendOrigins, SendBegun: l.linker.SendBegun, Broadcast: l.linker.BroadcastOrigins, Reply: l.linker.ReplyOrigins,
 		Logger: l.Logger, Metrics: l.registry,
 	}
 	l.requests, l.abortRequests = context.WithCancelCause(context.Background())
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -115,7 +115,12 @@
 }
 
 // Origins implements linker.Source.
-func (s linkSource) Origins() savoryloft.StreamOrigins { return s.tracker.Known() }
+func (s linkSource) Origins() (o savoryloft.StreamOrigins, begun []savoryloft.OriginBatch) {
+	return s.tracker.Known()
+}
+
+// MergeBegun implements linker.Source.
+func (s linkSource) MergeBegun(begun []savoryloft.OriginBatch) { s.tracker.MergeBegun(begun) }
 
 // MergeOrigins implements linker.Source.
 func (s linkSource) MergeOrigins(peer string, o savoryloft.StreamOrigins) { s.tracker.Merge(peer, o) }
--- a/linker/link.go
+++ b/linker/link.go
@@ -340,6 +340,10 @@
 	if f.Origins != nil {
 		k.handleOrigins(*f.Origins)
 	}
+	if len(f.Begun) > 0 {
+		l.Source.MergeBegun(f.Begun)
+		k.relayToHubs(savoryloft.LinkFrame{Begun: f.Begun})
+	}
 	if f.Update != nil {
 		k.handleUpdate(f.Update)
 	}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -102,10 +102,13 @@
 	Limits() []savoryloft.UpstreamLimit
 	// HandleLimits processes limits, and requests and replies for tokens, from a peer.
 	HandleLimits(peer string, e savoryloft.LimitExchange)
-	// Origins returns where streams began, for a peer whose link comes up.
-	Origins() savoryloft.StreamOrigins
+	// Origins returns where streams began, for a peer whose link comes up. The log need
+	// not hold those in begun.
+	Origins() (o savoryloft.StreamOrigins, begun []savoryloft.OriginBatch)
 	// MergeOrigins processes where streams began, and what is asked, from a peer.
 	MergeOrigins(peer string, o savoryloft.StreamOrigins)
+	// MergeBegun processes where streams began that the log need not hold.
+	MergeBegun(begun []savoryloft.OriginBatch)
 	// LoadsChanged is called when the result of PeerLoads may have changed.
 	LoadsChanged()
 }
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -116,7 +116,11 @@
 
 func (p *fakeSource) Limits() []savoryloft.UpstreamLimit { return nil }
 
-func (p *fakeSource) Origins() savoryloft.StreamOrigins { return savoryloft.StreamOrigins{} }
+func (p *fakeSource) Origins() (o savoryloft.StreamOrigins, begun []savoryloft.OriginBatch) {
+	return o, begun
+}
+
+func (p *fakeSource) MergeBegun([]savoryloft.OriginBatch) {}
 
 func (p *fakeSource) MergeOrigins(string, savoryloft.StreamOrigins) {}
 
--- a/linker/origins.go
+++ b/linker/origins.go
@@ -10,6 +10,26 @@
 	l.sendToHubs(savoryloft.LinkFrame{Origins: &o})
 }
 
+// SendBegun sends streams that the log need not hold to the instances that keep them.
+func (l *Linker) SendBegun(begun []savoryloft.OriginBatch) {
+	l.sendToHubs(savoryloft.LinkFrame{Begun: begun})
+}
+
+// IsIsolated reports whether this instance has no link to another one that keeps the
+// origins of its streams.
+func (l *Linker) IsIsolated() bool {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.currentTopology(savoryloft.Uptime())
+	for name := range l.links {
+		if t.hubs[name] {
+			return false
+		}
+	}
+	return true
+}
+
 // BroadcastOrigins sends policies on all links except the one to a peer.
 func (l *Linker) BroadcastOrigins(o savoryloft.StreamOrigins, except string) {
 	l.sendToAll(savoryloft.LinkFrame{Origins: &o}, except)
@@ -28,23 +48,31 @@
 // sendKnownOrigins sends a peer whose link comes up what this instance knows. Only
 // instances that keep the origins of all streams get these.
 func (k *link) sendKnownOrigins() {
-	o := k.linker.Source.Origins()
+	o, begun := k.linker.Source.Origins()
 	if !k.linker.isHub(k.peer.Instance) {
-		o.Batches = nil
+		o.Batches, begun = nil, nil
 	}
+	f := savoryloft.LinkFrame{Begun: begun}
 	if len(o.Batches)+len(o.Policies) > 0 {
-		k.send(savoryloft.LinkFrame{Origins: &o})
+		f.Origins = &o
+	}
+	if f.Origins != nil || len(f.Begun) > 0 {
+		k.send(f)
 	}
 }
 
-// handleOrigins processes origins from the peer. A hub relays those of the instances that
-// rely on it to the other hubs.
+// handleOrigins processes origins from the peer.
 func (k *link) handleOrigins(o savoryloft.StreamOrigins) {
-	l := k.linker
-	l.Source.MergeOrigins(k.peer.Instance, o)
-	if len(o.Batches) == 0 {
-		return
+	k.linker.Source.MergeOrigins(k.peer.Instance, o)
+	if len(o.Batches) > 0 {
+		k.relayToHubs(savoryloft.LinkFrame{Origins: &savoryloft.StreamOrigins{Batches: o.Batches}})
 	}
+}
+
+// relayToHubs sends the other hubs what a hub has received from an instance that relies on
+// it.
+func (k *link) relayToHubs(f savoryloft.LinkFrame) {
+	l := k.linker
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.currentTopology(savoryloft.Uptime())
@@ -53,7 +81,7 @@
 	}
 	for name, other := range l.links {
 		if t.hubs[name] && name != k.peer.Instance {
-			other.send(savoryloft.LinkFrame{Origins: &savoryloft.StreamOrigins{Batches: o.Batches}})
+			other.send(f)
 		}
 	}
 }
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -184,6 +184,10 @@
 // do not know. The types below are encoded as arrays and must not change: what is
 // added to the protocol becomes a new field here.
 type LinkFrame struct {
+	// Streams that began at the only version of their service. Peers keep their
+	// origins; the log need not.
+	Begun []OriginBatch `json:"Begun,omitempty,omitzero" msgpack:"Begun,omitempty"`
+
 	// Duties corresponds to the JSON schema field "Duties".
 	Duties *DutyFacts `json:"Duties,omitempty,omitzero" msgpack:"Duties,omitempty"`
 
--- a/tracker/record.go
+++ b/tracker/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -15,8 +16,11 @@
 
 const (
 	policyPrefix = "policy/"  // Of the keys of policies, before the service.
-	streamPrefix = "streams/" // Of the keys of streams, before a second's place in the ring.
+	streamPrefix = "streams/" // Of the keys of streams, before the ring and a second's place in it.
 	ringSeconds  = int64(retention/time.Second) + 1
+	// ringCount is the number of rings. Instances that have lost each other write at the
+	// same time, usually to different ones.
+	ringCount = 4
 	// maxRegistryAge is the age of the registry up to which streams may be restricted to
 	// one version.
 	maxRegistryAge = 1500 * time.Millisecond
@@ -36,6 +40,7 @@
 			return nil
 		case <-tick.C:
 			t.prune()
+			t.logIfIsolated()
 		case <-t.changed:
 			savoryloft.Sleep(ctx, sendDelay)
 		}
@@ -83,38 +88,58 @@
 	maps.DeleteFunc(t.dirty, func(second int64, _ bool) bool { return second <= oldest })
 }
 
-// flush sends the streams in the outbox to the peers.
-func (t *Tracker) flush() {
+// logIfIsolated makes the log hold the streams that began at this instance while no peer
+// can be told.
+func (t *Tracker) logIfIsolated() {
+	if !t.Isolated() {
+		return
+	}
 	t.mu.Lock()
-	var list []string
-	for _, key := range t.outbox {
-		if t.streams[key] != nil {
-			list = append(list, key)
+	defer t.mu.Unlock()
+	for _, s := range t.streams {
+		if s.own && !s.logged {
+			s.logged = true
+			t.markDirty(s)
 		}
 	}
+}
+
+// flush sends the streams in the outbox to the peers.
+func (t *Tracker) flush() {
+	t.mu.Lock()
+	batches, begun := t.batches(t.outbox)
 	t.outbox = nil
-	batches := t.batches(list)
 	t.mu.Unlock()
 	if len(batches) > 0 {
 		t.Send(savoryloft.StreamOrigins{Batches: batches})
 	}
+	if len(begun) > 0 {
+		t.SendBegun(begun)
+	}
 }
 
-// batches groups streams by their origin. The caller holds the lock.
-func (t *Tracker) batches(keys []string) []savoryloft.OriginBatch {
-	var list []savoryloft.OriginBatch
-	index := map[Origin]int{}
+// batches groups the streams that are still kept by their origin: those that the log has
+// to hold, and the others. The caller holds the lock.
+func (t *Tracker) batches(keys []string) (logged, begun []savoryloft.OriginBatch) {
+	index := map[bool]map[Origin]int{true: {}, false: {}}
 	for _, key := range keys {
 		s := t.streams[key]
-		i, ok := index[s.Origin]
+		if s == nil {
+			continue
+		}
+		list := &begun
+		if s.logged {
+			list = &logged
+		}
+		i, ok := index[s.logged][s.Origin]
 		if !ok {
-			i = len(list)
-			index[s.Origin] = i
-			list = append(list, savoryloft.OriginBatch{Service: s.Service, Version: s.Version})
+			i = len(*list)
+			index[s.logged][s.Origin] = i
+			*list = append(*list, savoryloft.OriginBatch{Service: s.Service, Version: s.Version})
 		}
-		list[i].Streams = append(list[i].Streams, key)
+		(*list)[i].Streams = append((*list)[i].Streams, key)
 	}
-	return list
+	return logged, begun
 }
 
 // Merge takes over what a peer has sent.
@@ -123,13 +148,8 @@
 	t.mu.Lock()
 	t.mergeBatches(o.Batches, false)
 	news := t.mergePolicies(o.Policies)
-	var found []string
-	for _, key := range o.Wanted {
-		if t.streams[key] != nil {
-			found = append(found, key)
-		}
-	}
-	reply := t.batches(found)
+	logged, begun := t.batches(o.Wanted)
+	reply := append(logged, begun...)
 	t.mu.Unlock()
 	if len(news) > 0 {
 		t.Broadcast(savoryloft.StreamOrigins{Policies: news}, peer)
@@ -139,13 +159,28 @@
 	}
 }
 
-// mergeBatches takes over streams. fromLog is whether the log holds them. The caller
-// holds the lock.
+// MergeBegun takes over streams from a peer that the log need not hold, as far as the peer
+// knows.
+func (t *Tracker) MergeBegun(begun []savoryloft.OriginBatch) {
+	t.init()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range begun {
+		for _, key := range b.Streams {
+			s := t.add(key, Origin{b.Service, b.Version})
+			s.logged = s.logged || t.beyondPolicy(s)
+			t.markDirty(s)
+		}
+	}
+}
+
+// mergeBatches takes over streams that the log has to hold. fromLog is whether it does.
+// The caller holds the lock.
 func (t *Tracker) mergeBatches(list []savoryloft.OriginBatch, fromLog bool) {
 	for _, b := range list {
 		for _, key := range b.Streams {
 			s := t.add(key, Origin{b.Service, b.Version})
-			s.written = s.written || fromLog
+			s.logged, s.written = true, s.written || fromLog
 			t.markDirty(s)
 		}
 	}
@@ -162,7 +197,7 @@
 		s.policy = p
 		news = append(news, p)
 		t.Logger.Info("version policy changed", "step", savoryloft.StepFollow, "service", p.Service, "sole_version", p.Version, "revision", p.Revision, "era", p.Era)
-		t.queueRecent(p)
+		t.logRecent(p)
 	}
 	return news
 }
@@ -176,72 +211,98 @@
 	return p.Revision > old.Revision || p.Revision == old.Revision && p.Version == "" && old.Version != ""
 }
 
-// queueRecent makes the streams known that began at this instance while an earlier policy
-// spared that. The caller holds the lock.
-func (t *Tracker) queueRecent(p savoryloft.VersionPolicy) {
+// logRecent makes the log hold the streams that an earlier policy spared that. Those that
+// began at this instance are sent to the peers again: the ones of an earlier build have
+// passed over them. The caller holds the lock.
+func (t *Tracker) logRecent(p savoryloft.VersionPolicy) {
 	for key, s := range t.streams {
-		if s.own && s.Service == p.Service && s.Version != p.Version {
+		if s.Service != p.Service || s.Version == p.Version || s.logged {
+			continue
+		}
+		s.logged = true
+		if s.own {
+			s.queued = false
 			t.queue(key, s)
 		}
+		t.markDirty(s)
 	}
 }
 
-// Known returns the policies and the recorded streams, for a peer whose link comes up.
-func (t *Tracker) Known() savoryloft.StreamOrigins {
+// Known returns the policies and the streams, for a peer whose link comes up. The log need
+// not hold those in begun.
+func (t *Tracker) Known() (o savoryloft.StreamOrigins, begun []savoryloft.OriginBatch) {
 	t.init()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var o savoryloft.StreamOrigins
 	for _, s := range t.services {
 		if s.policy.Revision > 0 {
 			o.Policies = append(o.Policies, s.policy)
 		}
 	}
-	var keys []string
-	for key, s := range t.streams {
-		if s.queued || !s.own {
-			keys = append(keys, key)
-		}
-	}
-	o.Batches = t.batches(keys)
-	return o
+	o.Batches, begun = t.batches(slices.Collect(maps.Keys(t.streams)))
+	return o, begun
+}
+
+// storedOrigins is the value of a record in the log.
+type storedOrigins struct {
+	savoryloft.StreamOrigins
+	Second int64 `json:",omitempty"` // Unix time at which the streams became known; 0 in records of earlier builds.
 }
 
 // load reads what the log holds.
 func (t *Tracker) load(ctx context.Context) error {
+	sent := savoryloft.Uptime()
 	page, err := t.Log.Newest(ctx, savoryloft.TopicOrigins)
 	if err != nil {
 		return err
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	var list []storedOrigins
+	newest := int64(0)
 	for _, r := range page.Records {
-		var o savoryloft.StreamOrigins
+		var o storedOrigins
 		if err := json.Unmarshal(r.Value, &o); err != nil {
 			t.Logger.Info("skipped malformed origins of streams", "step", savoryloft.StepFollow, "key", r.Key, "error", err.Error())
 			continue
 		}
-		t.mergeBatches(o.Batches, true)
+		list = append(list, o)
+		newest = max(newest, o.Second)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, o := range list {
+		if o.Second == 0 || o.Second >= newest-ringSeconds { // Others are left from an earlier writer.
+			t.mergeBatches(o.Batches, true)
+		}
 		_ = t.mergePolicies(o.Policies) // Peers read the log themselves.
 	}
 	if !t.loaded {
 		t.loaded, t.foundEmpty = true, len(page.Records) == 0
 	}
+	if page.Era == 0 || page.Era == t.Era() {
+		t.confirmedAt = max(t.confirmedAt, sent)
+	}
 	return nil
 }
 
-// reload reads the log again for a stream that no peer knows, unless it was read lately.
-func (t *Tracker) reload(ctx context.Context) {
-	t.mu.Lock()
+// reload reads the log for a stream that no peer knows, unless it has been read since the
+// stream was asked for, or is being read.
+func (t *Tracker) reload(ctx context.Context, asked, timeout time.Duration) {
+	if !t.reading.TryLock() {
+		return
+	}
+	defer t.reading.Unlock()
 	now := savoryloft.Uptime()
-	due := t.reloadedAt == 0 || now-t.reloadedAt > reloadInterval
+	t.mu.Lock()
+	due := t.confirmedAt < asked && now >= t.loadAt
 	if due {
-		t.reloadedAt = now
+		t.loadAt = now + reloadInterval
 	}
 	t.mu.Unlock()
 	if !due {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	if err := t.load(ctx); err != nil {
 		t.Logger.V(1).Info("reading the origins of streams failed", "step", savoryloft.StepFollow, "error", err.Error())
 	}
@@ -253,7 +314,7 @@
 		return nil
 	}
 	for _, p := range t.duePolicies() {
-		era, err := t.put(ctx, policyPrefix+p.Service, savoryloft.StreamOrigins{Policies: []savoryloft.VersionPolicy{p}})
+		era, err := t.put(ctx, policyPrefix+p.Service, storedOrigins{StreamOrigins: savoryloft.StreamOrigins{Policies: []savoryloft.VersionPolicy{p}}})
 		if err != nil {
 			return err
 		}
@@ -286,18 +347,19 @@
 	var keys []string
 	complete := true
 	for key, s := range t.streams {
-		if s.second != second || s.own && !s.queued {
+		if s.second != second || !s.logged {
 			continue
 		}
 		keys = append(keys, key)
 		complete = complete && s.written
 	}
-	batches := t.batches(keys)
+	batches, _ := t.batches(keys)
 	t.mu.Unlock()
 	if complete {
 		return nil
 	}
-	if _, err := t.put(ctx, fmt.Sprintf("%s%d", streamPrefix, second%ringSeconds), savoryloft.StreamOrigins{Batches: batches}); err != nil {
+	record := storedOrigins{savoryloft.StreamOrigins{Batches: batches}, second}
+	if _, err := t.put(ctx, t.streamKey(second), record); err != nil {
 		t.mu.Lock()
 		t.dirty[second] = true
 		t.mu.Unlock()
@@ -313,7 +375,14 @@
 	return nil
 }
 
-func (t *Tracker) put(ctx context.Context, key string, o savoryloft.StreamOrigins) (era int, err error) {
+// streamKey returns the key of the record of a second in this instance's ring.
+func (t *Tracker) streamKey(second int64) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(t.Instance))
+	return fmt.Sprintf("%s%d/%d", streamPrefix, h.Sum32()%ringCount, second%ringSeconds)
+}
+
+func (t *Tracker) put(ctx context.Context, key string, o storedOrigins) (era int, err error) {
 	value, err := json.Marshal(o)
 	if err != nil {
 		return 0, errors.Annotate(err, "encode origins of streams")
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -5,13 +5,15 @@
 // The version is that of the run that began the stream. It cannot be derived later from
 // the ID of an upstream, which may have come back with another version by then.
 //
+// Each instance tells its peers where its streams begin, so that they outlive it.
+//
 // While all upstreams of a service have one version, a policy in the platform's log says
-// so. New streams then begin at this version only, and no stream is recorded. Before
-// streams begin at a second version, the policy is withdrawn. From then on each instance
-// tells its peers where its streams begin, and one instance keeps the recent streams of
-// all in the log, in a few records that it overwrites in turn, for the case that all
-// instances are lost at once. The policy returns when the other versions have been gone
-// for longer than clients wait.
+// so. New streams then begin at this version only, and the log holds no streams. Before
+// streams begin at a second version, the policy is withdrawn. From then on one instance
+// keeps the recent streams of all in the log, in a few records that it overwrites in turn,
+// for the case that all instances are lost at once. An instance without peers keeps its
+// own there, also under a policy. The policy returns when the other versions have been
+// gone for longer than clients wait.
 //
 // A stream whose origin is not known cannot be resumed.
 //
@@ -47,7 +49,7 @@
 	findTimeout    = 1500 * time.Millisecond // For an answer of a peer, or for a read of the registry that began after the request: at most two polls and a status later.
 	findInterval   = 10 * time.Millisecond   // Between looks for an answer.
 	askTimeout     = 150 * time.Millisecond  // For an answer of a peer, before the log is read.
-	reloadInterval = 5 * time.Second         // Between reads of the log by an instance that finds no origin.
+	reloadInterval = 250 * time.Millisecond  // Between reads of the log by an instance that finds no origin.
 	maxStreams     = 50_000                  // Kept at once; the rest is refused when its clients take it up.
 	keyBytes       = 12
 )
@@ -63,6 +65,7 @@
 
 // Tracker keeps the origins of streams. Set the exported fields before the first call.
 type Tracker struct {
+	Instance  string
 	Log       savoryloft.RecordLog
 	Services  func() []string // Services in force.
 	Upstreams func(service string) []savoryloft.RegisteredUpstream
@@ -71,9 +74,12 @@
 	Era         func() int // Latest known era of the log.
 	// IsWriter reports whether this instance writes to the log for all.
 	IsWriter func() bool
-	// Send tells the peers that keep the origins of all streams, and Broadcast tells
-	// all peers but one.
+	// Isolated reports whether no peer that keeps origins can be reached.
+	Isolated func() bool
+	// Send tells the peers that keep the origins of all streams, as does SendBegun for
+	// streams that the log need not hold. Broadcast tells all peers but one.
 	Send      func(o savoryloft.StreamOrigins)
+	SendBegun func(begun []savoryloft.OriginBatch)
 	Broadcast func(o savoryloft.StreamOrigins, except string)
 	// Reply tells one peer.
 	Reply func(peer string, o savoryloft.StreamOrigins)
@@ -84,17 +90,20 @@
 	Logger        logr.Logger
 	Metrics       metrics.Registry
 
-	mu         sync.Mutex
-	startedAt  time.Duration // Uptime of the first call.
-	streams    map[string]*stream
-	services   map[string]*serviceState
-	outbox     []string       // Keys of own streams that were not sent to peers yet.
-	changed    chan struct{}  // Receives when outbox or dirty have got entries.
-	dirty      map[int64]bool // Seconds of which the log lacks streams.
-	loaded     bool           // The log has been read.
-	foundEmpty bool           // The log held nothing when it was read first.
-	reloadedAt time.Duration
-	once       sync.Once
+	reading sync.Mutex // Held while the log is read.
+
+	mu          sync.Mutex
+	startedAt   time.Duration // Uptime of the first call.
+	streams     map[string]*stream
+	services    map[string]*serviceState
+	outbox      []string       // Keys of own streams that were not sent to peers yet.
+	changed     chan struct{}  // Receives when outbox or dirty have got entries.
+	dirty       map[int64]bool // Seconds of which the log lacks streams.
+	loaded      bool           // The log has been read.
+	foundEmpty  bool           // The log held nothing when it was read first.
+	loadAt      time.Duration  // Uptime from which the log may be read again.
+	confirmedAt time.Duration  // Uptime at which the last read of the policies in the log began that succeeded.
+	once        sync.Once
 }
 
 // stream is a stream that has begun.
@@ -102,6 +111,7 @@
 	Origin
 	own     bool          // It began at this instance.
 	queued  bool          // It was put into the outbox.
+	logged  bool          // The log has to hold it.
 	at      time.Duration // Uptime at which it became known.
 	second  int64         // Unix time at which it became known.
 	written bool          // The log is known to hold it.
@@ -133,16 +143,21 @@
 
 // Begin records where a stream has begun. If the version is not known, the stream
 // cannot be resumed. If several services may have begun it, the policy does not tell its
-// origin, and it is recorded in any case.
+// origin, and the log has to hold it in any case.
 func (t *Tracker) Begin(key string, o Origin, severalServices bool) {
 	t.init()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.add(key, o)
 	s.own = true
-	if severalServices || t.validPolicy(o.Service) != o.Version || o.Version == "" {
-		t.queue(key, s)
-	}
+	s.logged = s.logged || severalServices || t.beyondPolicy(s)
+	t.queue(key, s)
+}
+
+// beyondPolicy reports whether the policy does not tell where a stream began. The caller
+// holds the lock.
+func (t *Tracker) beyondPolicy(s *stream) bool {
+	return s.Version == "" || t.validPolicy(s.Service) != s.Version
 }
 
 // add records a stream, and returns its record. Of a stream that is said to have begun
@@ -157,13 +172,13 @@
 		t.streams[key] = s
 	case s.Origin != o && s.Version != "":
 		s.Origin = Origin{Service: s.Service}
-		s.written, s.queued = false, false
+		s.written, s.queued, s.logged = false, false, true
 	}
 	return s
 }
 
-// queue makes a stream that began at this instance known to the peers and the log. The
-// caller holds the lock.
+// queue makes a stream that began at this instance known to the peers, and to the log if
+// that has to hold it. The caller holds the lock.
 func (t *Tracker) queue(key string, s *stream) {
 	if !s.queued {
 		s.queued = true
@@ -172,10 +187,10 @@
 	t.markDirty(s)
 }
 
-// markDirty makes a stream known to the log if this instance writes to it. The caller
-// holds the lock.
+// markDirty makes a stream known to the log if that has to hold it and this instance
+// writes to it. The caller holds the lock.
 func (t *Tracker) markDirty(s *stream) {
-	if !s.written {
+	if s.logged && !s.written {
 		t.dirty[s.second] = true
 	}
 	select {
@@ -190,7 +205,7 @@
 func (t *Tracker) Find(ctx context.Context, key, service string) (Origin, error) {
 	t.init()
 	asked := savoryloft.Uptime()
-	sentAt, reloaded := time.Duration(0), false
+	sent := false
 	for ctx.Err() == nil {
 		o, known, sole := t.lookUp(key, service, asked)
 		switch {
@@ -208,13 +223,12 @@
 		if waited >= findTimeout {
 			break
 		}
-		if sentAt == 0 {
-			sentAt = savoryloft.Uptime()
+		if !sent {
+			sent = true
 			t.Send(savoryloft.StreamOrigins{Wanted: []string{key}})
 		}
-		if waited >= askTimeout && !reloaded {
-			reloaded = true
-			t.reload(ctx)
+		if waited >= askTimeout {
+			t.reload(ctx, asked, findTimeout-waited)
 		}
 		savoryloft.Sleep(ctx, findInterval)
 	}
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -56,7 +56,7 @@
 			}
 		}
 		x := &Tracker{
-			Log: d.log, Services: func() []string { return []string{service} },
+			Instance: name, Log: d.log, Services: func() []string { return []string{service} },
 			Upstreams: func(string) []savoryloft.RegisteredUpstream {
 				d.mu.Lock()
 				defer d.mu.Unlock()
@@ -73,7 +73,13 @@
 				return d.log.Era() + d.era
 			},
 			IsWriter: func() bool { return i == 0 }, Now: time.Now, NewDeployment: d.isNew,
+			Isolated: func() bool {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				return d.isolated
+			},
 			Send:      func(o savoryloft.StreamOrigins) { peers(func(p *Tracker) { p.Merge(name, o) }) },
+			SendBegun: func(begun []savoryloft.OriginBatch) { peers(func(p *Tracker) { p.MergeBegun(begun) }) },
 			Broadcast: func(o savoryloft.StreamOrigins, _ string) { peers(func(p *Tracker) { p.Merge(name, o) }) },
 			Reply: func(peer string, o savoryloft.StreamOrigins) {
 				var n int
