The policy of one version is confirmed in the log for unknown streams

Cause: the policy in memory was trusted as long as the registry showed no other version. An instance that had been suspended or cut off missed its withdrawal, and a version that had come and left again meanwhile is not in the registry.

Change: for a stream that neither the instance nor a peer knows, the policies in the log have to be read after the client has come, beside the registry.

Evidence: TestTakeUpsAroundAReleaseBesideTrouble, cases "joins and leaves meanwhile", fails without the check (joined at the instance that woke) and passes with it.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -15,6 +15,11 @@
 // own there, also under a policy. The policy returns when the other versions have been
 // gone for longer than clients wait.
 //
+// An instance that does not know a stream asks its peers and reads the log. It takes the
+// stream for one of the only version if the log and the registry, both read after the
+// client has come, show that there is no other. A policy in memory is not enough: the
+// instance may have been suspended or cut off when it was withdrawn.
+//
 // A stream whose origin is not known cannot be resumed.
 //
 // # Usage
@@ -236,8 +241,8 @@
 	return Origin{}, ErrUnknown
 }
 
-// lookUp returns the origin of a stream if it is known, or if the policy and the registry
-// show that streams have begun at one version only until an uptime.
+// lookUp returns the origin of a stream if it is known, or if the policy in the log and the
+// registry show that streams have begun at one version only until an uptime.
 func (t *Tracker) lookUp(key, service string, until time.Duration) (o Origin, known, sole bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -251,7 +256,7 @@
 	t.observe(service)
 	age, ok := t.RegistryAge()
 	now := savoryloft.Uptime()
-	if !ok || now-age < until || !t.onlySeen(service, version, now) {
+	if !ok || now-age < until || t.confirmedAt < until || !t.onlySeen(service, version, now) {
 		return Origin{}, false, false
 	}
 	return Origin{Service: service, Version: version}, false, true
--- a/tracker/trouble_test.go
+++ b/tracker/trouble_test.go
@@ -345,6 +345,7 @@
 		{"joins at once", troubleAt + 20*time.Millisecond, 0},
 		{"joins meanwhile", troubleAt + time.Second, 0},
 		{"joins at the take-up", troubleAt + 2500*time.Millisecond, 0},
+		{"joins and leaves meanwhile", troubleAt + 300*time.Millisecond, troubleAt + 1800*time.Millisecond},
 		{"joins after the trouble", troubleAt + troubled + 50*time.Millisecond, 0},
 	}
 	for _, tt := range troubles {
