Only a resumption continues a broken stream

Cause: a response with status 200 to a resumption was passed on like that of the run that began the stream. Only the ID of its first event was compared, if it had one.

Change: an attempt that has to continue a stream needs status 200, a signature and the type of an event stream, and each of its events only fields of events and the next ID. Otherwise the stream is resumed once more after the last sound event, or cut. It is not resumed after an event without an ID. Other statuses do not end the tries.

--- a/call.go
+++ b/call.go
@@ -69,6 +69,7 @@
 	Fields      []HeaderField // Header fields that are forwarded to the caller.
 	ID          string        // Attempt that the answer belongs to.
 	Signed      bool          // The answer carries an upstream's signature.
+	EventStream bool          // The type of the body is that of a stream of events.
 	NotRun      bool          // The upstream has not run the request and never will.
 	Misdirected bool          // The address is now used by another upstream.
 	KeepAlive   time.Duration // Upstream's timeout for idle connections; 0 when it gave none.
@@ -105,4 +106,6 @@
 	DecodeReport(body []byte) (UpstreamReport, error)
 	// EventID returns the ID of an event of a stream, or "" when it has none.
 	EventID(event []byte) string
+	// CheckEvent returns an error unless each line is one of an event of a stream.
+	CheckEvent(event []byte) error
 }
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -20,6 +20,9 @@
 	eventTimeoutFactor      = 6                       // Time without data after which a resumable stream counts as broken, as a multiple of the route's pause objective.
 	firstEventTimeoutFactor = 2.5                     // Timeout for the first event of a resumable stream, as a multiple of the route's objective.
 	separatorBytes          = 2
+	// minSequence is the number of events without a gap between their IDs from which on a
+	// resumption must not have one either.
+	minSequence = 2
 	// harmlessAfter is the time after the first event from which an upstream that still
 	// responds shows that the prompt does not crash it.
 	harmlessAfter = 2 * time.Second
@@ -31,7 +34,7 @@
 // The response to the client starts with the first event, so the request can be
 // retried on another upstream until then.
 func (x *exchange) serveStream() {
-	s := &stream{exchange: x, lastEventID: x.call.LastEventID}
+	s := &stream{exchange: x, lastEventID: x.call.LastEventID, sequential: true}
 	for {
 		e := s.open()
 		if e == nil {
@@ -60,7 +63,13 @@
 	storage       []byte // Start of the memory that buffer uses.
 	buffer        []byte // Data from the upstream that Read has not returned yet.
 	completeBytes int    // Length of the complete events at the start of buffer.
-	lastEventID   string // ID of the last event that Read has returned.
+	receivedID    string // ID of the last complete event of the buffer, or of the last one that was in it.
+	lastEventID   string // ID of the last event that Read has returned whole.
+	events        int    // Events that Read has returned or is about to.
+	sequential    bool   // The IDs of these are numbers without gaps.
+	unidentified  bool   // The last of these has no ID, so that the stream cannot be resumed after it.
+	attemptEvents int    // Events of the current attempt.
+	resumption    bool   // The current attempt has to continue the stream after receivedID.
 	upstreamEnded bool   // The upstream has ended the stream.
 	brokenBy      error  // Error with which the upstream's stream ended after the complete events in buffer.
 	notStream     bool   // The response is not a stream; body holds it.
@@ -77,10 +86,15 @@
 		return e
 	}
 	s.attempt, s.buffer, s.completeBytes, s.upstreamEnded, s.brokenBy = a, s.storage[:0], 0, false, nil
+	s.receivedID, s.attemptEvents, s.resumption = s.lastEventID, 0, s.lastEventID != ""
 	if a.head.StatusCode != http.StatusOK {
 		return s.readBuffered()
 	}
-	if err := x.validateResponse(a.head); err != nil {
+	err := x.validateResponse(a.head)
+	if err == nil && s.resumption && !a.head.EventStream {
+		err = errors.Annotate(errNotResumed, "response is not a stream of events")
+	}
+	if err != nil {
 		a.release(placer.Failed)
 		return x.recordFailure(a.choice, &sendError{maybeExecuted, err})
 	}
@@ -89,11 +103,7 @@
 		timeout = defaultReadTimeout
 	}
 	if err := s.fill(timeout); err != nil {
-		return a.abort(err)
-	}
-	if id := x.relayer.Wire.EventID(firstEvent(s.buffer[:s.completeBytes])); repeatsEvent(id, s.lastEventID) {
-		a.release(placer.Failed)
-		return x.recordFailure(a.choice, &sendError{maybeExecuted, errors.Errorf("upstream resumed after event %s with event %s", s.lastEventID, id)})
+		return s.abort(err)
 	}
 	x.beginStream(a.choice.Upstream)
 	a.conn.ExtendReads(s.extension)
@@ -104,17 +114,88 @@
 	return nil
 }
 
+// errNotResumed is the error of a response, or of a part of it, that does not continue the
+// stream after the event after which it was requested.
+const errNotResumed = errors.ConstError("upstream did not resume the stream")
+
+// abort ends the current attempt after its response has broken off or turned out not to
+// resume the stream.
+func (s *stream) abort(err error) *sendError {
+	a := s.attempt
+	if !errors.Is(err, errNotResumed) {
+		return a.abort(err)
+	}
+	a.release(placer.Failed)
+	return s.exchange.recordFailure(a.choice, &sendError{maybeExecuted, err})
+}
+
+// accept takes over complete events that were received, and returns the length of those
+// that belong to the stream. All that the run that began it sends does. An attempt that has
+// to resume it must continue it event by event: its upstream may have failed before or
+// while it wrote its response.
+func (s *stream) accept(events []byte) (length int, err error) {
+	for length < len(events) {
+		event, _, _ := bytes.Cut(events[length:], eventSeparator)
+		id := s.exchange.relayer.Wire.EventID(event)
+		if s.resumption {
+			if err := s.checkContinuation(event, id); err != nil {
+				return length, err
+			}
+		}
+		length += len(event) + separatorBytes
+		if isComment(event) {
+			continue
+		}
+		s.sequential = s.sequential && (s.events == 0 || follows(id, s.receivedID))
+		s.unidentified = id == ""
+		s.receivedID = id
+		s.events++
+		s.attemptEvents++
+	}
+	return length, nil
+}
+
+// checkContinuation returns an error unless an event continues the stream after the last
+// one that was received.
+func (s *stream) checkContinuation(event []byte, id string) error {
+	if err := s.exchange.relayer.Wire.CheckEvent(event); err != nil {
+		return errors.Annotate(errNotResumed, err.Error())
+	}
+	if isComment(event) {
+		return nil
+	}
+	gap := s.sequential && s.events >= minSequence && !follows(id, s.receivedID)
+	if id == "" || repeatsEvent(id, s.receivedID) || gap {
+		return errors.Annotatef(errNotResumed, "event %q after event %q", id, s.receivedID)
+	}
+	return nil
+}
+
+// isComment reports whether an event consists of comments only.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if !bytes.HasPrefix(line, []byte(":")) {
+			return false
+		}
+	}
+	return true
+}
+
 // repeatsEvent reports whether an event with the ID id is, or precedes, the event with
 // the ID last. Of IDs that are not numbers only equal ones repeat.
 func repeatsEvent(id, last string) bool {
-	if id == "" || last == "" {
-		return false
-	}
 	n, err := strconv.Atoi(id)
 	m, lastErr := strconv.Atoi(last)
 	return id == last || err == nil && lastErr == nil && n <= m
 }
 
+// follows reports whether the number in the ID id is the one after that in the ID last.
+func follows(id, last string) bool {
+	n, err := strconv.Atoi(id)
+	m, lastErr := strconv.Atoi(last)
+	return err == nil && lastErr == nil && n == m+1
+}
+
 // firstEventTimeout returns the timeout for the first event while a further
 // attempt is permitted, and 0 otherwise.
 func (s *stream) firstEventTimeout() time.Duration {
@@ -166,7 +247,9 @@
 		n, err := s.attempt.response.Body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 		s.buffer = s.buffer[:len(s.buffer)+n]
 		if i := bytes.LastIndex(s.buffer, eventSeparator); i >= 0 {
-			s.completeBytes = i + separatorBytes
+			if s.completeBytes, s.brokenBy = s.accept(s.buffer[:i+separatorBytes]); s.brokenBy != nil {
+				continue
+			}
 		}
 		if len(s.buffer)-s.completeBytes > maxEventBytes {
 			return errors.Errorf("event from %s exceeds %d bytes", s.attempt.choice.Upstream.ID, maxEventBytes)
@@ -189,7 +272,7 @@
 	if s.completeBytes < len(s.buffer) {
 		return true
 	}
-	return s.lastEventID == "" && len(s.buffer) == 0 && s.attempt.unframed()
+	return s.attemptEvents == 0 && s.attempt.unframed()
 }
 
 // reserve makes room in the buffer for the next read. It reuses the memory of data
@@ -225,38 +308,23 @@
 		}
 	}
 	n := copy(p, s.buffer[:s.completeBytes])
-	if id := s.exchange.relayer.Wire.EventID(lastEvent(s.buffer[:n])); id != "" {
-		s.lastEventID = id
-	}
 	s.buffer = s.buffer[n:]
 	s.completeBytes -= n
+	if s.completeBytes == 0 {
+		s.lastEventID = s.receivedID
+	}
 	if time.Since(s.attempt.firstEventAt) > harmlessAfter {
 		s.exchange.observeHarmless()
 	}
 	return n, nil
 }
 
-// firstEvent returns the first of a sequence of complete events.
-func firstEvent(events []byte) []byte {
-	first, _, _ := bytes.Cut(events, eventSeparator)
-	return first
-}
-
-// lastEvent returns the last of a sequence of complete events.
-func lastEvent(events []byte) []byte {
-	events = bytes.TrimSuffix(events, eventSeparator)
-	if i := bytes.LastIndex(events, eventSeparator); i >= 0 {
-		return events[i+separatorBytes:]
-	}
-	return events
-}
-
 // eventTimeout returns the time without data after which a stream counts as
 // broken. For a stream that cannot be resumed it is defaultReadTimeout, and the
 // request's deadline usually passes earlier.
 func (s *stream) eventTimeout() time.Duration {
 	x := s.exchange
-	if !x.retryable() || x.possibleRuns >= x.route.MaxAttempts {
+	if s.unidentified || !x.retryable() || x.possibleRuns >= x.route.MaxAttempts {
 		return defaultReadTimeout
 	}
 	return max(minEventTimeout, eventTimeoutFactor*x.route.EventIntervalObjective)
@@ -265,7 +333,7 @@
 // extension returns how much longer to wait for an upstream that has sent no event within
 // the time limit: zero if the stream can be resumed on another one.
 func (s *stream) extension() time.Duration {
-	if s.exchange.reserveResumption() {
+	if !s.unidentified && s.exchange.reserveResumption() {
 		return 0
 	}
 	return s.eventTimeout()
@@ -276,13 +344,15 @@
 // error with which the response must end.
 func (s *stream) resume(cause error) error {
 	x := s.exchange
-	e := s.attempt.abort(cause)
-	for x.allowRetry(e) {
+	e := s.abort(cause)
+	for !s.unidentified && x.allowRetry(e) {
 		if e = s.open(); e != nil {
 			continue
 		}
 		if s.notStream {
-			return errors.Annotatef(cause, "resume stream: upstream responded with status %d", s.attempt.head.StatusCode)
+			s.notStream, s.body = false, nil
+			e = x.recordFailure(s.attempt.choice, &sendError{maybeExecuted, errors.Annotatef(errNotResumed, "response with status %d", s.attempt.head.StatusCode)})
+			continue
 		}
 		x.relayer.Logger.Info("stream resumed", "id", x.call.ID, "after", s.lastEventID, "upstream", x.upstream, "software", s.attempt.choice.Upstream.Version)
 		return nil
