Tests: heads cut on kept connections, and on the own interface

Another operator's report: an upstream stopped in the middle of its head and closed, and callers got 200 with an empty or short body. Covered so far were new connections on the prepared platform and in the client; now also kept ones there, on all kinds of route, and the own interface.

--- a/emulator/service.go
+++ b/emulator/service.go
@@ -15,6 +15,7 @@
 	Delay       time.Duration // Execution time of a request.
 	LoseAnswers int           // Number of requests that are executed but get no response.
 	Silent      bool          // Execute requests, but send no response for an hour.
+	CutAnswers  int           // Close the connection after this many bytes of a response; never when zero.
 }
 
 // Service emulates a plain HTTP service. It counts how often each call is
@@ -98,6 +99,11 @@
 	ctx.Response.Header.Set("X-Request-Id", string(ctx.Request.Header.Peek("X-Request-Id")))
 	ctx.SetContentType("application/json")
 	ctx.SetBodyString(fmt.Sprintf(`{"Service":%q,"Call":%q,"Run":%d}`, s.Name, id, n))
+	if f.CutAnswers > 0 {
+		answer := ctx.Response.String()
+		_, _ = ctx.Conn().Write([]byte(answer[:min(f.CutAnswers, len(answer))]))
+		closeWithoutResponse(ctx)
+	}
 }
 
 func (s *Service) countExecution(id, key string) int {
--- a/exchanger/cut_test.go
+++ b/exchanger/cut_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,8 +31,8 @@
 }
 
 // exchangeRaw is exchange with the client for encoded requests.
-func exchangeRaw(ctx context.Context, p *exchanger.Pool, method string) ([]byte, error) {
-	conn, err := p.Get(ctx, "u", exchanger.Fresh)
+func exchangeRaw(ctx context.Context, p *exchanger.Pool, mode exchanger.Mode, method string) ([]byte, error) {
+	conn, err := p.Get(ctx, "u", mode)
 	if err != nil {
 		return nil, err
 	}
@@ -73,7 +74,7 @@
 				}
 				p := &exchanger.Pool{Dial: dial}
 				_, first, firstErr := exchange(t.Context(), p, exchanger.Fresh, fasthttp.MethodGet)
-				second, secondErr := exchangeRaw(t.Context(), p, http.MethodGet)
+				second, secondErr := exchangeRaw(t.Context(), p, exchanger.Fresh, http.MethodGet)
 				for _, got := range []struct {
 					body []byte
 					err  error
@@ -118,3 +119,43 @@
 		p.CloseIdle()
 	}
 }
+
+// Guards against the same on a connection that has carried a whole response before.
+func TestCutResponsesOnKeptConnections(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nX-Header: 1\r\nContent-Length: 8\r\n\r\nthe body"
+	for _, encoded := range []bool{false, true} {
+		for at := range len(response) + 1 {
+			first, dials := true, atomic.Int32{}
+			u := &upstream{handle: func(c net.Conn, r *bufio.Reader) {
+				if first {
+					first = false
+					respondOK(c, r)
+					return
+				}
+				_, _ = c.Write([]byte(response[:at]))
+				_ = c.Close()
+			}}
+			p := &exchanger.Pool{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				dials.Add(1)
+				return u.dial(ctx, address)
+			}}
+			_, _, err := exchange(t.Context(), p, exchanger.Reuse, fasthttp.MethodGet)
+			require.NoError(t, err)
+			var body []byte
+			if encoded {
+				body, err = exchangeRaw(t.Context(), p, exchanger.Reuse, http.MethodGet)
+			} else {
+				_, body, err = exchange(t.Context(), p, exchanger.Reuse, fasthttp.MethodGet)
+			}
+			require.Equal(t, int32(2), u.requests.Load())
+			require.Equal(t, int32(1), dials.Load(), "the connection was kept")
+			if at == len(response) {
+				require.NoError(t, err)
+				require.Equal(t, "the body", string(body))
+				continue
+			}
+			require.Error(t, err, "encoded %t, cut after %q", encoded, response[:at])
+			p.CloseIdle()
+		}
+	}
+}
--- a/launcher/cut_test.go
+++ b/launcher/cut_test.go
@@ -127,3 +127,33 @@
 	}
 	return false
 }
+
+// Guards against a head that an upstream has broken off at any byte, on a connection that
+// has carried whole responses before, and that reaches the caller as a whole response.
+func TestCutHeadsOnKeptConnections(t *testing.T) {
+	for _, route := range []string{"once", "twice", "stream", "resume"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			cuts := &cuts{pending: map[string]standin.Cut{}, active: map[string]standin.Cut{}}
+			engine := c.addEngine(cuts.decide) // A single one, so that nothing is sent again.
+			engine.Cut, engine.EventCount, engine.EventInterval = cuts.cut, 3, 0
+			i := c.start(longRevocation)
+			c.waitForUpstreams(i, 1)
+			for f := range standin.FramingCount {
+				for at, end := 0, 1; at < end; at++ {
+					require.Equal(t, http.StatusOK, c.call(i, route, "key-1").status)
+					r := c.request(i, route, "key-1")
+					head, _ := engine.Encode(r, f)
+					end = len(head)
+					cuts.add(r, standin.Cut{Framing: f, At: at})
+					resp := doOnNewConnection(t, r)
+					require.GreaterOrEqual(t, resp.status, http.StatusInternalServerError, "framing %d, cut after %q: %+v", f, head[:at], resp)
+					require.Eventually(t, func() bool { // The upstream may be avoided for a while.
+						return c.call(i, route, "key-1").status == http.StatusOK
+					}, eventuallyTimeout, 5*time.Millisecond)
+				}
+			}
+		})
+	}
+}
--- a/server/path_test.go
+++ b/server/path_test.go
@@ -275,3 +275,34 @@
 		require.Less(t, time.Since(published), 4*time.Second)
 	})
 }
+
+// Guards against a response of a service that was cut at any byte, of its head or its body,
+// on a new or a kept connection, and reaches the caller as a whole one.
+func TestCutServiceResponsesAreNotPassedOn(t *testing.T) {
+	withFleet(t, 1, func(f *fleet) {
+		f.publish(savoryloft.Note{
+			ID: "open", Base: f.lastControlOffset(),
+			Changed: &savoryloft.Entities{Routes: []savoryloft.Route{{
+				Name: "stock", Method: "GET", Path: "/stock", Class: "confirmations", Pool: "booking", Idempotent: true, Open: true,
+			}}},
+		})
+		time.Sleep(4 * time.Second)
+		for cut, complete := 1, 0; complete < 20; cut++ {
+			f.service.SetFaults(emulator.ServiceFaults{})
+			time.Sleep(5 * time.Second)                 // The service is avoided after a failure.
+			status, _ := f.get(callerAddr(0), "/stock") // Leaves a kept connection.
+			require.Equal(t, 200, status)
+			f.service.SetFaults(emulator.ServiceFaults{CutAnswers: cut})
+			status, body := f.get(callerAddr(0), "/stock")
+			if status == 200 {
+				require.True(t, json.Valid(body), "cut after %d bytes: %s", cut, body)
+				complete++
+				continue
+			}
+			require.Zero(t, complete, "cut after %d bytes", cut)
+			time.Sleep(5 * time.Second)
+			status, text := f.post(0, "/bookings", apiKeyA, fmt.Sprint("call-", cut), "")
+			require.Equal(t, 504, status, "cut after %d bytes: %s", cut, text)
+		}
+	})
+}
