Origins that an earlier writer has left in the log are passed over by their own time

They are compared with the clock of the deployment now. TestRecordsOfAnEarlierWriterAreStale failed before.

--- a/tracker/record.go
+++ b/tracker/record.go
@@ -249,6 +249,16 @@
 	Second int64 `json:",omitempty"` // Unix time at which the streams became known; 0 in records of earlier builds.
 }
 
+// maxClockError is the difference between the clocks of the writer and the reader of a
+// record up to which it is taken over.
+const maxClockError = 30 * time.Second
+
+// isStale reports whether the record is left from a writer that has stopped to write: no
+// client can take up its streams any more.
+func (o storedOrigins) isStale(now time.Time) bool {
+	return o.Second != 0 && now.Sub(time.Unix(o.Second, 0)).Abs() > retention+maxClockError
+}
+
 // load reads what the log holds.
 func (t *Tracker) load(ctx context.Context) error {
 	sent := savoryloft.Uptime()
@@ -256,21 +266,15 @@
 	if err != nil {
 		return err
 	}
-	var list []storedOrigins
-	newest := int64(0)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, r := range page.Records {
 		var o storedOrigins
 		if err := json.Unmarshal(r.Value, &o); err != nil {
 			t.Logger.Info("skipped malformed origins of streams", "step", savoryloft.StepFollow, "key", r.Key, "error", err.Error())
 			continue
 		}
-		list = append(list, o)
-		newest = max(newest, o.Second)
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, o := range list {
-		if o.Second == 0 || o.Second >= newest-ringSeconds { // Others are left from an earlier writer.
+		if !o.isStale(t.Now()) {
 			t.mergeBatches(o.Batches, true)
 		}
 		_ = t.mergePolicies(o.Policies) // Peers read the log themselves.
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -357,3 +357,22 @@
 		})
 	}
 }
+
+// Guards against records of a writer that has stopped, or whose clock was wrong, that hide
+// those of others or keep a policy from being set.
+func TestRecordsOfAnEarlierWriterAreStale(t *testing.T) {
+	run(t, func(d *deployment) {
+		d.register("v1", "v2")
+		for i, age := range []time.Duration{time.Hour, -time.Hour, 2 * retention, 0} {
+			x := &Tracker{Instance: "earlier", Log: d.log}
+			record := storedOrigins{Second: time.Now().Add(-age).Unix()}
+			record.Batches = []savoryloft.OriginBatch{{Service: service, Version: "v1", Streams: []string{fmt.Sprint("stream-", i)}}}
+			_, err := x.put(t.Context(), fmt.Sprintf("%s%d/%d", streamPrefix, i, i), record)
+			require.NoError(t, err)
+		}
+		d.start(1)
+		for i, want := range []string{"?", "?", "?", "v1"} {
+			require.Equal(t, want, d.find(0, fmt.Sprint("stream-", i)))
+		}
+	})
+}
