--- a/launcher/reconfigure_test.go
+++ b/launcher/reconfigure_test.go
@@ -61,7 +61,7 @@
 // change puts a new configuration into force.
 func (c *reconfiguration) change(i *instance, routes []any, keys, otherKeys []string) {
 	c.version++
-	c.routes, c.keys, c.otherKeys = routes, keys, append(otherKeys, "other-key")
+	c.routes, c.keys, c.otherKeys = routes, keys, append([]string{"other-key"}, otherKeys...)
 	c.writeConfiguration()
 	require.Eventually(c.t, func() bool { return i.launcher.watcher.Version() == c.version }, eventuallyTimeout, time.Millisecond)
 }
