--- a/call.go
+++ b/call.go
@@ -61,6 +61,7 @@
 	Rank        int
 	HasRank     bool
 	LastEventID string
+	FetchFrom   string // Address of the upstream from which to copy cached prompt parts first; empty for none.
 }
 
 // AnswerHead is the head of an upstream's answer.
--- a/configuration.go
+++ b/configuration.go
@@ -48,6 +48,7 @@
 	Public                 bool
 	Sticky                 bool // Requests share prompt parts and benefit from running on the same upstream.
 	Resumable              bool
+	Regions                []string // Regions that requests must not leave; nil if they may go anywhere.
 }
 
 // ServiceShare is one service's share of a route's requests.
@@ -62,12 +63,19 @@
 	MaxConnections int // Maximum number of connections to one upstream, over all instances.
 	Engine         *EngineTraits
 	Scaling        *ScalingTraits
+	WarmUpTime     time.Duration // For which an upstream is cold after its start; 0 if it never is.
+	WarmUpRate     float64       // Requests a second that a cold upstream takes from all instances; 0 if there is no limit.
 }
 
 // EngineTraits describes the capacity of each inference engine of a service.
 type EngineTraits struct {
-	Slots        int // Number of requests that run concurrently.
-	MemoryTokens int // Capacity of the KV cache in tokens.
+	Slots        int           // Number of requests that run concurrently.
+	MemoryTokens int           // Capacity of the KV cache in tokens.
+	TokenBytes   int           // Size of one token in the KV cache; 0 if unknown.
+	LinkRate     float64       // Rate at which engines transfer cached tokens to each other, in bytes a second; 0 if they do not.
+	EventTokens  int           // Output tokens of one event of a stream; 0 if unknown.
+	CacheReaders int           // Long polls for changes of its cache that an engine accepts at a time; 0 if none.
+	MaxPin       time.Duration // Longest time for which a prompt can be pinned in the cache; 0 if it cannot be.
 }
 
 // ScalingTraits holds the limits and prices that the scaling of a service
@@ -96,6 +104,7 @@
 	// Rank takes precedence over the route's rank when HasRank is set.
 	Rank    int
 	HasRank bool
+	Regions []string // Regions that the account's requests must not leave; nil if they may go anywhere.
 }
 
 // RegisteredUpstream is an upstream's own entry in the registry.
--- a/deployment.go
+++ b/deployment.go
@@ -8,6 +8,7 @@
 type Deployment struct {
 	Instance      string
 	FailureDomain string
+	Regions       map[string]string // Region of each failure domain.
 	Listen        DeploymentListen
 	Seeds         []string // Addresses of instances to which the first links are opened; some may be down.
 	Limits        DeploymentLimits
@@ -32,6 +33,7 @@
 	MemoryBytes   int64
 	Cores         int
 	CPUMillicores int // Limit on processor time, in thousandths of a core.
+	Descriptors   int // Limit on open file descriptors; 0 if unknown.
 }
 
 // DeploymentBounds holds the time limits and the retry budget of a deployment.
@@ -44,7 +46,12 @@
 	UsageWindow          time.Duration
 	RetryRatio           float64 // Retries allowed for each request, over all instances.
 	RetryWindow          time.Duration
-	RetrySlack           int // Retries allowed in each window in addition to RetryRatio, over all instances.
+	RetrySlack           int           // Retries allowed in each window in addition to RetryRatio, over all instances.
+	Evacuation           time.Duration // Maximum time from the start of an evacuation until its failure domain gets no more requests.
+	// A cold upstream gets in no second more requests than its service's WarmUpRate times
+	// WarmUpOverage plus WarmUpSlack, over all instances.
+	WarmUpOverage float64
+	WarmUpSlack   float64
 }
 
 // DeploymentDuties selects the background duties that the lease holder carries
