Placer: prompt parts that another upstream has cached are fetched instead of read again

Cause: a part that one upstream held and another needed was always read again. When upstreams with cached parts left, all that they held was read once more elsewhere. Change: for each candidate, prefix.go weighs the tokens cached there, the tokens worth fetching and from where, and the tokens left to read. A fetch must take at most half of the time in which the upstream would read the same tokens, by the engines' own figures (TokenBytes, LinkRate) and the measured prefill rate. Upstreams that leave are sources while they are registered; transfers of a source are taken to run one after another. A first token as late as if all was read deletes the record at the source; after a failed send the request is sent without a fetch, and the source is not used for 3 s. Services without these figures are served as before. Counters by class and outcome; the request line names the source.

--- a/placer/engine.go
+++ b/placer/engine.go
@@ -23,6 +23,8 @@
 	failureScoreAt     time.Time
 	probedAt           time.Time // Last request while suspended.
 	pausedUntil        time.Time // End of the pause that the upstream has asked for.
+	transfersUntil     time.Time // Expected end of the transfers of cached tokens to other upstreams, for this instance's requests.
+	fetchPausedUntil   time.Time // Until which no tokens are fetched from it.
 	lastCandidateAt    time.Time // Last time that the upstream was a candidate.
 	awaitingFirstToken map[*Run]struct{}
 
@@ -50,6 +52,12 @@
 	hasPrompt            bool    // The service runs inference engines, so the run counts in classTimes.
 	longPrompt           bool    // The prompt has at least longPromptTokens.
 	ended                bool
+
+	source        *upstreamState // From which prompt tokens are fetched; nil for none.
+	fetchedTokens int
+	fetchedParts  []string // IDs.
+	fetchMs       float64  // Predicted.
+	judgesFetch   bool     // The time to the first token shows whether the tokens were fetched.
 }
 
 // state returns the state of an upstream. It creates a new state if the upstream
@@ -119,25 +127,6 @@
 	return 0
 }
 
-// uncachedTokens estimates how many prompt tokens of a request the upstream has
-// to prefill. A prefix cache holds a part only together with all parts before
-// it. probability is that of a shared part that is not recorded to be cached all
-// the same, for requests of other instances.
-func (s *upstreamState) uncachedTokens(now time.Time, r Request, probability float64) int {
-	tokens := r.PromptTokens
-	for _, part := range r.Parts {
-		cached, ok := s.cachedParts[part.ID]
-		if !ok || now.Sub(cached.lastUsed) > cachedPartTTL {
-			break
-		}
-		tokens -= part.Tokens
-	}
-	cached := r.PromptTokens - tokens
-	missing := max(r.PromptTokens-r.unsharedTokens()-cached, 0)
-	tokens -= int(float64(missing) * probability)
-	return max(tokens, 0)
-}
-
 // cachesSharedParts reports whether the upstream has cached the last shared part of
 // a prompt. Earlier ones may be common to so many prompts that every upstream has
 // them.
@@ -201,20 +190,30 @@
 	}
 }
 
-// RecordFirstToken records that the first token of a run has arrived, and
-// updates the upstream's prefill rate. Later calls have no effect.
-func (r *Run) RecordFirstToken(now time.Time) {
+// RecordFirstToken records that the first token of a run has arrived, and updates the
+// upstream's prefill rate. It reports whether the upstream has read the prompt tokens that
+// it was to fetch: the source does not have them, or was not reached. Later calls have no
+// effect.
+func (r *Run) RecordFirstToken(now time.Time) (missedFetch bool) {
 	r.placer.mu.Lock()
 	defer r.placer.mu.Unlock()
 	if !r.prefilling {
-		return
+		return false
 	}
 	r.endPrefill()
-	ms := float64(now.Sub(r.startedAt)) / float64(time.Millisecond)
-	if tokens := float64(r.uncachedTokens + r.queuedTokens); tokens > minSampleTokens && ms > 0 {
+	ms := milliseconds(now.Sub(r.startedAt))
+	tokens := float64(r.uncachedTokens + r.queuedTokens)
+	if missedFetch = r.missedFetch(ms); missedFetch {
+		r.forgetFetched()
+		tokens += float64(r.fetchedTokens)
+	} else {
+		ms -= r.fetchMs
+	}
+	if tokens > minSampleTokens && ms > 0 {
 		sample := max(tokens/ms, minPrefillRate)
 		r.upstream.prefillRate += (min(sample, 2*initialPrefillRate) - r.upstream.prefillRate) * sampleWeight
 	}
+	return missedFetch
 }
 
 const (
@@ -238,6 +237,7 @@
 	r.ended = true
 	if r.prefilling {
 		r.endPrefill()
+		r.pauseSource(now, o)
 	}
 	if r.hasPrompt {
 		r.placer.classTimes.add(now, r.longPrompt, now.Sub(r.startedAt))
--- a/placer/kind.go
+++ b/placer/kind.go
@@ -23,6 +23,14 @@
 	priorWeightSeconds      = 5.0              // Weight of priorShortShare, in seconds of request time.
 )
 
+// PromptClass returns the name of the class of a prompt: short or long.
+func PromptClass(tokens int) string {
+	if tokens < longPromptTokens {
+		return "short"
+	}
+	return "long"
+}
+
 // classTimes sums the durations of an instance's recent requests of each class,
 // with exponential decay.
 type classTimes struct {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -81,6 +81,8 @@
 	// 0 for no limit.
 	MaxConnections int
 	Exclude        map[string]bool    // IDs of upstreams that must not be chosen.
+	Streaming      bool               // The first token arrives when it is generated, not with the complete response.
+	NoFetch        bool               // No prompt parts may be fetched from another upstream.
 	VersionCosts   map[string]float64 // Additional costs in ms, by version of the upstreams' software.
 }
 
@@ -91,6 +93,10 @@
 	Cost             float64       // ms.
 	Preferred        bool          // The upstream is the one that all instances prefer for the prompt.
 	UncachedTokens   int           // Prompt tokens of the request to prefill.
+	FetchFrom        string        // Address of the upstream from which cached prompt tokens are fetched; empty for none.
+	FetchSource      string        // ID of that upstream.
+	FetchedTokens    int           // Prompt tokens that are fetched.
+	FetchTime        time.Duration // Predicted; TimeToFirstToken includes it.
 	Running          int           // Requests that run on the upstream.
 	QueuedTokens     int           // Prompt tokens that await prefill on the upstream.
 	TimeToFirstToken time.Duration // Predicted.
@@ -109,6 +115,7 @@
 	instances     int           // Number of instances; 0 if unknown.
 	classTimes    classTimes
 	candidates    []*upstreamState      // Buffer that Choose reuses.
+	leaving       []*upstreamState      // The same, for draining upstreams.
 	unsentParts   []savoryloft.HeldPart // Newly cached parts that were not reported to peers.
 }
 
@@ -258,9 +265,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pt := p.classTimes.partition(now, r, len(upstreams))
-	p.candidates = p.candidates[:0]
+	p.candidates, p.leaving = p.candidates[:0], p.leaving[:0]
 	for _, u := range upstreams {
-		if u.Draining || r.Exclude[u.ID] {
+		if u.Draining {
+			if s := p.states[u.ID]; s != nil && s.upstream.StartedAtMs == u.StartedAtMs {
+				s.upstream = u
+				p.leaving = append(p.leaving, s)
+			}
+			continue
+		}
+		if r.Exclude[u.ID] {
 			continue
 		}
 		s := p.state(now, u)
@@ -271,6 +285,7 @@
 		p.candidates = append(p.candidates, s)
 	}
 	preferred := preferredUpstream(now, r, p.candidates, pt)
+	prompt := p.findPrefix(now, &r, preferred, pt)
 	sample := p.sampler(pt)
 	best := Choice{Cost: math.Inf(1)}
 	suspended := Choice{Cost: math.Inf(1)}
@@ -279,7 +294,7 @@
 		if r.MaxConnections > 0 && s.running >= r.MaxConnections {
 			continue
 		}
-		c := p.cost(now, s, r, s == preferred)
+		c := p.cost(&prompt, s, s == preferred)
 		if !pt.includes(s) {
 			c.Cost += r.classMismatchMs()
 		}
@@ -326,18 +341,25 @@
 
 // cost returns the cost of sending a request to an upstream, with the estimates
 // that the cost is based on.
-func (p *Placer) cost(now time.Time, s *upstreamState, r Request, isPreferred bool) Choice {
+func (p *Placer) cost(prompt *prefix, s *upstreamState, isPreferred bool) Choice {
+	now, r := prompt.now, prompt.request
 	peer := p.peerLoads[s.upstream.ID]
 	c := Choice{Upstream: s.upstream, Running: s.running + peer.Running, QueuedTokens: s.remainingPrefill(now), Preferred: isPreferred}
 	c.QueuedTokens += remainingTokens(peer.Prefill, now.Sub(p.peerLoadsAt), s.prefillRate)
 	probability := 0.0
 	if isPreferred {
-		probability = p.preferredProbability()
+		probability = prompt.probability
+	}
+	plan := prompt.plan(s, probability)
+	c.UncachedTokens = plan.read
+	queueMs := float64(c.QueuedTokens) / s.prefillRate
+	c.TimeToFirstToken = time.Duration((queueMs + plan.readMs + plan.fetchMs) * float64(time.Millisecond))
+	c.Cost = queueMs + plan.readMs + float64(c.Running)*(runningCostMs+plan.readMs*interferenceShare)
+	if plan.source != nil {
+		c.FetchFrom, c.FetchSource, c.FetchedTokens = plan.source.upstream.Address, plan.source.upstream.ID, plan.fetched
+		c.FetchTime = time.Duration(plan.fetchMs * float64(time.Millisecond))
+		c.Cost += plan.fetchMs * (1 + transferCostShare)
 	}
-	c.UncachedTokens = s.uncachedTokens(now, r, probability)
-	prefillMs := float64(c.UncachedTokens) / s.prefillRate
-	c.TimeToFirstToken = time.Duration(float64(c.QueuedTokens+c.UncachedTokens) / s.prefillRate * float64(time.Millisecond))
-	c.Cost = float64(c.QueuedTokens)/s.prefillRate + prefillMs + float64(c.Running)*(runningCostMs+prefillMs*interferenceShare)
 	if r.Engine != nil {
 		// No upstream has cached the last part, which is not shared.
 		shared := max(c.UncachedTokens-r.unsharedTokens(), 0)
@@ -346,7 +368,7 @@
 			c.Cost += fullCostMs
 		}
 	}
-	if slots := s.slots(r); slots > 0 && c.Running >= slots {
+	if slots := s.slots(*r); slots > 0 && c.Running >= slots {
 		c.Cost += fullCostMs * float64(c.Running-slots+1) / float64(slots)
 	}
 	if s.upstream.FailureDomain != p.FailureDomain {
@@ -360,6 +382,35 @@
 	return c
 }
 
+// findPrefix returns what the upstreams have cached of a prompt.
+func (p *Placer) findPrefix(now time.Time, r *Request, preferred *upstreamState, pt partition) prefix {
+	f := newPrefix(now, r)
+	f.probability = p.preferredProbability()
+	if f.tokensPerMs == 0 || f.sharedTokens == 0 {
+		return f
+	}
+	f.jitterSources = p.peerLoadDelay > 0
+	expected := preferred // The upstream that has cached the shared parts although that is not reported.
+	if p.reportsPreferred() {
+		expected = nil
+	} else if len(p.leaving) > 0 {
+		expected = preferredUpstream(now, *r, append(p.candidates, p.leaving...), pt)
+	}
+	for _, list := range [][]*upstreamState{p.candidates, p.leaving} {
+		for _, s := range list {
+			if s == expected {
+				f.addSource(s, f.probability)
+			} else {
+				f.addSource(s, 0)
+			}
+		}
+	}
+	if f.wholeSource && p.reportsPreferred() {
+		f.probability = 0 // It would have been reported for the preferred upstream, too.
+	}
+	return f
+}
+
 // preferredProbability returns the probability that a preferred upstream has cached
 // a part that is not recorded for it.
 func (p *Placer) preferredProbability() float64 {
@@ -458,8 +509,9 @@
 		placer: p, upstream: s, startedAt: now,
 		hasPrompt: r.Engine != nil, longPrompt: r.PromptTokens >= longPromptTokens,
 		uncachedTokens: c.UncachedTokens, kvTokens: r.PromptTokens + r.OutputTokens,
-		queuedTokens: c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens) / s.prefillRate, prefilling: true,
+		queuedTokens: c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens)/s.prefillRate + milliseconds(c.FetchTime), prefilling: true,
 	}
+	p.startFetch(now, run, c, r)
 	s.running++
 	s.prefillTokens += run.uncachedTokens
 	s.kvTokens += run.kvTokens
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -60,6 +60,7 @@
 	sentAt       time.Time
 	firstEventAt time.Time // Zero before the first event of a stream.
 	runCounted   bool      // The attempt is included in exchange.possibleRuns.
+	promptRead   bool      // The first event or the head of the response has arrived.
 	released     bool
 }
 
@@ -68,6 +69,7 @@
 	req := placer.Request{
 		Service: x.service, Parts: x.call.Parts, PromptTokens: x.call.PromptTokens,
 		OutputTokens: x.call.OutputTokens, Exclude: x.triedUpstreams, Objective: x.route.Objective,
+		Streaming: x.route.Kind == savoryloft.StreamingCall, NoFetch: x.fetchFailed,
 	}
 	if x.resumable() && !x.begun() {
 		req.VersionCosts = x.relayer.Tracker.Surcharges(x.service)
@@ -134,6 +136,7 @@
 	d := savoryloft.Dispatch{
 		Upstream: choice.Upstream.ID, Account: x.identity.Account, Remaining: time.Until(x.deadline),
 		Rank: min(max(x.identity.Rank, 0), maxWireRank), HasRank: req.Engine != nil, LastEventID: lastEventID,
+		FetchFrom: choice.FetchFrom,
 	}
 	a.notifyPrefillChange()
 	head := r.Wire.AppendCall(nil, &x.call, d)
@@ -154,6 +157,7 @@
 		if a.head.Pause > 0 {
 			outcome = placer.Cancelled // The pause itself keeps requests away; it is no sign of failure.
 		}
+		a.countFetch(fetchRefused)
 		a.release(outcome)
 		return nil, x.recordFailure(choice, &sendError{notExecuted, errors.Errorf("upstream refused with status %d", a.head.StatusCode)})
 	}
@@ -272,6 +276,7 @@
 	} else {
 		a.countRun()
 	}
+	a.countFailedFetch(executed)
 	outcome := placer.Failed
 	if a.exchange.ctx.Err() != nil {
 		outcome = placer.Cancelled
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -45,7 +45,7 @@
 		}
 		return savoryloft.AnswerHead{}, nil, e
 	}
-	a.run.RecordFirstToken(time.Now())
+	a.recordFirstToken(time.Now())
 	x.countUsage()
 	if headTimeout > 0 {
 		defer time.AfterFunc(headTimeout, a.cancel).Stop() // The same time for the body.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -130,6 +130,7 @@
 	usageCounted     bool
 	upstream         string // ID of the last chosen upstream.
 	choice           placer.Choice
+	fetchFailed      bool              // A send that fetched prompt parts from another upstream has failed; the next ones read them.
 	timeToResponse   time.Duration     // To the first event or the complete response; 0 before.
 	fallbackResponse *bufferedResponse // Last server error, sent to the client if no retry succeeds.
 	finished         bool
@@ -339,7 +340,7 @@
 		"upstream", x.upstream, "software", x.choice.Upstream.Version, "resumes", x.call.Resumes, "after", x.call.LastEventID, "sends", x.sends, "runs", x.possibleRuns,
 		"first", x.timeToResponse.Milliseconds(), "took", time.Since(x.received).Milliseconds(),
 		"version", version, "age", x.configAge.Milliseconds(),
-		"cost", int(x.choice.Cost), "preferred", x.choice.Preferred, "prompt", x.call.PromptTokens, "uncached", x.choice.UncachedTokens, "running", x.choice.Running, "waiting", x.choice.QueuedTokens)
+		"cost", int(x.choice.Cost), "preferred", x.choice.Preferred, "prompt", x.call.PromptTokens, "uncached", x.choice.UncachedTokens, "fetched", x.choice.FetchedTokens, "fetch_from", x.choice.FetchSource, "running", x.choice.Running, "waiting", x.choice.QueuedTokens)
 }
 
 // recordMetrics counts the outcome and records the latencies in ms.
