--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -42,9 +43,10 @@
 	duties     *standin.DutyServer
 	dutyServer *httptest.Server
 	version    int
-	keys       []string // Of "account".
-	otherKeys  []string // Of "other".
-	routes     []any    // Of the configuration; the usual ones when nil.
+	keys       []string       // Of "account".
+	otherKeys  []string       // Of "other".
+	routes     []any          // Of the configuration; the usual ones when nil.
+	traits     map[string]any // Further ones of the engines.
 	instances  []*instance
 	engines    []*standin.Engine
 	attempts   int
@@ -117,10 +119,12 @@
 			route("once", "non_idempotent", 1, false), route("twice", "idempotent", 2, false),
 		}
 	}
+	engine := map[string]any{"slots": 8, "kv_capacity": 100000}
+	maps.Copy(engine, c.traits)
 	value, err := json.Marshal(map[string]any{
 		"version":  c.version,
 		"routes":   routes,
-		"services": []any{map[string]any{"name": "s", "max_conns": 100, "inference_engine": map[string]any{"slots": 8, "kv_capacity": 100000}}},
+		"services": []any{map[string]any{"name": "s", "max_conns": 100, "inference_engine": engine}},
 		"limits":   map[string]any{"max_body_bytes": 1 << 20},
 		"tenants": []any{
 			map[string]any{"name": "account", "api_keys": c.keys},
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -18,6 +18,7 @@
 	kvTokens           int                   // KV cache that this instance's requests occupy, in tokens.
 	cachedParts        map[string]cachedPart // By part ID.
 	cachedTokens       int                   // Sum of the tokens in cachedParts.
+	prefixTokens       int                   // Tokens that it has cached of the prompt in Choose.
 	prefillRate        float64               // Prompt tokens per ms.
 	failureScore       float64               // Value at failureScoreAt; it decays from then on.
 	failureScoreAt     time.Time
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -386,9 +386,15 @@
 func (p *Placer) findPrefix(now time.Time, r *Request, preferred *upstreamState, pt partition) prefix {
 	f := newPrefix(now, r)
 	f.probability = p.preferredProbability()
+	for _, s := range p.candidates {
+		s.prefixTokens = f.cachedTokens(s)
+	}
 	if f.tokensPerMs == 0 || f.sharedTokens == 0 {
 		return f
 	}
+	for _, s := range p.leaving {
+		s.prefixTokens = f.cachedTokens(s)
+	}
 	f.jitterSources = p.peerLoadDelay > 0
 	expected := preferred // The upstream that has cached the shared parts although that is not reported.
 	if p.reportsPreferred() {
--- a/placer/prefix.go
+++ b/placer/prefix.go
@@ -85,7 +85,7 @@
 	if f.tokensPerMs == 0 {
 		return
 	}
-	tokens := f.cachedTokens(s)
+	tokens := s.prefixTokens
 	tokens += int(float64(max(f.sharedTokens-tokens, 0)) * probability)
 	if tokens == 0 || !f.canFetchFrom(s) {
 		return
@@ -126,7 +126,7 @@
 // fetch some of it from another upstream, which must clearly save time. probability is
 // that of a shared part that is not recorded for the upstream to be cached all the same.
 func (f *prefix) plan(s *upstreamState, probability float64) prefixPlan {
-	recorded := f.cachedTokens(s)
+	recorded := s.prefixTokens
 	p := prefixPlan{cached: recorded + int(float64(max(f.sharedTokens-recorded, 0))*probability)}
 	p.read = max(f.request.PromptTokens-p.cached, 0)
 	p.readMs = float64(p.read) / s.prefillRate
--- a/placer/prefix_test.go
+++ b/placer/prefix_test.go
@@ -211,3 +211,21 @@
 		})
 	}
 }
+
+// BenchmarkChooseWithSources measures the choice if every upstream has cached the shared
+// part, so that all are weighed as sources.
+func BenchmarkChooseWithSources(b *testing.B) {
+	p := &Placer{Instance: "entry-1", FailureDomain: "a"}
+	p.SetPeerLoads(start, nil, 500*time.Millisecond)
+	list := linkedUpstreams(140, 3)
+	for _, u := range list {
+		hold(p, u, "contract")
+	}
+	r := linkedPrompt("contract")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := p.Choose(start, r, list); !ok {
+			b.Fatal("no choice")
+		}
+	}
+}
