Placer: room for a request, and recorded parts that yield to running requests

Cause: a full upstream cost the same however full it was, a shared part counted once for each running request, and 60% of the memory counted as cached parts also when running requests had taken it. Change: room.go counts a shared part of this instance's running requests once and counts what the request adds to it; the cost of an upstream that would be exceeded grows with the excess, and a small one begins at 85%. Recorded parts take 60% of what output and unshared tokens of running requests leave, and never push out parts of running requests. Result: go test -race ./placer passes.

--- a/placer/engine.go
+++ b/placer/engine.go
@@ -16,6 +16,8 @@
 	running            int                   // Requests of this instance that run on the upstream.
 	prefillTokens      int                   // Uncached prompt tokens of the runs in awaitingFirstToken.
 	kvTokens           int                   // KV cache that this instance's requests occupy, in tokens.
+	outputTokens       int                   // Expected output of these requests, which kvTokens includes.
+	heldParts          map[string]heldPart   // Shared parts of these requests, by ID.
 	cachedParts        map[string]cachedPart // By part ID.
 	cachedTokens       int                   // Sum of the tokens in cachedParts.
 	prefixTokens       int                   // Tokens that it has cached of the prompt in Choose.
@@ -45,7 +47,9 @@
 	placer               *Placer
 	upstream             *upstreamState
 	uncachedTokens       int
-	kvTokens             int
+	privateTokens        int // KV cache that the run occupies, without the shared parts.
+	outputTokens         int // Expected.
+	sharedParts          []savoryloft.PromptPart
 	startedAt            time.Time
 	queuedTokens         int     // Prompt tokens queued at the upstream when the run started.
 	expectedFirstTokenMs float64 // Predicted time to the first token.
@@ -70,7 +74,7 @@
 	s := p.states[u.ID]
 	if s == nil || s.upstream.StartedAtMs != u.StartedAtMs {
 		s = &upstreamState{
-			addedAt: now, cachedParts: map[string]cachedPart{}, prefillRate: initialPrefillRate, awaitingFirstToken: map[*Run]struct{}{},
+			addedAt: now, cachedParts: map[string]cachedPart{}, heldParts: map[string]heldPart{}, prefillRate: initialPrefillRate, awaitingFirstToken: map[*Run]struct{}{},
 			hashPosition: toUnitInterval(rendezvous("short", u.ID)), jitter: toUnitInterval(rendezvous(p.Instance, u.ID)),
 		}
 		p.states[u.ID] = s
@@ -168,27 +172,13 @@
 }
 
 // cachePart records that the upstream has cached a part, or will after its
-// prefill. If the size of the KV cache is known from traits, it evicts the least
-// recently used parts until the rest fits into cachedPartMemoryShare of the cache.
-func (s *upstreamState) cachePart(now time.Time, part savoryloft.PromptPart, traits *savoryloft.EngineTraits) {
+// prefill.
+func (s *upstreamState) cachePart(now time.Time, part savoryloft.PromptPart) {
 	if previous, ok := s.cachedParts[part.ID]; ok {
 		s.cachedTokens -= previous.tokens
 	}
 	s.cachedParts[part.ID] = cachedPart{tokens: part.Tokens, lastUsed: now}
 	s.cachedTokens += part.Tokens
-	if traits == nil || traits.MemoryTokens == 0 {
-		return
-	}
-	for limit := int(float64(traits.MemoryTokens) * cachedPartMemoryShare); s.cachedTokens > limit && len(s.cachedParts) > 1; {
-		oldest, lastUsed := "", now
-		for id, cached := range s.cachedParts {
-			if oldest == "" || cached.lastUsed.Before(lastUsed) {
-				oldest, lastUsed = id, cached.lastUsed
-			}
-		}
-		s.cachedTokens -= s.cachedParts[oldest].tokens
-		delete(s.cachedParts, oldest)
-	}
 }
 
 // RecordFirstToken records that the first token of a run has arrived, and updates the
@@ -245,7 +235,7 @@
 	}
 	s := r.upstream
 	s.running--
-	s.kvTokens -= r.kvTokens
+	r.releaseMemory()
 	switch o {
 	case Failed:
 		s.failureScore = s.decayedFailureScore(now) + 1
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -35,7 +35,6 @@
 	minPrefillRate            = 5.0                    // Prompt tokens per ms; limits the effect of an outlier.
 	partResendInterval        = 10 * time.Second       // Time without use after which a part is reported to peers again.
 	cachedPartTTL             = 60 * time.Second       // Time after which an unused part is assumed to be evicted.
-	cachedPartMemoryShare     = 0.6                    // Share of the KV cache that cached parts are assumed to occupy.
 	preferredCacheProbability = 0.6                    // Probability that the preferred upstream has cached a part that is not recorded for it.
 	unreportedProbability     = 0.9                    // The same where parts at preferred upstreams are not reported to peers.
 	maxReportingInstances     = 100                    // Up to which all cached parts are reported to peers.
@@ -193,7 +192,7 @@
 		if cached, ok := s.cachedParts[part.Part]; !ok || now.Sub(cached.lastUsed) > partResendInterval {
 			forward = append(forward, part)
 		}
-		s.cachePart(now, savoryloft.PromptPart{ID: part.Part, Tokens: part.Tokens}, nil)
+		s.cachePart(now, savoryloft.PromptPart{ID: part.Part, Tokens: part.Tokens})
 	}
 	return forward
 }
@@ -364,9 +363,7 @@
 		// No upstream has cached the last part, which is not shared.
 		shared := max(c.UncachedTokens-r.unsharedTokens(), 0)
 		c.Cost += float64(shared) / s.prefillRate * recomputeShare
-		if r.Engine.MemoryTokens > 0 && s.kvTokens+peer.Tokens+r.PromptTokens+r.OutputTokens > r.Engine.MemoryTokens {
-			c.Cost += fullCostMs
-		}
+		c.Cost += s.memoryCostMs(r, peer)
 	}
 	if slots := s.slots(*r); slots > 0 && c.Running >= slots {
 		c.Cost += fullCostMs * float64(c.Running-slots+1) / float64(slots)
@@ -514,13 +511,13 @@
 	run := &Run{
 		placer: p, upstream: s, startedAt: now,
 		hasPrompt: r.Engine != nil, longPrompt: r.PromptTokens >= longPromptTokens,
-		uncachedTokens: c.UncachedTokens, kvTokens: r.PromptTokens + r.OutputTokens,
-		queuedTokens: c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens)/s.prefillRate + milliseconds(c.FetchTime), prefilling: true,
+		uncachedTokens: c.UncachedTokens,
+		queuedTokens:   c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens)/s.prefillRate + milliseconds(c.FetchTime), prefilling: true,
 	}
 	p.startFetch(now, run, c, r)
 	s.running++
 	s.prefillTokens += run.uncachedTokens
-	s.kvTokens += run.kvTokens
+	run.holdMemory(r)
 	s.awaitingFirstToken[run] = struct{}{}
 	if s.suspended(now) {
 		s.probedAt = now
@@ -530,7 +527,10 @@
 		if cached, ok := s.cachedParts[part.ID]; report && (!ok || now.Sub(cached.lastUsed) > partResendInterval) {
 			p.unsentParts = append(p.unsentParts, savoryloft.HeldPart{Upstream: c.Upstream.ID, Part: part.ID, Tokens: part.Tokens})
 		}
-		s.cachePart(now, part, r.Engine)
+		s.cachePart(now, part)
+	}
+	if r.Engine != nil && r.Engine.MemoryTokens > 0 {
+		s.evictParts(s.cachedPartLimit(&r, p.peerLoads[c.Upstream.ID]))
 	}
 	if n := len(r.Parts); n > 1 && len(p.unsentParts) > 0 && p.unsentParts[len(p.unsentParts)-1].Part == r.Parts[n-1].ID {
 		p.unsentParts = p.unsentParts[:len(p.unsentParts)-1] // The last part is not shared.
--- a/placer/prefix_test.go
+++ b/placer/prefix_test.go
@@ -36,7 +36,7 @@
 func hold(p *Placer, u savoryloft.RegisteredUpstream, part string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(start, u).cachePart(start, savoryloft.PromptPart{ID: part, Tokens: documentTokens}, nil)
+	p.state(start, u).cachePart(start, savoryloft.PromptPart{ID: part, Tokens: documentTokens})
 }
 
 // What one upstream holds is fetched by another one that has to take the request, if that
