--- a/placer/placer.go
+++ b/placer/placer.go
@@ -96,6 +96,7 @@
 	FetchSource      string        // ID of that upstream.
 	FetchedTokens    int           // Prompt tokens that are fetched.
 	FetchTime        time.Duration // Predicted; TimeToFirstToken includes it.
+	Copies           bool          // The fetch puts parts that one failure domain holds only into another one.
 	Running          int           // Requests that run on the upstream.
 	QueuedTokens     int           // Prompt tokens that await prefill on the upstream.
 	TimeToFirstToken time.Duration // Predicted.
@@ -115,6 +116,8 @@
 	classTimes    classTimes
 	candidates    []*upstreamState      // Buffer that Choose reuses.
 	leaving       []*upstreamState      // The same, for draining upstreams.
+	uses          map[string]partUse    // By ID of the last shared part of the prompts.
+	copiedAt      time.Time             // Last copy of a part into another failure domain.
 	unsentParts   []savoryloft.HeldPart // Newly cached parts that were not reported to peers.
 }
 
@@ -212,6 +215,7 @@
 func (p *Placer) Prune(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.pruneUses(now)
 	for id, s := range p.states {
 		if s.running == 0 && now.Sub(s.lastCandidateAt) > cachedPartTTL {
 			delete(p.states, id)
@@ -358,6 +362,9 @@
 		c.FetchFrom, c.FetchSource, c.FetchedTokens = plan.source.upstream.Address, plan.source.upstream.ID, plan.fetched
 		c.FetchTime = time.Duration(plan.fetchMs * float64(time.Millisecond))
 		c.Cost += plan.fetchMs * (1 + transferCostShare)
+		if c.Copies = prompt.soleDomain != "" && s.upstream.FailureDomain != prompt.soleDomain; c.Copies {
+			c.Cost -= copyBonusMs
+		}
 	}
 	if r.Engine != nil {
 		// No upstream has cached the last part, which is not shared.
@@ -411,6 +418,9 @@
 	if f.wholeSource && p.reportsPreferred() {
 		f.probability = 0 // It would have been reported for the preferred upstream, too.
 	}
+	if f.wholeSource {
+		f.soleDomain = p.soleDomain(&f)
+	}
 	return f
 }
 
@@ -515,6 +525,7 @@
 		queuedTokens:   c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens)/s.prefillRate + milliseconds(c.FetchTime), prefilling: true,
 	}
 	p.startFetch(now, run, c, r)
+	p.countUse(now, r, c)
 	s.running++
 	s.prefillTokens += run.uncachedTokens
 	run.holdMemory(r)
--- a/placer/prefix.go
+++ b/placer/prefix.go
@@ -43,8 +43,9 @@
 	tokensPerMs   float64                      // Rate of transfers; 0 if nothing can be fetched.
 	sources       [maxFetchSources]fetchSource // The best ones first.
 	sourceCount   int
-	wholeSource   bool // A source has cached all shared parts.
-	jitterSources bool // Instances do not know of each other's transfers, so that each prefers other sources.
+	soleDomain    string // Failure domain that alone has the shared parts, if a copy in another one is due.
+	wholeSource   bool   // A source has cached all shared parts.
+	jitterSources bool   // Instances do not know of each other's transfers, so that each prefers other sources.
 }
 
 func newPrefix(now time.Time, r *Request) prefix {
--- a/placer/prefix_test.go
+++ b/placer/prefix_test.go
@@ -173,6 +173,37 @@
 	}
 }
 
+// If the documents of the accounts do not all fit into the memory of the upstreams, those
+// that are asked for often stay.
+func TestRarePromptPartsYieldToFrequentOnes(t *testing.T) {
+	const rounds, rare = 60, 60 // Each rare document is asked for twice.
+	p := &Placer{FailureDomain: "a"}
+	list := linkedUpstreams(2, 1)
+	frequentRead, rareRead := 0, 0
+	for n := range rounds {
+		for i, name := range []string{"frequent", fmt.Sprint("rare-", 2*n%rare), fmt.Sprint("rare-", (2*n+1)%rare)} {
+			now := start.Add(time.Duration(3*n+i) * 300 * time.Millisecond)
+			r := linkedPrompt(name)
+			c := choose(t, p, now, r, list)
+			run := p.Start(now, c, r)
+			run.RecordFirstToken(now.Add(100 * time.Millisecond))
+			run.End(now.Add(250*time.Millisecond), Succeeded)
+			switch {
+			case c.UncachedTokens == ownTokens:
+			case i == 0:
+				frequentRead++
+			default:
+				rareRead++
+			}
+		}
+	}
+	require.Equal(t, 1, frequentRead)
+	require.Greater(t, rareRead, rare)
+	for _, s := range p.states {
+		require.LessOrEqual(t, s.cachedTokens, 300_000)
+	}
+}
+
 // A request whose source has lost the part, or fails, corrects what is known of the source;
 // the upstream that should have fetched is blamed no more than without a fetch.
 func TestFailedFetchesCorrectTheSource(t *testing.T) {
--- a/relayer/prompt.go
+++ b/relayer/prompt.go
@@ -31,6 +31,9 @@
 		read, fetched = read+fetched, 0
 	} else {
 		a.countFetch(fetchDone)
+		if c.Copies {
+			metrics.GetOrRegisterCounter("prompt_copies_total", a.exchange.relayer.Metrics).Inc(1)
+		}
 	}
 	a.countTokens("read", read)
 	a.countTokens("fetched", fetched)
