Placer: parts are fetched to free memory first

Cause: a fetch to an upstream whose cached parts have to yield cost as much as one to an upstream with free memory, so that copies of a part pushed out others. Change: where engines transfer, what would yield costs a tenth of the time to read it. Fetches of requests whose client left or whose deadline passed are counted as ended, and a server error of a request with a fetch as failed.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -358,6 +358,9 @@
 	queueMs := float64(c.QueuedTokens) / s.prefillRate
 	c.TimeToFirstToken = time.Duration((queueMs + plan.readMs + plan.fetchMs) * float64(time.Millisecond))
 	c.Cost = queueMs + plan.readMs + float64(c.Running)*(runningCostMs+plan.readMs*interferenceShare)
+	if prompt.tokensPerMs > 0 {
+		c.Cost += s.evictionCostMs(r, peer, plan.read+plan.fetched-r.unsharedTokens())
+	}
 	if plan.source != nil {
 		c.FetchFrom, c.FetchSource, c.FetchedTokens = plan.source.upstream.Address, plan.source.upstream.ID, plan.fetched
 		c.FetchTime = time.Duration(plan.fetchMs * float64(time.Millisecond))
--- a/placer/prefix_test.go
+++ b/placer/prefix_test.go
@@ -204,6 +204,23 @@
 	}
 }
 
+// A part is fetched to an upstream with free memory rather than to one at which others would
+// yield to it.
+func TestPromptPartsAreFetchedToFreeMemory(t *testing.T) {
+	p := &Placer{FailureDomain: "a"}
+	list := linkedUpstreams(6, 1)
+	hold(p, list[0], "contract")
+	list[0].Draining = true
+	for _, u := range list[1:5] {
+		for i := range 22 {
+			hold(p, u, fmt.Sprint(u.ID, "-", i))
+		}
+	}
+	c := choose(t, p, start, linkedPrompt("contract"), list)
+	require.Equal(t, list[5].ID, c.Upstream.ID)
+	require.Equal(t, list[0].Address, c.FetchFrom)
+}
+
 // A request whose source has lost the part, or fails, corrects what is known of the source;
 // the upstream that should have fetched is blamed no more than without a fetch.
 func TestFailedFetchesCorrectTheSource(t *testing.T) {
--- a/placer/room.go
+++ b/placer/room.go
@@ -15,6 +15,7 @@
 	minCachedPartShare    = 0.05 // Lower limit for recorded parts, as a share of the KV cache.
 	crowdedShare          = 0.85 // Of the KV cache that running requests need from which on there is a cost: their output may be longer than expected.
 	crowdedCostMs         = 80.0 // For an upstream whose KV cache would be full.
+	evictionShare         = 0.1  // Cost per ms that the upstream would need to read the cached parts that yield: few of them are asked for again there.
 )
 
 // heldPart is a shared part of the prompts of running requests.
@@ -88,6 +89,16 @@
 	return 0
 }
 
+// evictionCostMs returns the cost in ms of the cached parts that yield at an upstream if
+// shared parts are added.
+func (s *upstreamState) evictionCostMs(r *Request, peer savoryloft.LinkLoad, added int) float64 {
+	if added <= 0 || r.Engine.MemoryTokens <= 0 {
+		return 0
+	}
+	evicted := min(s.cachedTokens+added-s.cachedPartLimit(r, peer), added)
+	return float64(max(evicted, 0)) / s.prefillRate * evictionShare
+}
+
 // cachedPartLimit returns the tokens that recorded parts are assumed to occupy at most
 // at an upstream. Parts of running requests are among them; their output is not, nor is what
 // requests of other instances do not share.
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -83,6 +83,7 @@
 		return nil
 	}
 	x.fallbackResponse = &bufferedResponse{a.head, body}
+	a.countFailedFetch(maybeExecuted)
 	a.release(placer.Failed)
 	return x.recordFailure(a.choice, &sendError{maybeExecuted, errors.Errorf("upstream responded with status %d", a.head.StatusCode)})
 }
--- a/relayer/prompt.go
+++ b/relayer/prompt.go
@@ -14,7 +14,8 @@
 	fetchDone    = "done"
 	fetchMissed  = "missed"  // The upstream took as long as if it had read the parts.
 	fetchRefused = "refused" // The upstream refused the request.
-	fetchFailed  = "failed"  // No first event arrived.
+	fetchFailed  = "failed"  // No first event arrived, or the upstream failed the request.
+	fetchEnded   = "ended"   // The client has left, or the deadline has passed, before the first event.
 )
 
 // recordFirstToken records that the prompt is read, and counts where its tokens came from.
@@ -62,5 +63,9 @@
 		return
 	}
 	a.exchange.fetchFailed = true
+	if a.exchange.ctx.Err() != nil {
+		a.countFetch(fetchEnded)
+		return
+	}
 	a.countFetch(fetchFailed)
 }
