--- a/placer/engine.go
+++ b/placer/engine.go
@@ -16,13 +16,18 @@
 	running            int                   // Requests of this instance that run on the upstream.
 	prefillTokens      int                   // Uncached prompt tokens of the runs in awaitingFirstToken.
 	kvTokens           int                   // KV cache that this instance's requests occupy, in tokens.
+	outputTokens       int                   // Expected output of these requests, which kvTokens includes.
+	heldParts          map[string]heldPart   // Shared parts of these requests, by ID.
 	cachedParts        map[string]cachedPart // By part ID.
 	cachedTokens       int                   // Sum of the tokens in cachedParts.
+	prefixTokens       int                   // Tokens that it has cached of the prompt in Choose.
 	prefillRate        float64               // Prompt tokens per ms.
 	failureScore       float64               // Value at failureScoreAt; it decays from then on.
 	failureScoreAt     time.Time
 	probedAt           time.Time // Last request while suspended.
 	pausedUntil        time.Time // End of the pause that the upstream has asked for.
+	transfersUntil     time.Time // Expected end of the transfers of cached tokens to other upstreams, for this instance's requests.
+	fetchPausedUntil   time.Time // Until which no tokens are fetched from it.
 	lastCandidateAt    time.Time // Last time that the upstream was a candidate.
 	awaitingFirstToken map[*Run]struct{}
 
@@ -42,7 +47,9 @@
 	placer               *Placer
 	upstream             *upstreamState
 	uncachedTokens       int
-	kvTokens             int
+	privateTokens        int // KV cache that the run occupies, without the shared parts.
+	outputTokens         int // Expected.
+	sharedParts          []savoryloft.PromptPart
 	startedAt            time.Time
 	queuedTokens         int     // Prompt tokens queued at the upstream when the run started.
 	expectedFirstTokenMs float64 // Predicted time to the first token.
@@ -50,6 +57,12 @@
 	hasPrompt            bool    // The service runs inference engines, so the run counts in classTimes.
 	longPrompt           bool    // The prompt has at least longPromptTokens.
 	ended                bool
+
+	source        *upstreamState // From which prompt tokens are fetched; nil for none.
+	fetchedTokens int
+	fetchedParts  []string // IDs.
+	fetchMs       float64  // Predicted.
+	judgesFetch   bool     // The time to the first token shows whether the tokens were fetched.
 }
 
 // state returns the state of an upstream. It creates a new state if the upstream
@@ -61,7 +74,7 @@
 	s := p.states[u.ID]
 	if s == nil || s.upstream.StartedAtMs != u.StartedAtMs {
 		s = &upstreamState{
-			addedAt: now, cachedParts: map[string]cachedPart{}, prefillRate: initialPrefillRate, awaitingFirstToken: map[*Run]struct{}{},
+			addedAt: now, cachedParts: map[string]cachedPart{}, heldParts: map[string]heldPart{}, prefillRate: initialPrefillRate, awaitingFirstToken: map[*Run]struct{}{},
 			hashPosition: toUnitInterval(rendezvous("short", u.ID)), jitter: toUnitInterval(rendezvous(p.Instance, u.ID)),
 		}
 		p.states[u.ID] = s
@@ -119,25 +132,6 @@
 	return 0
 }
 
-// uncachedTokens estimates how many prompt tokens of a request the upstream has
-// to prefill. A prefix cache holds a part only together with all parts before
-// it. probability is that of a shared part that is not recorded to be cached all
-// the same, for requests of other instances.
-func (s *upstreamState) uncachedTokens(now time.Time, r Request, probability float64) int {
-	tokens := r.PromptTokens
-	for _, part := range r.Parts {
-		cached, ok := s.cachedParts[part.ID]
-		if !ok || now.Sub(cached.lastUsed) > cachedPartTTL {
-			break
-		}
-		tokens -= part.Tokens
-	}
-	cached := r.PromptTokens - tokens
-	missing := max(r.PromptTokens-r.unsharedTokens()-cached, 0)
-	tokens -= int(float64(missing) * probability)
-	return max(tokens, 0)
-}
-
 // cachesSharedParts reports whether the upstream has cached the last shared part of
 // a prompt. Earlier ones may be common to so many prompts that every upstream has
 // them.
@@ -178,43 +172,39 @@
 }
 
 // cachePart records that the upstream has cached a part, or will after its
-// prefill. If the size of the KV cache is known from traits, it evicts the least
-// recently used parts until the rest fits into cachedPartMemoryShare of the cache.
-func (s *upstreamState) cachePart(now time.Time, part savoryloft.PromptPart, traits *savoryloft.EngineTraits) {
+// prefill.
+func (s *upstreamState) cachePart(now time.Time, part savoryloft.PromptPart) {
 	if previous, ok := s.cachedParts[part.ID]; ok {
 		s.cachedTokens -= previous.tokens
 	}
 	s.cachedParts[part.ID] = cachedPart{tokens: part.Tokens, lastUsed: now}
 	s.cachedTokens += part.Tokens
-	if traits == nil || traits.MemoryTokens == 0 {
-		return
-	}
-	for limit := int(float64(traits.MemoryTokens) * cachedPartMemoryShare); s.cachedTokens > limit && len(s.cachedParts) > 1; {
-		oldest, lastUsed := "", now
-		for id, cached := range s.cachedParts {
-			if oldest == "" || cached.lastUsed.Before(lastUsed) {
-				oldest, lastUsed = id, cached.lastUsed
-			}
-		}
-		s.cachedTokens -= s.cachedParts[oldest].tokens
-		delete(s.cachedParts, oldest)
-	}
 }
 
-// RecordFirstToken records that the first token of a run has arrived, and
-// updates the upstream's prefill rate. Later calls have no effect.
-func (r *Run) RecordFirstToken(now time.Time) {
+// RecordFirstToken records that the first token of a run has arrived, and updates the
+// upstream's prefill rate. It reports whether the upstream has read the prompt tokens that
+// it was to fetch: the source does not have them, or was not reached. Later calls have no
+// effect.
+func (r *Run) RecordFirstToken(now time.Time) (missedFetch bool) {
 	r.placer.mu.Lock()
 	defer r.placer.mu.Unlock()
 	if !r.prefilling {
-		return
+		return false
 	}
 	r.endPrefill()
-	ms := float64(now.Sub(r.startedAt)) / float64(time.Millisecond)
-	if tokens := float64(r.uncachedTokens + r.queuedTokens); tokens > minSampleTokens && ms > 0 {
+	ms := milliseconds(now.Sub(r.startedAt))
+	tokens := float64(r.uncachedTokens + r.queuedTokens)
+	if missedFetch = r.missedFetch(ms); missedFetch {
+		r.forgetFetched()
+		tokens += float64(r.fetchedTokens)
+	} else {
+		ms -= r.fetchMs
+	}
+	if tokens > minSampleTokens && ms > 0 {
 		sample := max(tokens/ms, minPrefillRate)
 		r.upstream.prefillRate += (min(sample, 2*initialPrefillRate) - r.upstream.prefillRate) * sampleWeight
 	}
+	return missedFetch
 }
 
 const (
@@ -238,13 +228,14 @@
 	r.ended = true
 	if r.prefilling {
 		r.endPrefill()
+		r.pauseSource(now, o)
 	}
 	if r.hasPrompt {
 		r.placer.classTimes.add(now, r.longPrompt, now.Sub(r.startedAt))
 	}
 	s := r.upstream
 	s.running--
-	s.kvTokens -= r.kvTokens
+	r.releaseMemory()
 	switch o {
 	case Failed:
 		s.failureScore = s.decayedFailureScore(now) + 1
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -35,7 +35,6 @@
 	minPrefillRate            = 5.0                    // Prompt tokens per ms; limits the effect of an outlier.
 	partResendInterval        = 10 * time.Second       // Time without use after which a part is reported to peers again.
 	cachedPartTTL             = 60 * time.Second       // Time after which an unused part is assumed to be evicted.
-	cachedPartMemoryShare     = 0.6                    // Share of the KV cache that cached parts are assumed to occupy.
 	preferredCacheProbability = 0.6                    // Probability that the preferred upstream has cached a part that is not recorded for it.
 	unreportedProbability     = 0.9                    // The same where parts at preferred upstreams are not reported to peers.
 	maxReportingInstances     = 100                    // Up to which all cached parts are reported to peers.
@@ -81,6 +80,8 @@
 	// 0 for no limit.
 	MaxConnections int
 	Exclude        map[string]bool    // IDs of upstreams that must not be chosen.
+	Streaming      bool               // The first token arrives when it is generated, not with the complete response.
+	NoFetch        bool               // No prompt parts may be fetched from another upstream.
 	VersionCosts   map[string]float64 // Additional costs in ms, by version of the upstreams' software.
 }
 
@@ -91,6 +92,11 @@
 	Cost             float64       // ms.
 	Preferred        bool          // The upstream is the one that all instances prefer for the prompt.
 	UncachedTokens   int           // Prompt tokens of the request to prefill.
+	FetchFrom        string        // Address of the upstream from which cached prompt tokens are fetched; empty for none.
+	FetchSource      string        // ID of that upstream.
+	FetchedTokens    int           // Prompt tokens that are fetched.
+	FetchTime        time.Duration // Predicted; TimeToFirstToken includes it.
+	Copies           bool          // The fetch puts parts that one failure domain holds only into another one.
 	Running          int           // Requests that run on the upstream.
 	QueuedTokens     int           // Prompt tokens that await prefill on the upstream.
 	TimeToFirstToken time.Duration // Predicted.
@@ -109,6 +115,9 @@
 	instances     int           // Number of instances; 0 if unknown.
 	classTimes    classTimes
 	candidates    []*upstreamState      // Buffer that Choose reuses.
+	leaving       []*upstreamState      // The same, for draining upstreams.
+	uses          map[string]partUse    // By ID of the last shared part of the prompts.
+	copiedAt      time.Time             // Last copy of a part into another failure domain.
 	unsentParts   []savoryloft.HeldPart // Newly cached parts that were not reported to peers.
 }
 
@@ -186,7 +195,7 @@
 		if cached, ok := s.cachedParts[part.Part]; !ok || now.Sub(cached.lastUsed) > partResendInterval {
 			forward = append(forward, part)
 		}
-		s.cachePart(now, savoryloft.PromptPart{ID: part.Part, Tokens: part.Tokens}, nil)
+		s.cachePart(now, savoryloft.PromptPart{ID: part.Part, Tokens: part.Tokens})
 	}
 	return forward
 }
@@ -206,6 +215,7 @@
 func (p *Placer) Prune(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.pruneUses(now)
 	for id, s := range p.states {
 		if s.running == 0 && now.Sub(s.lastCandidateAt) > cachedPartTTL {
 			delete(p.states, id)
@@ -258,9 +268,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pt := p.classTimes.partition(now, r, len(upstreams))
-	p.candidates = p.candidates[:0]
+	p.candidates, p.leaving = p.candidates[:0], p.leaving[:0]
 	for _, u := range upstreams {
-		if u.Draining || u.Evacuated || r.Exclude[u.ID] {
+		if u.Draining {
+			if s := p.states[u.ID]; s != nil && s.upstream.StartedAtMs == u.StartedAtMs {
+				s.upstream = u
+				p.leaving = append(p.leaving, s)
+			}
+			continue
+		}
+		if u.Evacuated || r.Exclude[u.ID] {
 			continue
 		}
 		s := p.state(now, u)
@@ -271,6 +288,7 @@
 		p.candidates = append(p.candidates, s)
 	}
 	preferred := preferredUpstream(now, r, p.candidates, pt)
+	prompt := p.findPrefix(now, &r, preferred, pt)
 	sample := p.sampler(pt)
 	best := Choice{Cost: math.Inf(1)}
 	suspended := Choice{Cost: math.Inf(1)}
@@ -279,7 +297,7 @@
 		if r.MaxConnections > 0 && s.running >= r.MaxConnections {
 			continue
 		}
-		c := p.cost(now, s, r, s == preferred)
+		c := p.cost(&prompt, s, s == preferred)
 		if !pt.includes(s) {
 			c.Cost += r.classMismatchMs()
 		}
@@ -326,27 +344,38 @@
 
 // cost returns the cost of sending a request to an upstream, with the estimates
 // that the cost is based on.
-func (p *Placer) cost(now time.Time, s *upstreamState, r Request, isPreferred bool) Choice {
+func (p *Placer) cost(prompt *prefix, s *upstreamState, isPreferred bool) Choice {
+	now, r := prompt.now, prompt.request
 	peer := p.peerLoads[s.upstream.ID]
 	c := Choice{Upstream: s.upstream, Running: s.running + peer.Running, QueuedTokens: s.remainingPrefill(now), Preferred: isPreferred}
 	c.QueuedTokens += remainingTokens(peer.Prefill, now.Sub(p.peerLoadsAt), s.prefillRate)
 	probability := 0.0
 	if isPreferred {
-		probability = p.preferredProbability()
+		probability = prompt.probability
+	}
+	plan := prompt.plan(s, probability)
+	c.UncachedTokens = plan.read
+	queueMs := float64(c.QueuedTokens) / s.prefillRate
+	c.TimeToFirstToken = time.Duration((queueMs + plan.readMs + plan.fetchMs) * float64(time.Millisecond))
+	c.Cost = queueMs + plan.readMs + float64(c.Running)*(runningCostMs+plan.readMs*interferenceShare)
+	if prompt.tokensPerMs > 0 {
+		c.Cost += s.evictionCostMs(r, peer, plan.read+plan.fetched-r.unsharedTokens())
+	}
+	if plan.source != nil {
+		c.FetchFrom, c.FetchSource, c.FetchedTokens = plan.source.upstream.Address, plan.source.upstream.ID, plan.fetched
+		c.FetchTime = time.Duration(plan.fetchMs * float64(time.Millisecond))
+		c.Cost += plan.fetchMs * (1 + transferCostShare)
+		if c.Copies = prompt.soleDomain != "" && s.upstream.FailureDomain != prompt.soleDomain; c.Copies {
+			c.Cost -= copyBonusMs
+		}
 	}
-	c.UncachedTokens = s.uncachedTokens(now, r, probability)
-	prefillMs := float64(c.UncachedTokens) / s.prefillRate
-	c.TimeToFirstToken = time.Duration(float64(c.QueuedTokens+c.UncachedTokens) / s.prefillRate * float64(time.Millisecond))
-	c.Cost = float64(c.QueuedTokens)/s.prefillRate + prefillMs + float64(c.Running)*(runningCostMs+prefillMs*interferenceShare)
 	if r.Engine != nil {
 		// No upstream has cached the last part, which is not shared.
 		shared := max(c.UncachedTokens-r.unsharedTokens(), 0)
 		c.Cost += float64(shared) / s.prefillRate * recomputeShare
-		if r.Engine.MemoryTokens > 0 && s.kvTokens+peer.Tokens+r.PromptTokens+r.OutputTokens > r.Engine.MemoryTokens {
-			c.Cost += fullCostMs
-		}
+		c.Cost += s.memoryCostMs(r, peer)
 	}
-	if slots := s.slots(r); slots > 0 && c.Running >= slots {
+	if slots := s.slots(*r); slots > 0 && c.Running >= slots {
 		c.Cost += fullCostMs * float64(c.Running-slots+1) / float64(slots)
 	}
 	if s.upstream.FailureDomain != p.FailureDomain {
@@ -360,6 +389,44 @@
 	return c
 }
 
+// findPrefix returns what the upstreams have cached of a prompt.
+func (p *Placer) findPrefix(now time.Time, r *Request, preferred *upstreamState, pt partition) prefix {
+	f := newPrefix(now, r)
+	f.probability = p.preferredProbability()
+	for _, s := range p.candidates {
+		s.prefixTokens = f.cachedTokens(s)
+	}
+	if f.tokensPerMs == 0 || f.sharedTokens == 0 {
+		return f
+	}
+	for _, s := range p.leaving {
+		s.prefixTokens = f.cachedTokens(s)
+	}
+	f.jitterSources = p.peerLoadDelay > 0
+	expected := preferred // The upstream that has cached the shared parts although that is not reported.
+	if p.reportsPreferred() {
+		expected = nil
+	} else if len(p.leaving) > 0 {
+		expected = preferredUpstream(now, *r, append(p.candidates, p.leaving...), pt)
+	}
+	for _, list := range [][]*upstreamState{p.candidates, p.leaving} {
+		for _, s := range list {
+			if s == expected {
+				f.addSource(s, f.probability)
+			} else {
+				f.addSource(s, 0)
+			}
+		}
+	}
+	if f.wholeSource && p.reportsPreferred() {
+		f.probability = 0 // It would have been reported for the preferred upstream, too.
+	}
+	if f.wholeSource {
+		f.soleDomain = p.soleDomain(&f)
+	}
+	return f
+}
+
 // preferredProbability returns the probability that a preferred upstream has cached
 // a part that is not recorded for it.
 func (p *Placer) preferredProbability() float64 {
@@ -457,12 +524,14 @@
 	run := &Run{
 		placer: p, upstream: s, startedAt: now,
 		hasPrompt: r.Engine != nil, longPrompt: r.PromptTokens >= longPromptTokens,
-		uncachedTokens: c.UncachedTokens, kvTokens: r.PromptTokens + r.OutputTokens,
-		queuedTokens: c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens) / s.prefillRate, prefilling: true,
+		uncachedTokens: c.UncachedTokens,
+		queuedTokens:   c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens)/s.prefillRate + milliseconds(c.FetchTime), prefilling: true,
 	}
+	p.startFetch(now, run, c, r)
+	p.countUse(now, r, c)
 	s.running++
 	s.prefillTokens += run.uncachedTokens
-	s.kvTokens += run.kvTokens
+	run.holdMemory(r)
 	s.awaitingFirstToken[run] = struct{}{}
 	if s.suspended(now) {
 		s.probedAt = now
@@ -472,7 +541,10 @@
 		if cached, ok := s.cachedParts[part.ID]; report && (!ok || now.Sub(cached.lastUsed) > partResendInterval) {
 			p.unsentParts = append(p.unsentParts, savoryloft.HeldPart{Upstream: c.Upstream.ID, Part: part.ID, Tokens: part.Tokens})
 		}
-		s.cachePart(now, part, r.Engine)
+		s.cachePart(now, part)
+	}
+	if r.Engine != nil && r.Engine.MemoryTokens > 0 {
+		s.evictParts(s.cachedPartLimit(&r, p.peerLoads[c.Upstream.ID]))
 	}
 	if n := len(r.Parts); n > 1 && len(p.unsentParts) > 0 && p.unsentParts[len(p.unsentParts)-1].Part == r.Parts[n-1].ID {
 		p.unsentParts = p.unsentParts[:len(p.unsentParts)-1] // The last part is not shared.
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -45,7 +45,7 @@
 		}
 		return savoryloft.AnswerHead{}, nil, e
 	}
-	a.run.RecordFirstToken(time.Now())
+	a.recordFirstToken(time.Now())
 	x.countUsage()
 	if headTimeout > 0 {
 		defer time.AfterFunc(headTimeout, a.cancel).Stop() // The same time for the body.
@@ -83,6 +83,7 @@
 		return nil
 	}
 	x.fallbackResponse = &bufferedResponse{a.head, body}
+	a.countFailedFetch(maybeExecuted)
 	a.release(placer.Failed)
 	return x.recordFailure(a.choice, &sendError{maybeExecuted, errors.Errorf("upstream responded with status %d", a.head.StatusCode)})
 }
