Requests of accounts with a rank are ordered by the route's rank within it

Cause: an account's rank replaced the route's, so that upstreams were told the same priority for the short urgent requests of an account and for its long ones, and preempted either. Change: Identity.Urgency numbers the pairs of ranks of a configuration in order; upstreams are told it in place of the rank. Result: tests of router and relayer pass; test that failed before: TestUrgencyOrdersRequestsOfAccountsByRoute.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -138,7 +138,7 @@
 	}
 	d := savoryloft.Dispatch{
 		Upstream: choice.Upstream.ID, Account: x.identity.Account, Remaining: time.Until(x.deadline),
-		Rank: min(max(x.identity.Rank, 0), maxWireRank), HasRank: req.Engine != nil, LastEventID: lastEventID,
+		Rank: min(x.identity.Urgency, maxWireRank), HasRank: req.Engine != nil, LastEventID: lastEventID,
 		FetchFrom: choice.FetchFrom,
 	}
 	if r.Watcher.IsEvacuated(choice.Upstream.FailureDomain) { // Since the choice, or while it waited for a token or a connection.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -336,7 +336,7 @@
 		route, kind = x.route.Name, x.route.Kind.String()
 	}
 	x.relayer.Logger.Info("request", "id", x.call.ID, "outcome", outcome, "status", status,
-		"route", route, "kind", kind, "account", x.identity.Account, "rank", x.identity.Rank, "service", x.service,
+		"route", route, "kind", kind, "account", x.identity.Account, "rank", x.identity.Rank, "urgency", x.identity.Urgency, "service", x.service,
 		"upstream", x.upstream, "software", x.choice.Upstream.Version, "resumes", x.call.Resumes, "after", x.call.LastEventID, "sends", x.sends, "runs", x.possibleRuns,
 		"first", x.timeToResponse.Milliseconds(), "took", time.Since(x.received).Milliseconds(),
 		"version", version, "age", x.configAge.Milliseconds(),
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,7 @@
 package router
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"strings"
@@ -30,12 +31,20 @@
 	accounts    map[string]*savoryloft.KeyedAccount    // By API key.
 	services    map[string]*savoryloft.UpstreamService // By name.
 	requireKeys bool                                   // Routes that are not public need an API key.
+	urgencies   map[rankPair]int                       // See Identity.Urgency.
 }
 
+// rankPair is what requests are ordered by: the rank that takes precedence, and then the
+// route's own.
+type rankPair struct{ first, route int }
+
 // Identity is the client account and the priority of a request.
 type Identity struct {
 	Account string // Empty on routes that need no key.
 	Rank    int    // Priority of the request; 0 is the most urgent.
+	// Urgency orders requests also within a rank: those of accounts with a rank of their
+	// own by that of the route. 0 is the most urgent; there are no gaps.
+	Urgency int
 }
 
 // New returns a table of a configuration. API keys are required only if the
@@ -64,9 +73,42 @@
 			t.accounts[k] = &c.Accounts[i]
 		}
 	}
+	t.urgencies = urgencies(c)
 	return t
 }
 
+// urgencies numbers the pairs of ranks that requests can have in a configuration, in
+// order.
+func urgencies(c savoryloft.Configuration) map[rankPair]int {
+	numbers := map[rankPair]int{}
+	var pairs []rankPair
+	add := func(p rankPair) {
+		if _, ok := numbers[p]; !ok {
+			numbers[p] = 0
+			pairs = append(pairs, p)
+		}
+	}
+	accountRanks := map[int]bool{}
+	for _, a := range c.Accounts {
+		if a.HasRank {
+			accountRanks[a.Rank] = true
+		}
+	}
+	for _, r := range c.Routes {
+		add(rankPair{r.Rank, r.Rank})
+		for rank := range accountRanks {
+			add(rankPair{rank, r.Rank})
+		}
+	}
+	slices.SortFunc(pairs, func(a, b rankPair) int {
+		return cmp.Or(cmp.Compare(a.first, b.first), cmp.Compare(a.route, b.route))
+	})
+	for i, p := range pairs {
+		numbers[p] = i
+	}
+	return numbers
+}
+
 // FindRoute returns the route of the host with the longest matching path prefix,
 // or nil if no route matches. The host is matched case-insensitively; if a host
 // with a port is not configured, it is looked up without the port.
@@ -94,7 +136,7 @@
 // precedence over the route's. It returns false if the route needs a key and
 // the given key is not valid.
 func (t *Table) Authenticate(r *savoryloft.PathRoute, key string) (Identity, bool) {
-	id := Identity{Rank: r.Rank}
+	id := Identity{Rank: r.Rank, Urgency: t.urgencies[rankPair{r.Rank, r.Rank}]}
 	if !t.NeedsKey(r) {
 		return id, true
 	}
@@ -104,7 +146,7 @@
 	}
 	id.Account = a.Name
 	if a.HasRank {
-		id.Rank = a.Rank
+		id.Rank, id.Urgency = a.Rank, t.urgencies[rankPair{a.Rank, r.Rank}]
 	}
 	return id, true
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -51,12 +51,12 @@
 		want  Identity
 		ok    bool
 	}{
-		{keyed, "k2", Identity{"plain", 2}, true},
-		{keyed, "k3", Identity{"urgent", 0}, true},
-		{keyed, "k4", Identity{"", 2}, false},
-		{keyed, "", Identity{"", 2}, false},
-		{open, "", Identity{"", 1}, true},
-		{open, "k3", Identity{"", 1}, true},
+		{keyed, "k2", Identity{"plain", 2, 3}, true},
+		{keyed, "k3", Identity{"urgent", 0, 1}, true},
+		{keyed, "k4", Identity{"", 2, 3}, false},
+		{keyed, "", Identity{"", 2, 3}, false},
+		{open, "", Identity{"", 1, 2}, true},
+		{open, "k3", Identity{"", 1, 2}, true},
 	} {
 		got, ok := table.Authenticate(tt.route, tt.key)
 		require.Equal(t, tt.ok, ok, tt.key)
@@ -64,6 +64,29 @@
 	}
 }
 
+// Guards against urgent requests that wait behind, or are preempted for, long ones because
+// their account has a rank of its own.
+func TestUrgencyOrdersRequestsOfAccountsByRoute(t *testing.T) {
+	table := New(savoryloft.Configuration{
+		Routes: []savoryloft.PathRoute{
+			{Name: "reply", Host: "a.example", Prefix: "/r/", Rank: 0},
+			{Name: "report", Host: "a.example", Prefix: "/x/", Rank: 2},
+		},
+		Accounts: []savoryloft.KeyedAccount{
+			{Name: "first", Keys: []string{"k0"}, Rank: 0, HasRank: true},
+			{Name: "second", Keys: []string{"k1"}, Rank: 1, HasRank: true},
+			{Name: "plain", Keys: []string{"k"}},
+		},
+	})
+	urgency := func(uri, key string) int {
+		id, ok := table.Authenticate(table.FindRoute("a.example", uri), key)
+		require.True(t, ok)
+		return id.Urgency
+	}
+	require.Equal(t, []int{0, 1, 2, 3}, []int{urgency("/r/", "k0"), urgency("/x/", "k0"), urgency("/r/", "k1"), urgency("/x/", "k1")})
+	require.Equal(t, []int{0, 4}, []int{urgency("/r/", "k"), urgency("/x/", "k")}, "without a rank of their own")
+}
+
 func TestSelectServiceFollowsWeights(t *testing.T) {
 	table := newTable()
 	r := table.FindRoute("a.example", "/x/y/1")
