Nothing is fetched while the delay does not matter to the caller

Change: an upstream fetches only if queue and reading take a quarter of the objective, or from an upstream that leaves. Result: go test ./placer passes.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -353,9 +353,9 @@
 	if isPreferred {
 		probability = prompt.probability
 	}
-	plan := prompt.plan(s, probability)
-	c.UncachedTokens = plan.read
 	queueMs := float64(c.QueuedTokens) / s.prefillRate
+	plan := prompt.plan(s, probability, queueMs, c.Running)
+	c.UncachedTokens = plan.read
 	c.TimeToFirstToken = time.Duration((queueMs + plan.readMs + plan.fetchMs) * float64(time.Millisecond))
 	c.Cost = queueMs + plan.readMs + float64(c.Running)*(runningCostMs+plan.readMs*interferenceShare)
 	if prompt.tokensPerMs > 0 {
--- a/placer/prefix.go
+++ b/placer/prefix.go
@@ -12,6 +12,7 @@
 const (
 	maxFetchSources   = 4               // Sources that are compared for each request.
 	fetchLatencyMs    = 3.0             // Of a fetch, in addition to the transfer and to the earlier transfers of the source.
+	fetchNeedShare    = 0.25            // Expected delay, as a share of the request's objective, below which nothing is fetched: a transfer costs more than callers gain.
 	maxFetchShare     = 0.5             // Largest duration of a fetch, as a share of the time in which the upstream would read the same tokens.
 	transferCostShare = 1.0             // Cost per ms of a fetch, in addition to the wait for it.
 	fetchPause        = 3 * time.Second // For which a source is not used after a request that fetched from it has failed.
@@ -125,15 +126,17 @@
 
 // plan weighs whether to read at an upstream what it has not cached of the prompt, or to
 // fetch some of it from another upstream, which must clearly save time. probability is
-// that of a shared part that is not recorded for the upstream to be cached all the same.
-func (f *prefix) plan(s *upstreamState, probability float64) prefixPlan {
+// that of a shared part that is not recorded for the upstream to be cached all the same;
+// queueMs is the wait for the prompts that are queued there, and running the requests that
+// run there.
+func (f *prefix) plan(s *upstreamState, probability, queueMs float64, running int) prefixPlan {
 	recorded := s.prefixTokens
 	p := prefixPlan{cached: recorded + int(float64(max(f.sharedTokens-recorded, 0))*probability)}
 	p.read = max(f.request.PromptTokens-p.cached, 0)
 	p.readMs = float64(p.read) / s.prefillRate
-	all := p
+	all, needed := p, f.needsFetch(queueMs + p.readMs*(1+float64(running)*interferenceShare))
 	for _, src := range f.sources[:f.sourceCount] {
-		if src.state == s || src.tokens <= recorded || src.state.upstream.Version != s.upstream.Version {
+		if !needed && !src.state.upstream.Draining || src.state == s || src.tokens <= recorded || src.state.upstream.Version != s.upstream.Version {
 			continue
 		}
 		tokens := min(int(float64(src.tokens-recorded)*(1-probability)), all.read)
@@ -146,6 +149,13 @@
 	return p
 }
 
+// needsFetch reports whether a delay, of the request and of the streams that it holds up, is
+// long enough to fetch parts of the prompt. What an upstream holds that leaves is about to
+// be lost, and is fetched in any case.
+func (f *prefix) needsFetch(delayMs float64) bool {
+	return delayMs >= fetchNeedShare*milliseconds(f.request.Objective)
+}
+
 // startFetch records that a run fetches prompt tokens: the transfers of a source run one
 // after another.
 func (p *Placer) startFetch(now time.Time, run *Run, c Choice, r Request) {
--- a/placer/prefix_test.go
+++ b/placer/prefix_test.go
@@ -53,6 +53,11 @@
 			p.SetPeerLoads(start, map[string]savoryloft.LinkLoad{u.ID: {Upstream: u.ID, Running: 30, Prefill: 60000}}, 0)
 		}, documentTokens},
 		{"a source that can take the request", func(_ *Placer, u *savoryloft.RegisteredUpstream, _ *Request) { u.Draining = false }, 0},
+		{"an overloaded source, a delay that does not matter", func(p *Placer, u *savoryloft.RegisteredUpstream, r *Request) {
+			u.Draining, r.Objective = false, time.Minute
+			p.SetPeerLoads(start, map[string]savoryloft.LinkLoad{u.ID: {Upstream: u.ID, Running: 30, Prefill: 60000}}, 0)
+		}, 0},
+		{"a source that leaves, a delay that does not matter", func(_ *Placer, _ *savoryloft.RegisteredUpstream, r *Request) { r.Objective = time.Minute }, documentTokens},
 		{"engines without a link", func(_ *Placer, _ *savoryloft.RegisteredUpstream, r *Request) { r.Engine.LinkRate = 0 }, 0},
 		{"tokens of unknown size", func(_ *Placer, _ *savoryloft.RegisteredUpstream, r *Request) { r.Engine.TokenBytes = 0 }, 0},
 		{"a link that is as slow as reading", func(_ *Placer, _ *savoryloft.RegisteredUpstream, r *Request) {
