--- a/placer/prefix.go
+++ b/placer/prefix.go
@@ -134,7 +134,7 @@
 	p := prefixPlan{cached: recorded + int(float64(max(f.sharedTokens-recorded, 0))*probability)}
 	p.read = max(f.request.PromptTokens-p.cached, 0)
 	p.readMs = float64(p.read) / s.prefillRate
-	all, needed := p, f.needsFetch(queueMs + p.readMs*(1+float64(running)*interferenceShare))
+	all, needed := p, f.needsFetch(queueMs+p.readMs*(1+float64(running)*interferenceShare))
 	for _, src := range f.sources[:f.sourceCount] {
 		if !needed && !src.state.upstream.Draining || src.state == s || src.tokens <= recorded || src.state.upstream.Version != s.upstream.Version {
 			continue
