Tests of clients that send more than an instance can keep

Crowds of clients at a real process with low limits of memory and descriptors: bodies in large and tiny chunks, announced and sent beyond the limit, legal large ones at once and piece by piece, slow readers, idle connections, unfinished heads. The checks: the process lives, its peak memory and open sockets stay within the limits of its settings, one ordinary request and one with the largest body are answered afterwards. They run alone, after the other tests.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,7 +13,10 @@
 else
   echo "cgo is disabled (no C compiler?): running without the race detector"
 fi
-go test -timeout 8m "${race_flags[@]}" ${skip_pattern:+-skip "$skip_pattern"} "$@" ./...
+# Tests of real processes whose memory is bounded run alone.
+alone='^TestUntrustedClients$'
+go test -timeout 8m "${race_flags[@]}" -skip "${skip_pattern:+$skip_pattern|}$alone" "$@" ./...
+go test -timeout 8m -count 1 ${skip_pattern:+-skip "$skip_pattern"} -run "$alone" "$@" ./soaker
 if [ "${#race_flags[@]}" -gt 0 ]; then
   echo "tests of large fleets and the longest ones of package server, without the race detector, whose runtime has ended in them"
   go test -timeout 8m -count 1 -run Fleet "$@" ./launcher
