Memory and descriptors that clients take have an owner and a bound

Cause: bodies were read whole, twice, and without a common bound; a failed accept ended the process; idle connections of clients stayed for 60 s whatever idle_timeout_ms says, and those to upstreams that are gone for good.

Change: package budgeter holds one budget of a third of memory_mb for bodies of requests, also of unfinished ones, for responses that are read, and for responses until the client has taken them. Bodies are read as far as it admits them; without room the connection that has stalled longest gives its bytes back (408 or a close), then requests are refused (503, NoMemory, not run). Accepting pauses at a share of max_fds and memory_mb, and closes connections that have been without a request for the longest time; failed accepts are repeated. Idle connections of clients close at idle_timeout_ms, those to upstreams when their idle time is over. Heads beyond max_header_bytes get 431.

--- a/cmd/savoryloft/edge.go
+++ b/cmd/savoryloft/edge.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/budgeter"
 	"savoryloft.example/savoryloft/exchanger"
 	"savoryloft.example/savoryloft/launcher"
 	"savoryloft.example/savoryloft/logger"
@@ -30,6 +31,7 @@
 	idleTimeout         = 20 * time.Second // For connections to upstreams, whose own idle timeout is usually shorter.
 	dutyTimeout         = 800 * time.Millisecond
 	bufferMemoryDivisor = 16  // The part of the memory limit that responses of upstreams may take while they are read as a whole.
+	budgetMemoryDivisor = 3   // The part of the memory limit that data of clients and upstreams may take.
 	memoryLimitFraction = 0.5 // Fraction of the memory limit above which the garbage collector runs more often.
 	gcPercent           = 100 // Heap growth between collections, in percent; kept low because small machines have little memory.
 )
@@ -94,18 +96,20 @@
 	out := logger.NewWriter(os.Stdout)
 	defer out.Close()
 	log := logger.New(out, verbosity).WithValues("instance", d.Instance)
+	memory := &budgeter.Budget{}
+	memory.SetLimit(d.Limits.MemoryBytes / budgetMemoryDivisor)
 	pool := &exchanger.Pool{
 		Dial:        exchanger.Dialer{UserTimeout: userTimeout, ConnectTimeout: connectTimeout}.Dial,
-		IdleTimeout: idleTimeout, MaxBufferedBytes: d.Limits.MemoryBytes / bufferMemoryDivisor,
+		IdleTimeout: idleTimeout, MaxBufferedBytes: d.Limits.MemoryBytes / bufferMemoryDivisor, Memory: memory,
 	}
 	l := &launcher.Launcher{
 		Deployment: d, Wire: platform.Wire{}, Decoder: platform.Decoder{},
 		Log:        &platform.LogClient{Address: d.LogAddress, Pool: pool},
 		DutyTarget: &platform.DutyClient{Address: d.DutyAddress, Instance: d.Instance, Pool: pool, Timeout: dutyTimeout},
-		Pool:       pool, Logger: log, Tracer: tracer.Noop(),
+		Pool:       pool, Memory: memory, Logger: log, Tracer: tracer.Noop(),
 		ReadinessPath: platform.ReadinessPath, MetricsPath: platform.MetricsPath,
 	}
-	reload := &reloader{file: file, hangups: hangups, modified: modified, current: d, logger: log, addSeeds: l.AddSeeds}
+	reload := &reloader{file: file, hangups: hangups, modified: modified, current: d, logger: log, memory: memory, addSeeds: l.AddSeeds}
 	go reload.run(ctx)
 	return l.Run(ctx)
 }
@@ -133,6 +137,7 @@
 	modified time.Time        // Modification time of the file before current was read; zero if it is unknown.
 	current  savoryloft.Deployment
 	logger   logr.Logger
+	memory   *budgeter.Budget
 	addSeeds func(addresses []string) // Adds addresses of instances to connect to.
 }
 
@@ -181,6 +186,7 @@
 	immediate, deferred := r.changedSettings(d)
 	r.current = d
 	applyRuntimeLimits(d.Limits)
+	r.memory.SetLimit(d.Limits.MemoryBytes / budgetMemoryDivisor)
 	r.addSeeds(d.Seeds)
 	r.logger.Info("settings reloaded", "why", trigger, "in_force", immediate, "from_next_start", deferred)
 }
--- a/cmd/savoryloft/edge_test.go
+++ b/cmd/savoryloft/edge_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/budgeter"
 )
 
 func TestReloaderReportsChangedSettings(t *testing.T) {
@@ -40,7 +41,7 @@
 	file := filepath.Join(t.TempDir(), "boot.toml")
 	require.NoError(t, os.WriteFile(file, []byte("no settings"), 0o600))
 	current := savoryloft.Deployment{Instance: "entry-1"}
-	r := &reloader{file: file, current: current, logger: logr.Discard(), addSeeds: func([]string) {
+	r := &reloader{file: file, current: current, logger: logr.Discard(), memory: &budgeter.Budget{}, addSeeds: func([]string) {
 		t.Error("seeds of an invalid settings file were added")
 	}}
 	r.reload("test")
@@ -63,7 +64,7 @@
 `), 0o600))
 	var seeds []string
 	r := &reloader{
-		file: file, modified: time.Unix(1, 0), logger: logr.Discard(), addSeeds: func(list []string) { seeds = list },
+		file: file, modified: time.Unix(1, 0), logger: logr.Discard(), memory: &budgeter.Budget{}, addSeeds: func(list []string) { seeds = list },
 	}
 	r.reloadIfChanged()
 	require.Equal(t, []string{"10.0.0.2:1"}, seeds)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -23,12 +23,15 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"savoryloft.example/savoryloft/budgeter"
 )
 
 // Mode selects whether Get may return an idle connection.
@@ -74,10 +77,11 @@
 // Pool keeps idle connections for each address. Only Dial must be set.
 type Pool struct {
 	Dial              func(ctx context.Context, address string) (net.Conn, error)
-	MaxIdlePerAddress int           // Maximum number of idle connections per address; 64 when zero.
-	IdleTimeout       time.Duration // Maximum idle time of a connection; 10 s when zero.
-	MaxHeadBytes      int           // Limit on the status line and header of a response; 64 KiB when zero.
-	MaxBufferedBytes  int64         // Limit on the memory for responses that are being read as a whole; 16 MiB when zero.
+	MaxIdlePerAddress int              // Maximum number of idle connections per address; 64 when zero.
+	IdleTimeout       time.Duration    // Maximum idle time of a connection; 10 s when zero.
+	MaxHeadBytes      int              // Limit on the status line and header of a response; 64 KiB when zero.
+	MaxBufferedBytes  int64            // Limit on the memory for responses that are being read as a whole; 16 MiB when zero.
+	Memory            *budgeter.Budget // That these responses also count toward; nil for none.
 
 	idle     sync.Map     // Maps an address to its *idleList.
 	buffered atomic.Int64 // Bytes of responses that are being read as a whole.
@@ -88,6 +92,7 @@
 type idleList struct {
 	mu    sync.Mutex
 	conns []*Conn
+	gone  bool // The list has been removed from the pool.
 }
 
 // Conn is a connection that carries at most one exchange at a time.
@@ -155,16 +160,49 @@
 }
 
 func (p *Pool) putIdle(c *Conn) {
+	c.idleSince = time.Now()
+	for added := false; !added; {
+		added = p.addIdle(c)
+	}
+}
+
+// addIdle returns false if the list of the address has just been removed.
+func (p *Pool) addIdle(c *Conn) bool {
 	v, _ := p.idle.LoadOrStore(c.Address, &idleList{})
 	l := v.(*idleList)
-	c.idleSince = time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.gone {
+		return false
+	}
 	if len(l.conns) >= p.maxIdle() {
 		_ = c.Close()
-		return
+		return true
 	}
 	l.conns = append(l.conns, c)
+	return true
+}
+
+// CloseExpired closes the connections whose idle time is over, such as those to servers
+// that are gone. Call it regularly.
+func (p *Pool) CloseExpired() {
+	p.idle.Range(func(address, v any) bool {
+		l := v.(*idleList)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.conns = slices.DeleteFunc(l.conns, func(c *Conn) bool {
+			expired := time.Since(c.idleSince) >= c.idleTimeout()
+			if expired {
+				_ = c.Close()
+			}
+			return expired
+		})
+		if len(l.conns) == 0 {
+			l.gone = true
+			p.idle.CompareAndDelete(address, v)
+		}
+		return true
+	})
 }
 
 // CloseIdle closes all idle connections.
@@ -256,6 +294,9 @@
 	first := make([]byte, 0, minReadBytes)
 	block, size := first, int64(0)
 	var blocks []*[]byte // After the first one.
+	holding := c.pool.memory().Open(nil)
+	holding.Keep() // The request may have run.
+	defer holding.Close()
 	defer func() {
 		for _, b := range blocks {
 			blockPool.Put(b)
@@ -264,7 +305,7 @@
 	}()
 	for {
 		if len(block) == cap(block) {
-			if !c.pool.reserveBuffer(blockBytes) {
+			if !holding.Reserve(blockBytes) || !c.pool.reserveBuffer(blockBytes) {
 				return nil, errors.Annotatef(errBufferedTooMuch, "read response body from %s", c.Address)
 			}
 			next := blockPool.Get().(*[]byte)
@@ -322,6 +363,14 @@
 	}
 }
 
+// memory returns the budget for responses that are being read.
+func (p *Pool) memory() *budgeter.Budget {
+	if p.Memory != nil {
+		return p.Memory
+	}
+	return &budgeter.Budget{}
+}
+
 func (p *Pool) maxBuffered() int64 {
 	if p.MaxBufferedBytes > 0 {
 		return p.MaxBufferedBytes
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -27,6 +27,7 @@
 
 	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/biller"
+	"savoryloft.example/savoryloft/budgeter"
 	"savoryloft.example/savoryloft/claimer"
 	"savoryloft.example/savoryloft/counter"
 	"savoryloft.example/savoryloft/exchanger"
@@ -43,9 +44,9 @@
 
 const (
 	readBufferBytes       = 32 << 10 // Also limits the size of a request's headers.
-	defaultMaxBodyBytes   = 4 << 20  // Applies while no configuration sets a limit.
 	headerTimeout         = 5 * time.Second
-	idleTimeout           = 60 * time.Second        // Longer than the idle timeouts in configurations.
+	defaultIdleTimeout    = 60 * time.Second        // Of client connections while no configuration sets one, and of connections for probes.
+	maxIdleTimeout        = time.Hour               // Of client connections, whatever a configuration sets.
 	cleanupInterval       = time.Second             // Between calls of cleanUp.
 	immediateUpdateTokens = 1500                    // Prompts with at least this many uncached tokens are reported to peers without delay.
 	readinessAgeRatio     = 0.5                     // Readiness fails when the configuration's age exceeds this fraction of Bounds.Revocation.
@@ -65,6 +66,7 @@
 	Log        savoryloft.RecordLog
 	DutyTarget savoryloft.DutyTarget
 	Pool       *exchanger.Pool
+	Memory     *budgeter.Budget // For data of clients and upstreams; without a limit if nil.
 	Logger     logr.Logger
 	Tracer     trace.Tracer
 	// ReadinessPath and MetricsPath are the URL paths of the readiness probe and
@@ -111,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	l.listener = &relayer.Listener{Listener: clients}
+	l.listener = &relayer.Listener{Listener: clients, MaxOpen: l.maxClientConnections()}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(background)
@@ -134,7 +136,7 @@
 	case <-groupCtx.Done():
 	}
 	cancel()
-	_ = clients.Close()
+	_ = l.listener.Close()
 	_ = readiness.Close()
 	if pages != nil {
 		_ = pages.Close()
@@ -176,6 +178,9 @@
 	l.registry = metrics.NewRegistry()
 	l.quarantinesRead = make(chan struct{})
 	l.Log = instrumentedLog{l.Log, l.registry}
+	if l.Memory == nil {
+		l.Memory = &budgeter.Budget{}
+	}
 	l.counter = &counter.Counter{Source: fmt.Sprintf("%s/%d", d.Instance, l.incarnation), Window: d.Bounds.UsageWindow}
 	l.placer = &placer.Placer{Instance: d.Instance, FailureDomain: d.FailureDomain}
 	l.linker = &linker.Linker{
@@ -217,6 +222,7 @@
 		Context: l.requests,
 		Wire:    l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
 		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, ExitTime: l.requestExitTime, Instances: l.linker.InstanceCount,
+		Memory:       l.Memory,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
 		Limiter: &limiter.Limiter{
 			Ratio: d.Bounds.RetryRatio, Slack: d.Bounds.RetrySlack, Window: d.Bounds.RetryWindow, Instances: l.linker.InstanceCount,
@@ -367,6 +373,8 @@
 		l.placer.Prune(time.Now())
 		l.throttler.Maintain()
 		l.quarantine.Resolve(l.watcher.HasEnded)
+		l.listener.CloseIdleFor(l.clientIdleTimeout())
+		l.Pool.CloseExpired()
 	}
 	return nil
 }
--- a/launcher/pages.go
+++ b/launcher/pages.go
@@ -33,9 +33,9 @@
 	}
 	if pages, err = net.Listen("tcp", a.Metrics); err != nil {
 		l.Logger.Info("metrics address not available, metrics page disabled", "address", a.Metrics, "error", err.Error())
-		return clients, readiness, links, nil, nil
+		return clients, steadyListener{readiness}, steadyListener{links}, nil, nil
 	}
-	return clients, readiness, links, pages, nil
+	return clients, steadyListener{readiness}, steadyListener{links}, steadyListener{pages}, nil
 }
 
 func (l *Launcher) clientServer() *fasthttp.Server {
@@ -48,29 +48,17 @@
 		DisablePreParseMultipartForm:  true,
 		ReadBufferSize:                readBufferBytes,
 		ReadTimeout:                   headerTimeout,
-		IdleTimeout:                   idleTimeout,
-		HeaderReceived:                l.requestConfig,
+		IdleTimeout:                   maxIdleTimeout, // CloseIdleFor closes idle connections.
+		StreamRequestBody:             true,
+		HeaderReceived:                l.relayer.RequestConfig,
 		ConnState:                     l.listener.ObserveState,
 		ErrorHandler:                  relayer.HandleProtocolError,
 		Logger:                        logger.Discard{},
 	}
 }
 
-// requestConfig returns the limits for a request from the configuration in
-// force, or the defaults when there is none.
-func (l *Launcher) requestConfig(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	c := fasthttp.RequestConfig{MaxRequestBodySize: defaultMaxBodyBytes, ReadTimeout: headerTimeout}
-	if t := l.watcher.Table(); t != nil {
-		if t.Limits.BodyBytes > 0 {
-			c.MaxRequestBodySize = t.Limits.BodyBytes
-		}
-		c.ReadTimeout = max(t.Limits.HeaderTimeout, headerTimeout)
-	}
-	return c
-}
-
 func pageServer(h fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, Logger: logger.Discard{}}
+	return &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, ReadTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout, Logger: logger.Discard{}}
 }
 
 // checkReadiness returns an error with the reason when this instance should not
@@ -126,6 +114,13 @@
 	set("configuration_version", int64(l.watcher.Version()))
 	set("members", int64(l.linker.InstanceCount()))
 	set("requests_active", int64(l.relayer.ActiveRequests()))
+	used, limit, reclaims := l.Memory.Totals()
+	set("memory_budget_bytes.used", used)
+	set("memory_budget_bytes.limit", limit)
+	set("memory_budget_reclaims", reclaims)
+	open, pauses := l.listener.Counts()
+	set("client_connections", open)
+	set("accept_pauses", pauses)
 	sent, received := l.linker.Bytes()
 	set("link_bytes.sent", sent)
 	set("link_bytes.received", received)
--- a/relayer/caller.go
+++ b/relayer/caller.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
+	"savoryloft.example/savoryloft/budgeter"
 	"savoryloft.example/savoryloft/exchanger"
 )
 
@@ -19,19 +21,24 @@
 // that disconnect before the response.
 type Listener struct {
 	net.Listener
+	MaxOpen int // Connections above which none is accepted; no limit when zero.
 
 	mu           sync.Mutex
 	conns        map[*clientConn]struct{}
 	lastAccepted time.Time
+	closed       bool
+	pauses       atomic.Int64 // Times that MaxOpen was reached.
 }
 
 // firstRequestTime is the time that a client has to send its first request on a
 // new connection before the connection counts as idle.
 const firstRequestTime = 500 * time.Millisecond
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It waits while MaxOpen connections are open, and after
+// errors, such as a lack of descriptors, that do not end the listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	l.awaitRoom()
+	conn, err := AcceptConn(l.Listener)
 	if err != nil {
 		return nil, err
 	}
@@ -81,12 +88,7 @@
 // are not new. It returns the number of connections that have been open, these included: a
 // request may still cross the close.
 func (l *Listener) CloseIdle() (open int) {
-	l.mu.Lock()
-	conns := make([]*clientConn, 0, len(l.conns))
-	for c := range l.conns {
-		conns = append(conns, c)
-	}
-	l.mu.Unlock()
+	conns := l.open()
 	for _, c := range conns {
 		c.closeIfIdle()
 	}
@@ -106,7 +108,8 @@
 	case fasthttp.StateActive:
 		c.busy = true
 	case fasthttp.StateIdle:
-		c.busy = false
+		c.busy, c.headReceived, c.idleSince = false, false, time.Now()
+		c.releaseResponse()
 	default:
 	}
 }
@@ -118,11 +121,15 @@
 	listener   *Listener
 	acceptedAt time.Time
 
-	mu        sync.Mutex
-	received  bool          // The client has sent something.
-	readAhead []byte        // Data that the disconnect watch has read and the next Read returns.
-	busy      bool          // A request is being received or handled, or its response is being written; see ObserveState.
-	watchDone chan struct{} // Closed when the disconnect watch ends; nil while none runs.
+	response atomic.Pointer[budgeter.Holding] // Of the response that is being written; nil if there is none.
+
+	mu           sync.Mutex
+	headReceived bool          // A request is being handled, or its body received.
+	idleSince    time.Time     // Time at which the last response was written; zero before.
+	received     bool          // The client has sent something.
+	readAhead    []byte        // Data that the disconnect watch has read and the next Read returns.
+	busy         bool          // A request is being received or handled, or its response is being written; see ObserveState.
+	watchDone    chan struct{} // Closed when the disconnect watch ends; nil while none runs.
 
 	readDeadline time.Time // The last one that SetReadDeadline has set.
 	closing      bool      // closeIfIdle has set another one, which ends the pending Read.
@@ -171,15 +178,17 @@
 	if !received {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(b)
+	return c.writeParts(b)
 }
 
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
+	c.releaseResponse()
+	err := c.Conn.Close()
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
-	return c.Conn.Close()
+	return err
 }
 
 // closeIfIdle makes the server close the connection, and returns true, if no request is in
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -32,6 +32,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/budgeter"
 	"savoryloft.example/savoryloft/exchanger"
 	"savoryloft.example/savoryloft/limiter"
 	"savoryloft.example/savoryloft/observer"
@@ -91,6 +92,7 @@
 	Logger           logr.Logger
 	Tracer           trace.Tracer
 	Metrics          metrics.Registry
+	Memory           *budgeter.Budget // For bodies of requests, and for responses until they are sent.
 
 	active atomic.Int64
 }
@@ -100,6 +102,7 @@
 	relayer  *Relayer
 	httpCtx  *fasthttp.RequestCtx
 	client   *clientConn
+	memory   *budgeter.Holding // Of the request's body.
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	span     trace.Span
@@ -140,8 +143,15 @@
 
 // Handle handles one request.
 func (r *Relayer) Handle(httpCtx *fasthttp.RequestCtx) {
+	body, memory, err := r.receiveBody(httpCtx)
+	if err != nil {
+		memory.Close()
+		r.countUnread(err)
+		r.refuseUnread(httpCtx, err)
+		return
+	}
 	r.active.Add(1)
-	x := &exchange{relayer: r, httpCtx: httpCtx, received: time.Now(), triedUpstreams: map[string]bool{}, probed: make(chan bool, maxSends)}
+	x := &exchange{relayer: r, httpCtx: httpCtx, memory: memory, received: time.Now(), triedUpstreams: map[string]bool{}, probed: make(chan bool, maxSends)}
 	x.ctx, x.cancel = context.WithCancelCause(r.Context)
 	if c, ok := httpCtx.Conn().(*clientConn); ok {
 		x.client = c
@@ -158,7 +168,7 @@
 		x.refuse(fasthttp.StatusBadRequest, "Malformed", err.Error(), 0)
 		return
 	}
-	x.call.Body = append([]byte(nil), httpCtx.Request.Body()...)
+	x.call.Body = body
 	if !x.resolve() {
 		return
 	}
@@ -316,6 +326,7 @@
 		x.client.stopDisconnectWatch()
 	}
 	x.cancel(nil)
+	x.memory.Close()
 	x.span.SetAttributes(attribute.String("outcome", outcome), attribute.Int("status", status))
 	x.span.End()
 	r := x.relayer
@@ -370,7 +381,10 @@
 // respond sends the complete response of an upstream to the client.
 func (x *exchange) respond(h savoryloft.AnswerHead, body []byte) {
 	x.writeResponseHead(h)
-	x.httpCtx.Response.SetBody(body)
+	if x.client != nil {
+		x.client.holdResponse(x.relayer.Memory, len(body))
+	}
+	x.httpCtx.Response.SetBodyRaw(body)
 	x.finish("Answered", h.StatusCode)
 }
 
