--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -42,9 +42,10 @@
 	duties     *standin.DutyServer
 	dutyServer *httptest.Server
 	version    int
-	keys       []string // Of "account".
-	otherKeys  []string // Of "other".
-	routes     []any    // Of the configuration; the usual ones when nil.
+	keys       []string       // Of "account".
+	otherKeys  []string       // Of "other".
+	limits     map[string]any // Of the configuration.
+	routes     []any          // Of the configuration; the usual ones when nil.
 	instances  []*instance
 	engines    []*standin.Engine
 	attempts   int
@@ -66,7 +67,7 @@
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, ip: instanceIP(), log: &faker.Log{}, duties: &standin.DutyServer{}, version: 1, keys: []string{"key-1", "key-2"}, otherKeys: []string{"other-key"}}
+	c := &cluster{t: t, ip: instanceIP(), log: &faker.Log{}, duties: &standin.DutyServer{}, version: 1, keys: []string{"key-1", "key-2"}, otherKeys: []string{"other-key"}, limits: map[string]any{"max_body_bytes": 1 << 20}}
 	c.logServer = c.serve(&standin.LogServer{Log: c.log})
 	c.dutyServer = c.serve(c.duties)
 	t.Cleanup(func() {
@@ -121,7 +122,7 @@
 		"version":  c.version,
 		"routes":   routes,
 		"services": []any{map[string]any{"name": "s", "max_conns": 100, "inference_engine": map[string]any{"slots": 8, "kv_capacity": 100000}}},
-		"limits":   map[string]any{"max_body_bytes": 1 << 20},
+		"limits":   c.limits,
 		"tenants": []any{
 			map[string]any{"name": "account", "api_keys": c.keys},
 			map[string]any{"name": "other", "api_keys": c.otherKeys},
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	bucketsPerWindow = 20  // Resolution of the sliding window.
-	budgetFraction   = 0.8 // Share of the budget that is used; the rest covers an outdated instance count and clock differences.
+	bucketsPerWindow = 20               // Resolution of the sliding window.
+	defaultWindow    = 10 * time.Second // For settings without a window.
+	budgetFraction   = 0.8              // Share of the budget that is used; the rest covers an outdated instance count and clock differences.
 )
 
 // Limiter counts the requests and retries of one instance. Set the exported
@@ -27,7 +28,7 @@
 type Limiter struct {
 	Ratio  float64       // Retries allowed per request.
 	Slack  int           // Additional retries allowed per window, summed over all instances.
-	Window time.Duration // Length of the sliding window.
+	Window time.Duration // Length of the sliding window; 10 s when zero.
 	// Instances returns the number of instances that share Slack.
 	Instances func() int
 
@@ -69,6 +70,13 @@
 	return true
 }
 
+func (l *Limiter) window() time.Duration {
+	if l.Window >= bucketsPerWindow {
+		return l.Window
+	}
+	return defaultWindow
+}
+
 // windowAt returns the window of a service, advanced to now. It clears expired
 // buckets, or all buckets if the clock was set back by more than a window. The
 // caller holds l.mu.
@@ -76,7 +84,7 @@
 	if l.windows == nil {
 		l.windows = map[string]*slidingWindow{}
 	}
-	bucket := now.UnixNano() / int64(l.Window/bucketsPerWindow)
+	bucket := now.UnixNano() / int64(l.window()/bucketsPerWindow)
 	w := l.windows[service]
 	if w == nil {
 		w = &slidingWindow{bucket: bucket}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -56,3 +56,13 @@
 	require.True(t, l.Allow(now, "b"))
 	require.True(t, l.Allow(now.Add(2*time.Second), "a"), "the first retry has left the window")
 }
+
+// Guards against settings without a window that end the process.
+func TestWindowHasADefault(t *testing.T) {
+	l := &Limiter{Slack: 2, Instances: func() int { return 1 }}
+	now := time.Unix(5, 0)
+	l.RecordRequest(now, "s")
+	require.True(t, l.Allow(now, "s"))
+	require.False(t, l.Allow(now, "s"))
+	require.True(t, l.Allow(now.Add(2*defaultWindow), "s"))
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -202,12 +202,12 @@
 }
 
 // Prune deletes the states of idle upstreams that have not been candidates for
-// 60 s, and cached parts that have not been used for 60 s.
+// 60 s and are not paused, and cached parts that have not been used for 60 s.
 func (p *Placer) Prune(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, s := range p.states {
-		if s.running == 0 && now.Sub(s.lastCandidateAt) > cachedPartTTL {
+		if s.running == 0 && now.Sub(s.lastCandidateAt) > cachedPartTTL && !now.Before(s.pausedUntil) {
 			delete(p.states, id)
 		}
 		for part, cached := range s.cachedParts {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -562,3 +562,16 @@
 		})
 	}
 }
+
+// Guards against an upstream that gets requests during its pause since its service had none
+// for a while.
+func TestPauseOutlivesItsIdleState(t *testing.T) {
+	p := &Placer{}
+	list := testUpstreams(1)
+	p.Pause(start, list[0], 2*cachedPartTTL)
+	later := start.Add(cachedPartTTL + time.Second)
+	p.Prune(later)
+	require.Positive(t, p.PauseLeft(later, list))
+	p.Prune(start.Add(4 * cachedPartTTL))
+	require.Empty(t, p.states)
+}
--- a/relayer/caller.go
+++ b/relayer/caller.go
@@ -125,7 +125,7 @@
 
 	mu           sync.Mutex
 	headReceived bool          // A request is being handled, or its body received.
-	idleSince    time.Time     // Time at which the last response was written; zero before.
+	idleSince    time.Time     // Time at which the last response was written, or the next head began; zero before.
 	received     bool          // The client has sent something.
 	readAhead    []byte        // Data that the disconnect watch has read and the next Read returns.
 	busy         bool          // A request is being received or handled, or its response is being written; see ObserveState.
@@ -141,7 +141,7 @@
 	if len(c.readAhead) > 0 {
 		n := copy(b, c.readAhead)
 		c.readAhead = c.readAhead[n:]
-		c.busy = true
+		c.setBusy()
 		c.mu.Unlock()
 		return n, nil
 	}
@@ -150,7 +150,8 @@
 	if n > 0 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.busy, c.received = true, true
+		c.setBusy()
+		c.received = true
 		if c.closing {
 			// The request has crossed closeIfIdle.
 			c.closing = false
@@ -160,6 +161,14 @@
 	return n, err
 }
 
+// setBusy records that a request is being received. The caller holds the lock.
+func (c *clientConn) setBusy() {
+	if !c.busy {
+		c.idleSince = time.Now()
+	}
+	c.busy = true
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/relayer/crowd.go
+++ b/relayer/crowd.go
@@ -125,7 +125,7 @@
 func (c *clientConn) endHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.headReceived {
+	if c.busy && !c.headReceived {
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
