--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -45,6 +45,7 @@
 	version    int
 	keys       []string       // Of "account".
 	otherKeys  []string       // Of "other".
+	limits     map[string]any // Of the configuration.
 	routes     []any          // Of the configuration; the usual ones when nil.
 	traits     map[string]any // Further ones of the engines.
 	instances  []*instance
@@ -68,7 +69,7 @@
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, ip: instanceIP(), log: &faker.Log{}, duties: &standin.DutyServer{}, version: 1, keys: []string{"key-1", "key-2"}, otherKeys: []string{"other-key"}}
+	c := &cluster{t: t, ip: instanceIP(), log: &faker.Log{}, duties: &standin.DutyServer{}, version: 1, keys: []string{"key-1", "key-2"}, otherKeys: []string{"other-key"}, limits: map[string]any{"max_body_bytes": 1 << 20}}
 	c.logServer = c.serve(&standin.LogServer{Log: c.log})
 	c.dutyServer = c.serve(c.duties)
 	t.Cleanup(func() {
@@ -125,7 +126,7 @@
 		"version":  c.version,
 		"routes":   routes,
 		"services": []any{map[string]any{"name": "s", "max_conns": 100, "inference_engine": engine}},
-		"limits":   map[string]any{"max_body_bytes": 1 << 20},
+		"limits":   c.limits,
 		"tenants": []any{
 			map[string]any{"name": "account", "api_keys": c.keys},
 			map[string]any{"name": "other", "api_keys": c.otherKeys},
