Cold upstreams are kept within their service's rate

Cause: an upstream's registered warm-up only added a small cost to the choice, so that 91 instances together sent a cold one more than it takes (16 requests in a second, 13.9 allowed; issue). Change: throttler takes a cold upstream as one with a limit until its warm-up ends, from the registry entry and the configuration; the lower one of this and a named limit applies. watcher counts the warm-up from the receipt of the entry. The prefill rate is not learnt from cold upstreams.

--- a/configuration.go
+++ b/configuration.go
@@ -118,6 +118,7 @@
 	Evacuated     bool // Its failure domain is evacuated, so it must not get further requests.
 	Reclaimable   bool
 	WarmUp        time.Duration // Registered warm-up time, during which the upstream is slower.
+	WarmUpEnd     time.Duration // Uptime at which WarmUp ends, counted from when this instance received the entry; 0 if none was registered.
 	StartedAtMs   int           // Start time of the upstream, as Unix time in milliseconds.
 	Version       string        // Version of the upstream's software; empty if it is not registered.
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -202,7 +202,8 @@
 		Dial: l.Pool.Dial, Notify: l.linker.BroadcastSuspicions, Logger: l.Logger, Metrics: l.registry,
 	}
 	l.throttler = &throttler.Throttler{
-		Allocation: l.limitAllocation, Send: l.linker.SendLimits, Broadcast: l.linker.BroadcastLimits, Logger: l.Logger, Metrics: l.registry,
+		Allocation: l.limitAllocation, Send: l.linker.SendLimits, Broadcast: l.linker.BroadcastLimits,
+		Upstream: l.watcher.Upstream, WarmUpRate: l.warmUpRate, Logger: l.Logger, Metrics: l.registry,
 	}
 	l.tracker = &tracker.Tracker{
 		Instance: d.Instance, Log: l.Log, Services: l.serviceNames, Upstreams: l.watcher.Upstreams, Era: l.watcher.Era, Now: l.clusterTime, NewDeployment: d.Bootstrap,
@@ -224,6 +225,17 @@
 	}
 }
 
+// warmUpRate returns the requests a second that a cold upstream of a service takes, or 0
+// for no limit.
+func (l *Launcher) warmUpRate(service string) float64 {
+	if t := l.watcher.Table(); t != nil {
+		if s := t.LookupService(service); s != nil {
+			return s.WarmUpRate
+		}
+	}
+	return 0
+}
+
 // operatorLimit returns the time within which the operator's records must take effect.
 func operatorLimit(b savoryloft.DeploymentBounds) time.Duration {
 	if b.Evacuation > 0 {
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -46,6 +46,7 @@
 	startedAt            time.Time
 	queuedTokens         int     // Prompt tokens queued at the upstream when the run started.
 	expectedFirstTokenMs float64 // Predicted time to the first token.
+	cold                 bool    // The upstream was cold when the run started, so its prefill rate is not the usual one.
 	prefilling           bool    // No first token yet.
 	hasPrompt            bool    // The service runs inference engines, so the run counts in classTimes.
 	longPrompt           bool    // The prompt has at least longPromptTokens.
@@ -202,7 +203,7 @@
 }
 
 // RecordFirstToken records that the first token of a run has arrived, and
-// updates the upstream's prefill rate. Later calls have no effect.
+// updates the upstream's prefill rate, unless the upstream was cold. Later calls have no effect.
 func (r *Run) RecordFirstToken(now time.Time) {
 	r.placer.mu.Lock()
 	defer r.placer.mu.Unlock()
@@ -211,7 +212,7 @@
 	}
 	r.endPrefill()
 	ms := float64(now.Sub(r.startedAt)) / float64(time.Millisecond)
-	if tokens := float64(r.uncachedTokens + r.queuedTokens); tokens > minSampleTokens && ms > 0 {
+	if tokens := float64(r.uncachedTokens + r.queuedTokens); tokens > minSampleTokens && ms > 0 && !r.cold {
 		sample := max(tokens/ms, minPrefillRate)
 		r.upstream.prefillRate += (min(sample, 2*initialPrefillRate) - r.upstream.prefillRate) * sampleWeight
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -80,6 +80,7 @@
 	// MaxConnections limits this instance's concurrent requests to one upstream;
 	// 0 for no limit.
 	MaxConnections int
+	WarmUpLimited  bool               // The service limits the requests to its cold upstreams.
 	Exclude        map[string]bool    // IDs of upstreams that must not be chosen.
 	VersionCosts   map[string]float64 // Additional costs in ms, by version of the upstreams' software.
 }
@@ -455,7 +456,7 @@
 	defer p.mu.Unlock()
 	s := p.state(now, c.Upstream)
 	run := &Run{
-		placer: p, upstream: s, startedAt: now,
+		placer: p, upstream: s, startedAt: now, cold: r.WarmUpLimited && savoryloft.Uptime() < c.Upstream.WarmUpEnd,
 		hasPrompt: r.Engine != nil, longPrompt: r.PromptTokens >= longPromptTokens,
 		uncachedTokens: c.UncachedTokens, kvTokens: r.PromptTokens + r.OutputTokens,
 		queuedTokens: c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens) / s.prefillRate, prefilling: true,
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -544,6 +544,33 @@
 	require.InDelta(t, 20, p.states["engine-0"].prefillRate, 2)
 }
 
+// A cold upstream is slower than it will be. Its times must not keep requests away later.
+func TestPrefillRateIsNotLearntFromAColdUpstream(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		limited bool          // The service limits the requests to its cold upstreams.
+		warmUp  time.Duration // That is left.
+		learnt  bool
+	}{
+		{"cold", true, time.Minute, false},
+		{"warm", true, 0, true},
+		{"service without a limit", false, time.Minute, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := &Placer{}
+			list := testUpstreams(1)
+			if tt.warmUp > 0 {
+				list[0].WarmUpEnd = savoryloft.Uptime() + tt.warmUp
+			}
+			r := prompt("p", 0, 12000)
+			r.WarmUpLimited = tt.limited
+			run := p.Start(start, choose(t, p, start, r, list), r)
+			run.RecordFirstToken(start.Add(2 * time.Second))
+			require.Equal(t, tt.learnt, p.states["engine-0"].prefillRate < initialPrefillRate)
+		})
+	}
+}
+
 // BenchmarkChoose measures the choice of an upstream, which is on the path of
 // each request, with delayed peer loads.
 func BenchmarkChoose(b *testing.B) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -76,7 +76,7 @@
 		req.OutputTokens = min(x.call.OutputHint, max(x.call.OutputTokens, 1))
 	}
 	if s := x.table.LookupService(x.service); s != nil {
-		req.Engine = s.Engine
+		req.Engine, req.WarmUpLimited = s.Engine, s.WarmUpRate > 0
 		if s.MaxConnections > 0 {
 			req.MaxConnections = max(s.MaxConnections/(x.relayer.Instances()+1), minConnections)
 		}
--- a/throttler/bucket.go
+++ b/throttler/bucket.go
@@ -15,6 +15,7 @@
 
 // bucket holds the tokens for one upstream.
 type bucket struct {
+	limit  float64 // Of the upstream, for all shares together.
 	rate   float64 // Tokens a second.
 	size   float64 // Tokens that it holds at most.
 	tokens float64
@@ -39,6 +40,7 @@
 
 // setLimit sets the rate and the size for a share of a limit.
 func (b *bucket) setLimit(limit, share float64) {
+	b.limit = limit
 	limit = max(limit, minRate)
 	b.rate, b.size, b.lifetime = limit*share, max(1, limit*burstTime.Seconds()), 0
 	if share < 1 {
--- a/throttler/limits.go
+++ b/throttler/limits.go
@@ -93,15 +93,8 @@
 
 // apply stores a limit. The caller holds the lock.
 func (t *Throttler) apply(l savoryloft.UpstreamLimit, now time.Time) {
-	if b := t.buckets[l.Upstream]; b != nil {
-		b.advance(now) // At the rate so far.
-		if l.PerSecond == savoryloft.NoLimit {
-			delete(t.buckets, l.Upstream)
-		} else {
-			b.setLimit(l.PerSecond, t.share)
-		}
-	}
 	t.limits[l.Upstream] = &limit{startedAt: l.StartedAt, version: l.Version, perSecond: l.PerSecond, changedAt: now, usedAt: now}
+	t.adjustBucket(l.Upstream, now)
 	t.Logger.Info("limit of an upstream changed", "upstream", l.Upstream, "started", l.StartedAt, "version", l.Version, "limit", l.PerSecond)
 	metrics.GetOrRegisterCounter("upstream_limit_changes_total", t.Metrics).Inc(1)
 }
@@ -116,14 +109,59 @@
 	return list
 }
 
-// Limit returns the limit of an upstream; ok is false if it has none.
+// Limit returns the limit of an upstream, the lower one if it is cold and has named one
+// too; ok is false if it has none.
 func (t *Throttler) Limit(u savoryloft.RegisteredUpstream) (perSecond float64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.limits[u.ID]
-	if l == nil || l.startedAt < u.StartedAtMs {
+	now := time.Now()
+	perSecond = t.warmUpLimitOf(u)
+	if l := t.limits[u.ID]; l != nil && l.startedAt >= u.StartedAtMs {
+		l.usedAt = now
+		perSecond = lower(perSecond, l.perSecond)
+	}
+	if perSecond == savoryloft.NoLimit {
 		return 0, false
 	}
-	l.usedAt = time.Now()
-	return l.perSecond, l.perSecond != savoryloft.NoLimit
+	return perSecond, true
+}
+
+// currentLimit returns the lower one of the limit that an upstream has named and of its
+// limit while it is cold, or savoryloft.NoLimit. The caller holds the lock.
+func (t *Throttler) currentLimit(upstream string) float64 {
+	perSecond := t.warmUpLimit(upstream)
+	if l := t.limits[upstream]; l != nil {
+		perSecond = lower(perSecond, l.perSecond)
+	}
+	return perSecond
+}
+
+// warmUpLimit returns the limit of an upstream while it is cold, or savoryloft.NoLimit.
+func (t *Throttler) warmUpLimit(upstream string) float64 {
+	if t.Upstream == nil {
+		return savoryloft.NoLimit
+	}
+	u, ok := t.Upstream(upstream)
+	if !ok {
+		return savoryloft.NoLimit
+	}
+	return t.warmUpLimitOf(u)
+}
+
+func (t *Throttler) warmUpLimitOf(u savoryloft.RegisteredUpstream) float64 {
+	if t.WarmUpRate == nil || savoryloft.Uptime() >= u.WarmUpEnd {
+		return savoryloft.NoLimit
+	}
+	if perSecond := t.WarmUpRate(u.Service); perSecond > 0 {
+		return perSecond
+	}
+	return savoryloft.NoLimit
+}
+
+// lower returns the limit that allows fewer requests.
+func lower(a, b float64) float64 {
+	if allowance(a) <= allowance(b) {
+		return a
+	}
+	return b
 }
--- a/throttler/queue.go
+++ b/throttler/queue.go
@@ -60,10 +60,9 @@
 	}
 	t.share = share
 	for id, b := range t.buckets {
-		if l := t.limits[id]; l != nil {
-			b.advance(now)
-			b.setLimit(l.perSecond, share)
-		}
+		b.advance(now)
+		b.setLimit(b.limit, share)
+		t.adjustBucket(id, now)
 	}
 	if !allocating {
 		t.refuseAll()
@@ -186,18 +185,43 @@
 // bucketOf returns the bucket of an upstream, or nil if it has no limit. The caller holds
 // the lock.
 func (t *Throttler) bucketOf(upstream string, now time.Time) *bucket {
-	l := t.limits[upstream]
-	if l == nil || l.perSecond == savoryloft.NoLimit {
+	if b := t.adjustBucket(upstream, now); b != nil {
+		return b
+	}
+	perSecond := t.currentLimit(upstream)
+	if perSecond == savoryloft.NoLimit {
 		return nil
 	}
+	b := newBucket(perSecond, t.share, t.since)
+	switch l := t.limits[upstream]; {
+	case l == nil || l.perSecond != perSecond: // The upstream is cold.
+		b.at = now
+	case b.lifetime == 0 && l.changedAt.Sub(t.since) > takeoverMemory:
+		b.at, b.tokens = now, 1
+	}
+	if l := t.limits[upstream]; l != nil {
+		l.usedAt = now
+	}
+	t.buckets[upstream] = b
+	return b
+}
+
+// adjustBucket returns the bucket of an upstream with its current limit, or nil if there is
+// none. It removes the bucket of an upstream that has no limit any more. The caller holds
+// the lock.
+func (t *Throttler) adjustBucket(upstream string, now time.Time) *bucket {
 	b := t.buckets[upstream]
 	if b == nil {
-		l.usedAt = now
-		b = newBucket(l.perSecond, t.share, t.since)
-		if b.lifetime == 0 && l.changedAt.Sub(t.since) > takeoverMemory {
-			b.at, b.tokens = now, 1
-		}
-		t.buckets[upstream] = b
+		return nil
+	}
+	switch perSecond := t.currentLimit(upstream); perSecond {
+	case b.limit:
+	case savoryloft.NoLimit:
+		delete(t.buckets, upstream)
+		return nil
+	default:
+		b.advance(now) // At the rate so far.
+		b.setLimit(perSecond, t.share)
 	}
 	return b
 }
@@ -212,6 +236,9 @@
 			next = min(next, b.untilToken(now))
 		}
 	}
+	if rate == 0 {
+		return 0 // None of the upstreams has a limit any more.
+	}
 	starved, ahead := q.starved(now), 0
 	for _, other := range q.waiting {
 		if other == w {
@@ -279,8 +306,6 @@
 		}
 	}
 	for id := range t.buckets {
-		if l := t.limits[id]; l == nil || l.perSecond == savoryloft.NoLimit {
-			delete(t.buckets, id)
-		}
+		t.adjustBucket(id, now)
 	}
 }
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -1,5 +1,6 @@
 // Package throttler keeps the requests of all instances together to an upstream within
-// the limit, in requests a second, that the upstream has named in its responses.
+// the limit, in requests a second, that the upstream has named in its responses, and within
+// the one that its service has for cold upstreams while its registered warm-up lasts.
 //
 // A limit is a sum over all instances, and it can be so low that most instances may send
 // nothing for a while. It is therefore not divided between them: a request to an upstream
@@ -13,7 +14,8 @@
 //
 // Limits are exchanged between instances as they change. A limit has a version, which
 // rises with each change; of limits with the same version the lowest is valid, so
-// instances that receive the same ones in any order agree.
+// instances that receive the same ones in any order agree. Limits of cold upstreams are not
+// exchanged: each instance knows them from the registry and the configuration.
 //
 // # Usage
 //
@@ -57,8 +59,12 @@
 	// Broadcast sends limits to all peers except the one that they come from; from is
 	// empty if they are this instance's own.
 	Broadcast func(limits []savoryloft.UpstreamLimit, from string)
-	Logger    logr.Logger
-	Metrics   metrics.Registry
+	// Upstream returns a registered upstream by its ID, and WarmUpRate the requests a second
+	// that a cold upstream of a service takes, or 0 for no limit. They may be nil.
+	Upstream   func(id string) (savoryloft.RegisteredUpstream, bool)
+	WarmUpRate func(service string) float64
+	Logger     logr.Logger
+	Metrics    metrics.Registry
 
 	mu         sync.Mutex
 	limits     map[string]*limit        // By upstream.
--- a/watcher/evacuation_test.go
+++ b/watcher/evacuation_test.go
@@ -145,3 +145,28 @@
 		synctest.Wait()
 	})
 }
+
+// The warm-up counts from when the entry was received, and a later entry replaces it.
+func TestWarmUpEndsAsTheLastEntrySays(t *testing.T) {
+	runFixture(t, func(w *fixture) {
+		register := func(warmUp time.Duration) {
+			w.log.Set(savoryloft.TopicRegistry, "u", encode(t, savoryloft.RegisteredUpstream{Service: "s", WarmUp: warmUp}))
+		}
+		for _, warmUp := range []time.Duration{3 * time.Second, 3 * time.Second, time.Second, 0, 2 * time.Second} {
+			before := savoryloft.Uptime()
+			register(warmUp)
+			time.Sleep(time.Second)
+			u, ok := w.watcher.Upstream("u")
+			require.True(t, ok)
+			require.Equal(t, u, w.watcher.Upstreams("s")[0])
+			if warmUp == 0 {
+				require.Zero(t, u.WarmUpEnd)
+				continue
+			}
+			require.GreaterOrEqual(t, u.WarmUpEnd, before+warmUp)
+			require.LessOrEqual(t, u.WarmUpEnd, savoryloft.Uptime()+warmUp)
+		}
+		_, ok := w.watcher.Upstream("other")
+		require.False(t, ok)
+	})
+}
--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -15,6 +15,7 @@
 	value        []byte                        // nil after the key was removed.
 	upstream     savoryloft.RegisteredUpstream // According to the last value that was not malformed.
 	usable       bool
+	receivedAt   time.Duration // Uptime at which value was received.
 	missingSince time.Duration // recoveredAt when the entry was found missing; 0 if it is present.
 }
 
@@ -97,7 +98,7 @@
 	if r.Value == "" {
 		return w.applyRemoval(r.Key, e, fromLog)
 	}
-	e.value, e.missingSince = []byte(r.Value), 0
+	e.value, e.missingSince, e.receivedAt = []byte(r.Value), 0, savoryloft.Uptime()
 	u, err := w.Decoder.Upstream(r.Key, e.value)
 	e.usable = err == nil
 	if err != nil {
@@ -108,7 +109,7 @@
 	if startedAt, ok := w.leaving[r.Key]; ok && err == nil && u.StartedAtMs > startedAt {
 		delete(w.leaving, r.Key)
 	}
-	if old.usable == e.usable && old.upstream == e.upstream && old.missingSince == 0 && old.value != nil {
+	if old.usable == e.usable && old.upstream == e.upstream && old.missingSince == 0 && old.value != nil && e.upstream.WarmUp == 0 {
 		return false
 	}
 	w.registryChanged = max(w.registryChanged, r.Position)
@@ -211,7 +212,7 @@
 		state = "draining"
 	}
 	w.Logger.Info("upstream changed", "step", savoryloft.StepFollow, "upstream", key, "state", state, "position", e.position,
-		"address", e.upstream.Address, "domain", e.upstream.FailureDomain, "reclaimable", e.upstream.Reclaimable, "software", e.upstream.Version, "started", e.upstream.StartedAtMs)
+		"address", e.upstream.Address, "domain", e.upstream.FailureDomain, "reclaimable", e.upstream.Reclaimable, "warm_up", e.upstream.WarmUp.Milliseconds(), "software", e.upstream.Version, "started", e.upstream.StartedAtMs)
 }
 
 // publish makes the usable entries available to Upstreams, sorted by ID. The
@@ -220,7 +221,7 @@
 	services := map[string][]savoryloft.RegisteredUpstream{}
 	for _, e := range w.entries {
 		if e.usable && e.value != nil {
-			u := e.upstream
+			u := e.current()
 			if w.isLeaving(u) {
 				u.Draining = true
 			}
@@ -234,6 +235,26 @@
 	w.services.Store(&services)
 }
 
+// current returns the upstream according to its entry, with the end of its warm-up.
+func (e *entry) current() savoryloft.RegisteredUpstream {
+	u := e.upstream
+	if u.WarmUp > 0 {
+		u.WarmUpEnd = e.receivedAt + u.WarmUp
+	}
+	return u
+}
+
+// Upstream returns a registered upstream by its ID.
+func (w *Watcher) Upstream(id string) (u savoryloft.RegisteredUpstream, ok bool) {
+	w.init()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if e := w.entries[id]; e != nil && e.usable && e.value != nil {
+		return e.current(), true
+	}
+	return u, false
+}
+
 // HasEnded reports whether the registry shows that the process of an upstream has ended:
 // a later one has started under its ID or at its address, or its entry has lapsed although
 // it had not said that it leaves.
