Requests stay within the regions of their route and account

Cause: the configuration's regions were decoded and decided nothing. Change: relayer filters the upstreams of a request by both lists before anything else chooses among them; a failure domain of unknown region is in none. Identity has a third field, so the literals in a test of router name their fields. The table of a retry after a pause counts only eligible upstreams.

--- a/relayer/gate.go
+++ b/relayer/gate.go
@@ -52,7 +52,7 @@
 		x.refuse(http.StatusServiceUnavailable, "Evacuated", "all failure domains of the service are evacuated; the request has not run", evacuatedRetryAfter)
 		return
 	}
-	if left := r.Placer.PauseLeft(time.Now(), r.Watcher.Upstreams(x.service)); left > 0 {
+	if left := r.Placer.PauseLeft(time.Now(), x.eligibleUpstreams()); left > 0 {
 		x.refuse(http.StatusServiceUnavailable, "Paused", "all upstreams have asked for a pause; the request has not run", max(left, minOverloadRetryAfter))
 		return
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -85,6 +85,7 @@
 	PrefillChanged   func(uncached int)   // Called with a prompt's uncached tokens when it is sent to an upstream, and when the first event of a stream arrives.
 	RefreshPeerLoads func()               // Updates the placer's peer loads; called before each choice of an upstream.
 	Instances        func() int           // Returns the number of instances, this one included.
+	Regions          map[string]string    // Region of each failure domain.
 	Revocation       time.Duration        // Maximum age of the configuration at which keys are accepted; bounds the use of a revoked key.
 	Stopping         func() bool          // Reports whether the instance is shutting down; client connections are then closed after the response.
 	ExitTime         func() time.Time     // Returns when responses in progress are cut off in a shutdown; zero while all new requests are still accepted.
--- a/relayer/version.go
+++ b/relayer/version.go
@@ -76,9 +76,9 @@
 func (x *exchange) begun() bool { return x.origin.Service != "" }
 
 // eligibleUpstreams returns the upstreams at which the request may run: all of its
-// service, but for a stream that has begun those with the version that began it.
+// service in the regions that it must not leave, but for a stream that has begun those with the version that began it.
 func (x *exchange) eligibleUpstreams() []savoryloft.RegisteredUpstream {
-	all := x.relayer.Watcher.Upstreams(x.service)
+	all := x.withinRegions(x.relayer.Watcher.Upstreams(x.service))
 	if !x.begun() {
 		return all
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -34,8 +34,9 @@
 
 // Identity is the client account and the priority of a request.
 type Identity struct {
-	Account string // Empty on routes that need no key.
-	Rank    int    // Priority of the request; 0 is the most urgent.
+	Account string   // Empty on routes that need no key.
+	Rank    int      // Priority of the request; 0 is the most urgent.
+	Regions []string // Regions that the account's requests must not leave; any if empty.
 }
 
 // New returns a table of a configuration. API keys are required only if the
@@ -102,7 +103,7 @@
 	if !ok || key == "" {
 		return id, false
 	}
-	id.Account = a.Name
+	id.Account, id.Regions = a.Name, a.Regions
 	if a.HasRank {
 		id.Rank = a.Rank
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -51,12 +51,12 @@
 		want  Identity
 		ok    bool
 	}{
-		{keyed, "k2", Identity{"plain", 2}, true},
-		{keyed, "k3", Identity{"urgent", 0}, true},
-		{keyed, "k4", Identity{"", 2}, false},
-		{keyed, "", Identity{"", 2}, false},
-		{open, "", Identity{"", 1}, true},
-		{open, "k3", Identity{"", 1}, true},
+		{keyed, "k2", Identity{Account: "plain", Rank: 2}, true},
+		{keyed, "k3", Identity{Account: "urgent", Rank: 0}, true},
+		{keyed, "k4", Identity{Account: "", Rank: 2}, false},
+		{keyed, "", Identity{Account: "", Rank: 2}, false},
+		{open, "", Identity{Account: "", Rank: 1}, true},
+		{open, "k3", Identity{Account: "", Rank: 1}, true},
 	} {
 		got, ok := table.Authenticate(tt.route, tt.key)
 		require.Equal(t, tt.ok, ok, tt.key)
