--- a/placer/engine.go
+++ b/placer/engine.go
@@ -53,6 +53,7 @@
 	startedAt            time.Time
 	queuedTokens         int     // Prompt tokens queued at the upstream when the run started.
 	expectedFirstTokenMs float64 // Predicted time to the first token.
+	cold                 bool    // The upstream was cold when the run started, so its prefill rate is not the usual one.
 	prefilling           bool    // No first token yet.
 	hasPrompt            bool    // The service runs inference engines, so the run counts in classTimes.
 	longPrompt           bool    // The prompt has at least longPromptTokens.
@@ -182,7 +183,7 @@
 }
 
 // RecordFirstToken records that the first token of a run has arrived, and updates the
-// upstream's prefill rate. It reports whether the upstream has read the prompt tokens that
+// upstream's prefill rate, unless the upstream was cold. It reports whether the upstream has read the prompt tokens that
 // it was to fetch: the source does not have them, or was not reached. Later calls have no
 // effect.
 func (r *Run) RecordFirstToken(now time.Time) (missedFetch bool) {
@@ -200,7 +201,7 @@
 	} else {
 		ms -= r.fetchMs
 	}
-	if tokens > minSampleTokens && ms > 0 {
+	if tokens > minSampleTokens && ms > 0 && !r.cold {
 		sample := max(tokens/ms, minPrefillRate)
 		r.upstream.prefillRate += (min(sample, 2*initialPrefillRate) - r.upstream.prefillRate) * sampleWeight
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -79,6 +79,7 @@
 	// MaxConnections limits this instance's concurrent requests to one upstream;
 	// 0 for no limit.
 	MaxConnections int
+	WarmUpLimited  bool               // The service limits the requests to its cold upstreams.
 	Exclude        map[string]bool    // IDs of upstreams that must not be chosen.
 	Streaming      bool               // The first token arrives when it is generated, not with the complete response.
 	NoFetch        bool               // No prompt parts may be fetched from another upstream.
@@ -522,7 +523,7 @@
 	defer p.mu.Unlock()
 	s := p.state(now, c.Upstream)
 	run := &Run{
-		placer: p, upstream: s, startedAt: now,
+		placer: p, upstream: s, startedAt: now, cold: r.WarmUpLimited && savoryloft.Uptime() < c.Upstream.WarmUpEnd,
 		hasPrompt: r.Engine != nil, longPrompt: r.PromptTokens >= longPromptTokens,
 		uncachedTokens: c.UncachedTokens,
 		queuedTokens:   c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens)/s.prefillRate + milliseconds(c.FetchTime), prefilling: true,
--- a/router/router.go
+++ b/router/router.go
@@ -45,6 +45,7 @@
 	// Urgency orders requests also within a rank: those of accounts with a rank of their
 	// own by that of the route. 0 is the most urgent; there are no gaps.
 	Urgency int
+	Regions []string // Regions that the account's requests must not leave; any if empty.
 }
 
 // New returns a table of a configuration. API keys are required only if the
@@ -144,7 +145,7 @@
 	if !ok || key == "" {
 		return id, false
 	}
-	id.Account = a.Name
+	id.Account, id.Regions = a.Name, a.Regions
 	if a.HasRank {
 		id.Rank, id.Urgency = a.Rank, t.urgencies[rankPair{a.Rank, r.Rank}]
 	}
