Idle connections are closed by a task of their own

The fleets of launcher's tests run cleanUp without a listener for clients, and ended in a nil pointer in (they are left out of runs with -race).

--- a/launcher/doors.go
+++ b/launcher/doors.go
@@ -1,9 +1,11 @@
 package launcher
 
 import (
+	"context"
 	"net"
 	"time"
 
+	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/relayer"
 )
 
@@ -35,6 +37,17 @@
 	return most
 }
 
+// closeIdleConnections closes connections of clients and to upstreams when their idle
+// time is over. It always returns nil.
+func (l *Launcher) closeIdleConnections(ctx context.Context) error {
+	for ctx.Err() == nil {
+		savoryloft.Sleep(ctx, cleanupInterval)
+		l.listener.CloseIdleFor(l.clientIdleTimeout())
+		l.Pool.CloseExpired()
+	}
+	return nil
+}
+
 // clientIdleTimeout returns the idle timeout of client connections that the configuration
 // sets, or the default.
 func (l *Launcher) clientIdleTimeout() time.Duration {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -47,7 +47,7 @@
 	headerTimeout         = 5 * time.Second
 	defaultIdleTimeout    = 60 * time.Second        // Of client connections while no configuration sets one, and of connections for probes.
 	maxIdleTimeout        = time.Hour               // Of client connections, whatever a configuration sets.
-	cleanupInterval       = time.Second             // Between calls of cleanUp.
+	cleanupInterval       = time.Second             // Between removals of state, and of idle connections, that is not needed any more.
 	immediateUpdateTokens = 1500                    // Prompts with at least this many uncached tokens are reported to peers without delay.
 	readinessAgeRatio     = 0.5                     // Readiness fails when the configuration's age exceeds this fraction of Bounds.Revocation.
 	deregistrationDelay   = 2500 * time.Millisecond // The load balancer probes every second and removes an instance after two failures.
@@ -150,7 +150,7 @@
 // cancelled.
 func (l *Launcher) backgroundTasks() []func(context.Context) error {
 	d := l.Deployment
-	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.maintainMembership, l.cleanUp, l.logCounters}
+	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.maintainMembership, l.cleanUp, l.closeIdleConnections, l.logCounters}
 	if d.Duties.UsageReports || d.Duties.Orders {
 		list = append(list, l.claimer.Run)
 	}
@@ -373,8 +373,6 @@
 		l.placer.Prune(time.Now())
 		l.throttler.Maintain()
 		l.quarantine.Resolve(l.watcher.HasEnded)
-		l.listener.CloseIdleFor(l.clientIdleTimeout())
-		l.Pool.CloseExpired()
 	}
 	return nil
 }
