Stalled bodies and responses make room for connections; nothing is taken back in vain

Change: such connections are closed to make room, 4 KiB count as progress, the budget takes back only if that suffices, responses may use all of it, and readiness fails after a second.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -47,6 +47,7 @@
 	bytes      int64
 	progressAt time.Time
 	reclaimed  bool
+	executed   bool // See ForResponse.
 }
 
 // SetLimit sets the limit of the budget in bytes; zero for none.
@@ -77,9 +78,12 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	limit := b.limit
-	if h.bytes+int64(n) > smallBytes {
+	if h.bytes+int64(n) > smallBytes && !h.executed {
 		limit -= limit / smallShare
 	}
+	if b.limit > 0 && b.used+int64(n)-b.stalledBytes(now, h) > limit {
+		return false
+	}
 	for b.limit > 0 && b.used+int64(n) > limit {
 		if h.reclaimed || !b.reclaimStalled(now, h) {
 			return false
@@ -109,6 +113,16 @@
 	}
 }
 
+// stalledBytes returns the bytes that reclaimStalled can take back. The caller holds the lock.
+func (b *Budget) stalledBytes(now time.Time, h *Holding) (bytes int64) {
+	for w := range b.waiting {
+		if w != h && now.Sub(w.progressAt) >= stallTime {
+			bytes += w.bytes
+		}
+	}
+	return bytes
+}
+
 // reclaimStalled takes back the holding, other than h, that has made no progress for the
 // longest time. It returns false if there is none that has stalled. The caller holds the
 // lock.
@@ -167,6 +181,15 @@
 	return !h.reclaimed
 }
 
+// ForResponse protects the holding like Keep and lets it use the whole budget: the request
+// may have run, and its response would be lost.
+func (h *Holding) ForResponse() {
+	h.Keep()
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.executed = true
+}
+
 // Close releases all of the holding. Later calls have no effect.
 func (h *Holding) Close() {
 	b := h.budget
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -50,3 +50,34 @@
 		})
 	}
 }
+
+// Guards against stalled holdings that are taken back for a reservation that fails all the
+// same.
+func TestNothingIsTakenBackInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &Budget{}
+		b.SetLimit(16 * smallBytes)
+		kept := b.Open(func() {})
+		require.True(t, kept.Reserve(9*smallBytes))
+		require.True(t, kept.Keep())
+		for range 4 {
+			require.True(t, b.Open(func() { t.Error("taken back") }).Reserve(smallBytes/2))
+		}
+		time.Sleep(stallTime)
+		require.False(t, b.Open(func() {}).Reserve(8*smallBytes))
+	})
+}
+
+// Guards against responses of requests that have run, lost beside large bodies.
+func TestResponsesMayUseTheWholeBudget(t *testing.T) {
+	b := &Budget{}
+	b.SetLimit(8 * smallBytes)
+	body := b.Open(func() {})
+	require.True(t, body.Reserve(6*smallBytes))
+	require.True(t, body.Keep())
+	response := b.Open(func() {})
+	require.False(t, response.Reserve(2*smallBytes), "a part is left for small holdings")
+	response.ForResponse()
+	require.True(t, response.Reserve(2*smallBytes))
+	require.False(t, response.Reserve(1), "the limit holds")
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -295,7 +295,7 @@
 	block, size := first, int64(0)
 	var blocks []*[]byte // After the first one.
 	holding := c.pool.memory().Open(nil)
-	holding.Keep() // The request may have run.
+	holding.ForResponse()
 	defer holding.Close()
 	defer func() {
 		for _, b := range blocks {
--- a/launcher/pages.go
+++ b/launcher/pages.go
@@ -70,6 +70,8 @@
 		return errors.New("instance is stopping")
 	case l.watcher.Table() == nil || !ok:
 		return errors.New("no configuration is known yet")
+	case l.listener.PausedFor() > acceptPauseLimit:
+		return errors.New("no room for client connections")
 	case l.Deployment.Bounds.Revocation > 0 && age > time.Duration(float64(l.Deployment.Bounds.Revocation)*readinessAgeRatio):
 		return errors.Errorf("configuration was last known to be the newest %s ago", age)
 	}
@@ -211,5 +213,6 @@
 const (
 	abortTimeout      = 200 * time.Millisecond // For the responses to aborted requests.
 	drainPollInterval = 50 * time.Millisecond  // Between checks for running requests during shutdown.
+	acceptPauseLimit  = time.Second            // Readiness fails when accepting has been paused for longer.
 	quietPeriod       = 200 * time.Millisecond // Time without new connections after which the listener is closed.
 )
--- a/relayer/body.go
+++ b/relayer/body.go
@@ -18,6 +18,7 @@
 	firstBodyBytes      = 4 << 10  // Size of the first buffer for a body in chunks.
 	firstAnnouncedBytes = 64 << 10 // Most of the first buffer for a body whose length is known.
 	memoryRetryAfter    = time.Second
+	progressBytes       = 4 << 10 // Fewer bytes are no progress of a body that waits for more.
 )
 
 // errNoMemory is the error of a body for which the budget has no room.
@@ -50,6 +51,7 @@
 	conn := httpCtx.Conn()
 	if c, ok := conn.(*clientConn); ok {
 		c.beginRequest()
+		defer c.endBody()
 		conn = c.Conn
 	}
 	holding := r.Memory.Open(func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
@@ -78,6 +80,7 @@
 		most, first = announced, firstAnnouncedBytes
 	}
 	var body []byte
+	fresh := 0 // Bytes since the last progress.
 	for announced < 0 || len(body) < announced {
 		if len(body) == cap(body) {
 			size := min(max(first, 2*cap(body)), most)
@@ -100,8 +103,9 @@
 		case err != nil:
 			return nil, err
 		}
-		if n > 0 {
+		if fresh += n; fresh >= progressBytes {
 			holding.Progress()
+			fresh = 0
 		}
 	}
 	return body, nil
--- a/relayer/caller.go
+++ b/relayer/caller.go
@@ -27,6 +27,7 @@
 	conns        map[*clientConn]struct{}
 	lastAccepted time.Time
 	closed       bool
+	pausedAt     time.Time    // Zero while connections are accepted.
 	pauses       atomic.Int64 // Times that MaxOpen was reached.
 }
 
@@ -54,10 +55,14 @@
 	return c, nil
 }
 
-// SinceAccepted returns the time since the last connection was accepted.
+// SinceAccepted returns the time since the last connection was accepted, or zero while
+// accepting is paused.
 func (l *Listener) SinceAccepted() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.full() {
+		return 0 // Connections may wait for room.
+	}
 	return time.Since(l.lastAccepted)
 }
 
@@ -121,11 +126,13 @@
 	listener   *Listener
 	acceptedAt time.Time
 
-	response atomic.Pointer[budgeter.Holding] // Of the response that is being written; nil if there is none.
+	response  atomic.Pointer[budgeter.Holding] // Of the response that is being written; nil if there is none.
+	partSince atomic.Int64                     // Unix time in nanoseconds at which the pending write of a part began; 0 if none is pending.
 
 	mu           sync.Mutex
 	headReceived bool          // A request is being handled, or its body received.
-	idleSince    time.Time     // Time at which the last response was written, or the next head began; zero before.
+	receiving    bool          // The body of a request is being received.
+	idleSince    time.Time     // Time at which the last response was written, the next head began, or a part of a body arrived; zero before.
 	received     bool          // The client has sent something.
 	readAhead    []byte        // Data that the disconnect watch has read and the next Read returns.
 	busy         bool          // A request is being received or handled, or its response is being written; see ObserveState.
@@ -152,6 +159,9 @@
 		defer c.mu.Unlock()
 		c.setBusy()
 		c.received = true
+		if c.receiving {
+			c.idleSince = time.Now()
+		}
 		if c.closing {
 			// The request has crossed closeIfIdle.
 			c.closing = false
