Requests with prompts wait for room on the edge path

A request went to an upstream at once, so in a shortage all were served late. One that finds no room now waits in the admitter's queue, by rank, slack and client account, with floors. Room is decided from the placer's loads of all instances: free slots and memory, the predicted first token corrected by how late first tokens have come, and for long prompts the prefill queued ahead of more urgent ranks. Refusals name a time at which there is room, one after the other. Where there is room, nothing waits.

The own interface's pools keep their slots and rules.

Tests of admitter (room), relayer and placer pass with -race; a run of launcher tests (Overload, Crowd, Limit, Stream, Fleet, Shut) passed.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -63,13 +63,14 @@
 	Pool        string
 	Class       *savoryloft.Class
 	Account     string
-	Weight      int       // Weight of the client account.
-	Tokens      int       // Estimated tokens, prompt and output.
-	Prefix      uint64    // Hash of the prompt's prefix; zero for no affinity.
-	Exclude     []string  // Names of upstreams to avoid, such as those that failed the request.
-	Preemptible bool      // An attempt may be canceled and resumed by a later one.
-	Resumed     bool      // Part of the answer has already been forwarded to the caller.
-	Arrived     time.Time // Start of the wait, from which slack and timeouts are measured; now if zero.
+	Weight      int             // Weight of the client account.
+	Tokens      int             // Estimated tokens, prompt and output.
+	Prefix      uint64          // Hash of the prompt's prefix; zero for no affinity.
+	Exclude     []string        // Names of upstreams to avoid, such as those that failed the request.
+	Preemptible bool            // An attempt may be canceled and resumed by a later one.
+	Resumed     bool            // Part of the answer has already been forwarded to the caller.
+	Room        savoryloft.Room // Capacity for the request if the pool does not assign the upstreams' slots; nil otherwise.
+	Arrived     time.Time       // Start of the wait, from which slack and timeouts are measured; now if zero.
 
 	lastUpstream string // Name of the upstream that ran the last attempt; it may still have the prompt cached.
 }
@@ -169,7 +170,13 @@
 // Run is RunNotRun if the request is refused, or the cause of ctx if ctx is
 // done. The caller must call Done on the grant. Admit sets r.Arrived if it is
 // zero, and clears r.Exclude if no other upstream has a free slot.
+//
+// For a request with a Room it waits until there is room instead. The pool is created
+// when it is first used, and the grant has no Upstream.
 func (a *Admitter) Admit(ctx context.Context, r *Request) (*Grant, error) {
+	if r.Room != nil {
+		return a.admitToRoom(ctx, r)
+	}
 	p := a.Pool(r.Pool)
 	if p == nil {
 		return nil, refusal("NoPool", "pool "+r.Pool+" does not exist", time.Second)
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -29,6 +29,8 @@
 	meanFirstToken atomic.Int64                    // Moving average of the time to the first token, in nanoseconds.
 	preempted      [preemptionReasons]atomic.Int64 // Preempted attempts, by reason.
 
+	external *externalRoom // Set if the capacity comes from the Rooms of the requests.
+
 	mu              sync.Mutex // Guards the fields below. Requests that get a slot without queueing do not lock it.
 	queue           queue
 	belowFloorSince [Tiers]time.Time // Time since which a tier has run fewer requests than its floor across the fleet; zero otherwise.
@@ -115,11 +117,13 @@
 
 // release frees the slot of a grant and dispatches queued requests.
 func (p *Pool) release(g *Grant, o Observation) {
-	g.Upstream.removeGrant(g)
-	g.Upstream.record(o)
-	p.updateMeanFirstToken(o)
 	p.running[g.request.Class.Tier].Add(-1)
-	g.Upstream.inFlight.Add(-1)
+	if g.Upstream != nil {
+		g.Upstream.removeGrant(g)
+		g.Upstream.record(o)
+		p.updateMeanFirstToken(o)
+		g.Upstream.inFlight.Add(-1)
+	}
 	if p.waiting.Load() > 0 {
 		p.reconcile(g, o)
 		p.dispatch()
@@ -180,7 +184,9 @@
 // returned after a timeout; after cancellation, such a grant is released.
 func (p *Pool) cancelWait(w *waiter, cause error) (*Grant, error) {
 	p.mu.Lock()
-	if cause == nil {
+	if cause == nil && p.external != nil {
+		p.giveUp(w, "Waited", "no room within the class's patience", 0)
+	} else if cause == nil {
 		p.refuse(w, "no slot within the class's patience")
 	} else {
 		p.remove(w)
@@ -207,6 +213,9 @@
 func (p *Pool) enqueue(w *waiter) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.external != nil {
+		return p.enqueueForRoom(w)
+	}
 	tier := w.request.Class.Tier
 	wait := p.queue.expectedWait(tier)
 	canYield := p.lowerTierCanYield(tier)
@@ -255,6 +264,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	if p.external != nil {
+		p.dispatchToRoom(now)
+		return
+	}
 	p.queue.accrueCredit(now, p.share.Load().Floors)
 	p.updateOpenFloors(now)
 	for p.waiting.Load() > 0 {
@@ -335,6 +348,10 @@
 // tick updates limits, dispatches queued requests and preempts running ones.
 func (p *Pool) tick() {
 	now := time.Now()
+	if p.external != nil {
+		p.tickRoom(now)
+		return
+	}
 	p.adjustUpstreams(now)
 	if p.waiting.Load() > 0 {
 		p.dispatch()
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -49,7 +49,8 @@
 	class        *savoryloft.Class
 	accounts     map[string]*accountQueue
 	waiting      int
-	credit       float64 // Floor credit in slot-seconds; the floor may be used while it is positive.
+	credit       float64 // Floor credit in slot-seconds; the floor may be used while it exceeds queue.minFloorCredit.
+	blocked      bool    // Set during dispatchToRoom once the class has no waiter for which there is room.
 	meanHoldTime float64 // Moving average of the time for which a request holds a slot, in seconds.
 }
 
@@ -62,6 +63,7 @@
 	grants           int     // Grants since grantRateUpdated.
 	grantRate        float64 // Moving average of grants per second.
 	grantRateUpdated time.Time
+	minFloorCredit   float64     // Credit above which a class may use its floor.
 	floorOpen        [Tiers]bool // Tiers whose floor may be used; see Pool.updateOpenFloors.
 }
 
@@ -142,7 +144,7 @@
 	var bestSlack time.Duration
 	for _, name := range slices.Sorted(maps.Keys(q.classes)) {
 		c := q.classes[name]
-		if c.waiting == 0 {
+		if c.waiting == 0 || c.blocked {
 			continue
 		}
 		slack := c.slack(now)
@@ -183,7 +185,7 @@
 func (q *queue) floorClass(tier int) *classQueue {
 	var best *classQueue
 	for _, c := range q.classes {
-		if c.waiting == 0 || c.class.Tier <= tier || c.credit <= 0 || !q.floorOpen[c.class.Tier] {
+		if c.waiting == 0 || c.blocked || c.class.Tier <= tier || c.credit <= q.minFloorCredit || !q.floorOpen[c.class.Tier] {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(c.credit, best.credit), cmp.Compare(best.class.Name, c.class.Name)) > 0 {
--- a/interfaces.go
+++ b/interfaces.go
@@ -51,3 +51,18 @@
 	// when the lease is not held.
 	Held() (fence int, left time.Duration, ok bool)
 }
+
+// Room is the capacity that the upstreams of a service have for one request, where the
+// upstreams' slots are not the admitter's to assign.
+type Room interface {
+	// Take takes room for the request to start now, or reports why there is none. last
+	// is set if the request is refused otherwise.
+	Take(last bool) RoomReply
+}
+
+// RoomReply is the result of Room.Take.
+type RoomReply struct {
+	Taken    bool          // The request must start.
+	Hopeless bool          // The request can not meet its objective, however long it waits.
+	Wait     time.Duration // Time until there may be room, if no other request takes it.
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/admitter"
 	"savoryloft.example/savoryloft/biller"
 	"savoryloft.example/savoryloft/claimer"
 	"savoryloft.example/savoryloft/counter"
@@ -54,6 +55,7 @@
 	leaseReleaseTimeout   = 400 * time.Millisecond
 	leaderTimeout         = 1500 * time.Millisecond // Six status intervals without a report of a lease holder.
 	maxClockError         = 24 * time.Hour          // Of an instance that has only just started.
+	maxQueuedRequests     = 256                     // Queued requests for one service; their bodies stay in memory.
 	relayPatience         = time.Second             // Time in which a new deployment's instances get their first configuration from a reader.
 )
 
@@ -90,6 +92,7 @@
 	quarantine       *quarantiner.Quarantiner
 	throttler        *throttler.Throttler
 	tracker          *tracker.Tracker
+	admitter         *admitter.Admitter
 	relayer          *relayer.Relayer
 	listener         *relayer.Listener
 }
@@ -148,7 +151,7 @@
 // cancelled.
 func (l *Launcher) backgroundTasks() []func(context.Context) error {
 	d := l.Deployment
-	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.maintainMembership, l.cleanUp, l.logCounters}
+	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.admitter.Run, l.maintainMembership, l.cleanUp, l.logCounters}
 	if d.Duties.UsageReports || d.Duties.Orders {
 		list = append(list, l.claimer.Run)
 	}
@@ -212,10 +215,11 @@
 		Send:        l.linker.SendOrigins, SendBegun: l.linker.SendBegun, Broadcast: l.linker.BroadcastOrigins, Reply: l.linker.ReplyOrigins,
 		Logger: l.Logger, Metrics: l.registry,
 	}
+	l.admitter = &admitter.Admitter{Instance: d.Instance, FailureDomain: d.FailureDomain, MaxQueued: maxQueuedRequests}
 	l.requests, l.abortRequests = context.WithCancelCause(context.Background())
 	l.relayer = &relayer.Relayer{
 		Context: l.requests,
-		Wire:    l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
+		Wire:    l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Admitter: l.admitter, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
 		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, ExitTime: l.requestExitTime, Instances: l.linker.InstanceCount,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
 		Limiter: &limiter.Limiter{
@@ -366,6 +370,7 @@
 		savoryloft.Sleep(ctx, cleanupInterval)
 		l.placer.Prune(time.Now())
 		l.throttler.Maintain()
+		l.relayer.Maintain(time.Now())
 		l.quarantine.Resolve(l.watcher.HasEnded)
 	}
 	return nil
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -93,6 +93,7 @@
 	UncachedTokens   int           // Prompt tokens of the request to prefill.
 	Running          int           // Requests that run on the upstream.
 	QueuedTokens     int           // Prompt tokens that await prefill on the upstream.
+	Full             bool          // The upstream has no free slot, or not enough free KV cache.
 	TimeToFirstToken time.Duration // Predicted.
 }
 
@@ -343,10 +344,12 @@
 		shared := max(c.UncachedTokens-r.unsharedTokens(), 0)
 		c.Cost += float64(shared) / s.prefillRate * recomputeShare
 		if r.Engine.MemoryTokens > 0 && s.kvTokens+peer.Tokens+r.PromptTokens+r.OutputTokens > r.Engine.MemoryTokens {
+			c.Full = true
 			c.Cost += fullCostMs
 		}
 	}
 	if slots := s.slots(r); slots > 0 && c.Running >= slots {
+		c.Full = true
 		c.Cost += fullCostMs * float64(c.Running-slots+1) / float64(slots)
 	}
 	if s.upstream.FailureDomain != p.FailureDomain {
--- /dev/null
+++ b/relayer/admission_test.go
@@ -0,0 +1,90 @@
+package relayer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft/placer"
+)
+
+// Decides for one request of rank 2 with an objective of one second and a prompt of 6,000
+// uncached tokens, unless stated otherwise, at upstreams with 32 slots.
+func TestAdmissionDecision(t *testing.T) {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, tt := range []struct {
+		name           string
+		change         func(in *admissionInput)
+		taken, refused bool
+	}{
+		{"calm", func(*admissionInput) {}, true, false},
+		{"nothing known", func(in *admissionInput) { in.Choice, in.Slots = placer.Choice{}, 0 }, true, false},
+		{"all full", func(in *admissionInput) { in.Choice.Full = true }, false, false},
+		{"all full, most urgent", func(in *admissionInput) { in.Choice.Full, in.Rank = true, 0 }, true, false},
+		{"beyond the objective", func(in *admissionInput) { in.Choice.TimeToFirstToken = ms(1300) }, false, true},
+		{"beyond the objective, more urgent", func(in *admissionInput) { in.Choice.TimeToFirstToken, in.Rank = ms(1300), 1 }, true, false},
+		{"beyond the objective, most urgent", func(in *admissionInput) { in.Choice.TimeToFirstToken, in.Rank = time.Minute, 0 }, true, false},
+		{"after too long a wait", func(in *admissionInput) { in.Waited = ms(1150) }, false, true},
+		{"first tokens are late", func(in *admissionInput) { in.Lateness = ms(1200) }, false, true},
+		{"first tokens are late, but slots are free", func(in *admissionInput) {
+			in.Lateness, in.Choice.Running, in.Last = ms(1200), 15, true
+		}, true, false},
+		{"first tokens are late, and half of the slots taken", func(in *admissionInput) {
+			in.Lateness, in.Choice.Running, in.Last = ms(1200), 16, true
+		}, false, true},
+		{"long prompts queued, no urgent requests", func(in *admissionInput) { in.queue(12000) }, true, false},
+		{"long prompts queued ahead of urgent requests", func(in *admissionInput) { in.queue(12000); in.UrgentNeed = ms(400) }, false, false},
+		{"few tokens queued ahead of urgent requests", func(in *admissionInput) { in.queue(4000); in.UrgentNeed = ms(400) }, true, false},
+		{"few tokens queued, but urgent first tokens are late", func(in *admissionInput) {
+			in.queue(4000)
+			in.UrgentNeed, in.UrgentLateness = ms(400), ms(300)
+		}, false, false},
+		{"short prompt behind long ones", func(in *admissionInput) {
+			in.Choice.UncachedTokens = 300
+			in.queue(12000)
+			in.UrgentNeed = ms(400)
+		}, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			in := admissionInput{Rank: 2, Objective: time.Second, Slots: 32, Choice: placer.Choice{Running: 20, UncachedTokens: 6000, TimeToFirstToken: ms(100)}}
+			tt.change(&in)
+			reply := decideAdmission(in)
+			require.Equal(t, tt.taken, reply.Taken)
+			require.Equal(t, tt.refused, reply.Hopeless)
+		})
+	}
+}
+
+// queue adds prompt tokens that await prefill, at 60 a ms.
+func (in *admissionInput) queue(tokens int) {
+	in.Choice.QueuedTokens = tokens
+	in.Choice.TimeToFirstToken = time.Duration(float64(tokens+in.Choice.UncachedTokens) / 60 * float64(time.Millisecond))
+}
+
+// Late first tokens count until they are forgotten, overdue ones only if most are.
+func TestLatenessOfFirstTokens(t *testing.T) {
+	var s rankStates
+	now := time.Now()
+	key, low := rankKey{"chat", 0}, rankKey{"chat", 2}
+	s.recordRequest(now, key, time.Second)
+	attempts := make([]*attempt, 10)
+	for i := range attempts {
+		attempts[i] = &attempt{}
+		s.begin(now, key, attempts[i], 100*time.Millisecond)
+	}
+	require.Zero(t, s.latenessOf(now, key))
+	now = now.Add(600 * time.Millisecond)
+	require.Equal(t, 500*time.Millisecond, s.latenessOf(now, key), "all are overdue")
+	for _, a := range attempts[:8] {
+		s.end(now, key, a, true)
+	}
+	require.InDelta(t, 0.5, s.latenessOf(now, key).Seconds(), 0.05)
+	objective, lateness := s.urgent(now, low)
+	require.Equal(t, time.Second, objective)
+	require.Equal(t, s.latenessOf(now, key), lateness)
+	now = now.Add(10 * time.Second)
+	require.Less(t, s.latenessOf(now, key), 10*time.Millisecond, "two upstreams that hang are no load")
+	objective, _ = s.urgent(now, low)
+	require.Zero(t, objective, "no urgent requests lately")
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -116,9 +116,13 @@
 	}
 	if err != nil {
 		x.abandonTrial()
+		x.dropReserved()
 		return nil, &sendError{notExecuted, err}
 	}
-	a := &attempt{exchange: x, choice: choice, run: r.Placer.Start(time.Now(), choice, req)}
+	a := &attempt{exchange: x, choice: choice, run: x.takeReserved(choice, req)}
+	if len(x.call.Parts) > 0 {
+		r.ranks.begin(time.Now(), x.rankKey(), a, choice.TimeToFirstToken)
+	}
 	a.ctx, a.cancel = context.WithCancel(x.ctx)
 	_, a.span = r.Tracer.Start(trace.ContextWithSpan(x.ctx, x.span), "Attempt",
 		trace.WithAttributes(attribute.String("upstream", choice.Upstream.ID)))
@@ -377,6 +381,7 @@
 	}
 	a.released = true
 	a.run.End(time.Now(), o)
+	a.exchange.relayer.ranks.end(time.Now(), a.exchange.rankKey(), a, false)
 	if a.conn != nil {
 		a.conn.Release()
 	}
--- a/relayer/gate.go
+++ b/relayer/gate.go
@@ -35,11 +35,17 @@
 	if x.begun() || len(x.call.Parts) == 0 || x.route.Objective <= 0 || x.identity.Rank < firstSheddableRank {
 		return false
 	}
+	return c.TimeToFirstToken > maxFirstToken(x.identity.Rank, x.route.Objective)
+}
+
+// maxFirstToken returns the longest predicted time to the first token with which a
+// sheddable request is sent.
+func maxFirstToken(rank int, objective time.Duration) time.Duration {
 	factor := defaultShedFactor
-	if x.identity.Rank >= firstLeastUrgentRank {
+	if rank >= firstLeastUrgentRank {
 		factor = leastUrgentShedFactor
 	}
-	return c.TimeToFirstToken > time.Duration(factor*float64(x.route.Objective))
+	return time.Duration(factor * float64(objective))
 }
 
 // refuseNoUpstream refuses a request for which no upstream is available. If some
@@ -54,9 +60,8 @@
 	x.refuse(http.StatusServiceUnavailable, "NoUpstream", "no upstream is available; the request has not run", noUpstreamRetryAfter)
 }
 
-// refuseOverloaded refuses a request. Retry-After is the time until the predicted
-// time to the first token has dropped to the objective, within bounds.
+// refuseOverloaded refuses a request. Retry-After is the time until there is room for
+// requests of its rank.
 func (x *exchange) refuseOverloaded() {
-	retryAfter := min(max(x.choice.TimeToFirstToken-x.route.Objective, minOverloadRetryAfter), maxOverloadRetryAfter)
-	x.refuse(http.StatusServiceUnavailable, "Crowded", "too much waits at the upstreams; the request has not run", retryAfter)
+	x.refuse(http.StatusServiceUnavailable, "Crowded", "too much waits at the upstreams; the request has not run", x.retryAfterOverload())
 }
--- a/relayer/limit.go
+++ b/relayer/limit.go
@@ -30,6 +30,13 @@
 // goes to the best one without a limit if that takes less time than to wait for a token.
 func (x *exchange) chooseUpstream(req placer.Request) (placer.Choice, error) {
 	r := x.relayer
+	if x.subjectToAdmission() {
+		if choice, err := x.admit(req); err != nil {
+			return choice, err
+		} else if _, limited := r.Throttler.Limit(choice.Upstream); !limited {
+			return choice, nil
+		}
+	}
 	r.RefreshPeerLoads()
 	upstreams, choice, ok := x.place(req)
 	switch {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -32,6 +32,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/admitter"
 	"savoryloft.example/savoryloft/exchanger"
 	"savoryloft.example/savoryloft/limiter"
 	"savoryloft.example/savoryloft/observer"
@@ -80,6 +81,7 @@
 	QuarantinesRead  <-chan struct{} // Closed once the quarantines of other instances, or of earlier ones, are known; nil if there are none.
 	Throttler        *throttler.Throttler
 	Tracker          *tracker.Tracker
+	Admitter         *admitter.Admitter
 	Pool             *exchanger.Pool
 	CountRequest     func(account string) // Counts a request for an account's usage when an upstream may have started to run it.
 	PrefillChanged   func(uncached int)   // Called with a prompt's uncached tokens when it is sent to an upstream, and when the first event of a stream arrives.
@@ -93,6 +95,7 @@
 	Metrics          metrics.Registry
 
 	active atomic.Int64
+	ranks  rankStates
 }
 
 // exchange is one client request in progress.
@@ -130,6 +133,11 @@
 	usageCounted     bool
 	upstream         string // ID of the last chosen upstream.
 	choice           placer.Choice
+	grant            *admitter.Grant // Of the admission; nil before.
+	reserved         *placer.Run     // Started by the admission and not yet used by an attempt.
+	reservedUpstream string
+	waited           time.Duration     // For the admission.
+	overloadWait     time.Duration     // Until there is room for the request.
 	timeToResponse   time.Duration     // To the first event or the complete response; 0 before.
 	fallbackResponse *bufferedResponse // Last server error, sent to the client if no retry succeeds.
 	finished         bool
@@ -316,6 +324,7 @@
 		x.client.stopDisconnectWatch()
 	}
 	x.cancel(nil)
+	x.releaseGrant()
 	x.span.SetAttributes(attribute.String("outcome", outcome), attribute.Int("status", status))
 	x.span.End()
 	r := x.relayer
@@ -339,7 +348,7 @@
 		"upstream", x.upstream, "software", x.choice.Upstream.Version, "resumes", x.call.Resumes, "after", x.call.LastEventID, "sends", x.sends, "runs", x.possibleRuns,
 		"first", x.timeToResponse.Milliseconds(), "took", time.Since(x.received).Milliseconds(),
 		"version", version, "age", x.configAge.Milliseconds(),
-		"cost", int(x.choice.Cost), "preferred", x.choice.Preferred, "prompt", x.call.PromptTokens, "uncached", x.choice.UncachedTokens, "running", x.choice.Running, "waiting", x.choice.QueuedTokens)
+		"cost", int(x.choice.Cost), "preferred", x.choice.Preferred, "prompt", x.call.PromptTokens, "uncached", x.choice.UncachedTokens, "running", x.choice.Running, "waiting", x.choice.QueuedTokens, "waited", x.waited.Milliseconds())
 }
 
 // recordMetrics counts the outcome and records the latencies in ms.
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -108,7 +108,7 @@
 	x.beginStream(a.choice.Upstream)
 	a.conn.ExtendReads(s.extension)
 	a.firstEventAt = time.Now()
-	a.run.RecordFirstToken(a.firstEventAt)
+	a.observeFirstToken()
 	a.notifyPrefillChange()
 	x.countUsage()
 	return nil
