Waiting prompts spread, and none holds up another

A long prompt that waits for the upstream that has cached it held up those whose upstreams were free. Each queued request is now tried in order, every 20 ms at the latest, and after a quarter of its objective a long prompt goes to any upstream with little prefill queued.

An instance that has lost all others uses its part of the slots only. The key of a request is checked again after a wait.

linker and relayer tests pass with -race.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -34,6 +34,7 @@
 	class               *classQueue
 	element             *list.Element
 
+	round   int // Last call of Pool.dispatchToRoom that has looked for room for it.
 	skipped int // Number of times that a waiter with a cached prompt was served first.
 }
 
@@ -50,7 +51,7 @@
 	accounts     map[string]*accountQueue
 	waiting      int
 	credit       float64 // Floor credit in slot-seconds; the floor may be used while it exceeds queue.minFloorCredit.
-	blocked      bool    // Set during dispatchToRoom once the class has no waiter for which there is room.
+	blocked      bool    // Set during dispatchToRoom once the class has no waiter left to look for room for.
 	meanHoldTime float64 // Moving average of the time for which a request holds a slot, in seconds.
 }
 
--- a/admitter/room.go
+++ b/admitter/room.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -18,7 +17,8 @@
 	roomFloorShare    = 0.05                   // Floor of each tier that waits, as a share of the running requests.
 	minRoomCredit     = 0.9                    // Floor credit in slot-seconds above which a floor is used: urgent requests wait for no smaller one.
 	hopelessWaitShare = 0.125                  // Share of its target for which a hopeless request waits, in case the load was overestimated.
-	maxOvertakerShare = 0.5                    // Size, relative to a request for which there is no room, up to which a request is served ahead of it.
+	maxRoomTries      = 16                     // Queued requests for which one call looks for room.
+	roomRetryInterval = 20 * time.Millisecond  // Time after which room is looked for again if nothing has shown that there is some.
 	maxReturnDelay    = 30 * time.Second       // Upper bound of the delay after which a refused request may come back.
 	returnJitter      = 0.1                    // Maximum random extension of that delay as a share of it.
 )
@@ -32,6 +32,8 @@
 	saturated bool             // Requests were queued all the time since the last update of the rate, so that it is that of the room.
 	returns   [Tiers]time.Time // Time at which the last refused request of a tier was told to come back.
 	refused   [Tiers]atomic.Int64
+	round     int  // Calls of dispatchToRoom.
+	retrying  bool // A call of retryLater is pending.
 }
 
 // RoomStatus is the state of the queue of one tier of a pool whose capacity comes from
@@ -117,9 +119,10 @@
 // ahead of it take longer to start than it may wait. The caller holds p.mu.
 func (p *Pool) enqueueForRoom(w *waiter) error {
 	tier, wait := w.request.Class.Tier, p.expectedRoomWait(w.request)
-	if wait > w.timeLeft() && !w.request.Room.Take(true).Taken {
-		return p.roomRefusal(tier, "QueueTooLong", "no room within the class's patience", wait)
-	} else if wait > w.timeLeft() {
+	if wait > w.timeLeft() {
+		if !w.request.Room.Take(false).Taken {
+			return p.roomRefusal(tier, "QueueTooLong", "no room within the class's patience", wait)
+		}
 		w.granted <- p.start(w.ctx, w.request, false)
 		return nil
 	}
@@ -132,6 +135,7 @@
 	}
 	p.queue.push(w)
 	p.waiting.Add(1)
+	p.retryLater()
 	return nil
 }
 
@@ -172,9 +176,8 @@
 }
 
 // dispatchToRoom starts the queued requests for which there is room, in the order of the
-// policy. One for which there is none blocks the requests of its class and those behind
-// it, except for much smaller ones, which may fit where it does not. The caller holds
-// p.mu.
+// policy. One for which there is none does not hold up those behind it: their room may be
+// on other upstreams. The caller holds p.mu.
 func (p *Pool) dispatchToRoom(now time.Time) {
 	floors := [Tiers]float64{}
 	for t := range floors {
@@ -182,28 +185,18 @@
 		p.queue.floorOpen[t] = true
 	}
 	p.queue.accrueCredit(now, floors)
-	largest := math.MaxInt
-	for p.waiting.Load() > 0 {
-		w, floor := p.queue.next(now)
+	p.external.round++
+	for range maxRoomTries {
+		w, floor := p.queue.nextUntried(now, p.external.round)
 		if w == nil {
 			break
 		}
-		if w.request.Tokens > largest {
-			w.class.blocked = true
-			continue
-		}
 		reply := w.request.Room.Take(false)
 		switch {
 		case reply.Taken:
 			p.startWaiter(w, floor, now)
 		case w.isHopeless(reply):
 			p.giveUp(w, "TooLate", "the target can not be met", reply.Wait)
-		default:
-			w.class.blocked = true
-			if floor {
-				continue // More urgent requests come after it.
-			}
-			largest = min(largest, int(maxOvertakerShare*float64(w.request.Tokens)))
 		}
 	}
 	for _, c := range p.queue.classes {
@@ -211,6 +204,56 @@
 	}
 }
 
+// nextUntried returns the first waiter in the order of the policy that it has not
+// returned in this round, and whether it uses the floor of its tier.
+func (q *queue) nextUntried(now time.Time, round int) (w *waiter, floor bool) {
+	for {
+		next, floor := q.next(now)
+		if next == nil {
+			return nil, false
+		}
+		if w := q.nextUntriedOfClass(next.class, round); w != nil {
+			w.round = round
+			return w, floor
+		}
+		next.class.blocked = true
+	}
+}
+
+// nextUntriedOfClass is nextUntried for the waiters of a class: the oldest one of the
+// account that precedes the others.
+func (q *queue) nextUntriedOfClass(c *classQueue, round int) *waiter {
+	var best *waiter
+	for _, a := range c.accounts {
+		e := a.waiters.Front()
+		for e != nil && e.Value.(*waiter).round == round {
+			e = e.Next()
+		}
+		if e != nil && (best == nil || q.accountPrecedes(a, best.account)) {
+			best = e.Value.(*waiter)
+		}
+	}
+	return best
+}
+
+// retryLater looks for room again after a time while requests are queued. The caller
+// holds p.mu.
+func (p *Pool) retryLater() {
+	if p.external.retrying {
+		return
+	}
+	p.external.retrying = true
+	time.AfterFunc(roomRetryInterval, func() {
+		p.dispatch()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.external.retrying = false
+		if p.waiting.Load() > 0 {
+			p.retryLater()
+		}
+	})
+}
+
 // isHopeless reports whether there is no use in waiting any longer.
 func (w *waiter) isHopeless(reply savoryloft.RoomReply) bool {
 	if reply.Wait > w.timeLeft() {
@@ -258,10 +301,11 @@
 	return refusal(code, message, delay+time.Duration(returnJitter*rand.Float64()*float64(delay)))
 }
 
-// tickRoom updates the start rate and looks for room for the queued requests.
+// tickRoom updates the start rate.
 func (p *Pool) tickRoom(now time.Time) {
 	e := p.external
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if e.ratedAt.IsZero() {
 		e.ratedAt = now
 	}
@@ -274,8 +318,4 @@
 		e.ratedAt, e.saturated = now, p.waiting.Load() > 0
 	}
 	e.saturated = e.saturated && p.waiting.Load() > 0
-	p.mu.Unlock()
-	if p.waiting.Load() > 0 {
-		p.dispatch()
-	}
 }
--- a/admitter/room_test.go
+++ b/admitter/room_test.go
@@ -105,8 +105,8 @@
 	})
 }
 
-// Requests for which there is no room start by rank and then by account, and a request
-// starts ahead of a larger one only if it is much smaller.
+// Requests for which there is no room start by rank and then by account. One for which
+// there is none does not hold up another one for which there is.
 func TestOrderOfWaitingForRoom(t *testing.T) {
 	for _, tt := range []struct {
 		name string
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -220,7 +220,7 @@
 	l.relayer = &relayer.Relayer{
 		Context: l.requests,
 		Wire:    l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Admitter: l.admitter, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
-		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, ExitTime: l.requestExitTime, Instances: l.linker.InstanceCount,
+		Metrics: l.registry, Revocation: d.Bounds.Revocation, Stopping: l.stopping.Load, ExitTime: l.requestExitTime, Instances: l.linker.InstanceCount, LoadShare: l.linker.LoadShare,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
 		Limiter: &limiter.Limiter{
 			Ratio: d.Bounds.RetryRatio, Slack: d.Bounds.RetrySlack, Window: d.Bounds.RetryWindow, Instances: l.linker.InstanceCount,
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -715,3 +715,18 @@
 		}
 	})
 }
+
+// An instance that has lost all others may use its part of the upstreams only, until the
+// others are known to be gone.
+func TestLoadShareOfLostInstances(t *testing.T) {
+	f := startCluster(t, 3, 1)
+	for _, l := range f.linkers {
+		require.InDelta(t, 1, l.LoadShare(), 0, "no other one is known yet")
+	}
+	f.eventually(t, "every instance has all members", func(i int) bool {
+		return len(f.linkers[i].Members()) == 2 && f.linkers[i].Allocation(false) != Allocation{} && f.linkers[i].LoadShare() == 1
+	})
+	f.cancels[1]()
+	f.cancels[2]()
+	require.Eventually(t, func() bool { return f.linkers[0].LoadShare() < 0.34 }, testTimeout, 20*time.Millisecond)
+}
--- a/linker/lost.go
+++ b/linker/lost.go
@@ -72,3 +72,21 @@
 // mayBeLost reports whether a member that falls silent is lost, rather than stopped or
 // not linked any more.
 func (m *member) mayBeLost() bool { return m.lastStatusAt > 0 && !m.leaving && !m.unneeded }
+
+// LoadShare returns the share of the upstreams' capacity that this instance may assume to
+// be its own: 1 while it knows the loads of others, and an equal part while it has lost
+// all of them.
+func (l *Linker) LoadShare() float64 {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := savoryloft.Uptime()
+	t := l.currentTopology(now)
+	if !t.hub && t.primary != "" {
+		return 1
+	}
+	if reached, known := l.reachedInstances(t, now); reached <= 1 && known > 1 {
+		return 1 / float64(known)
+	}
+	return 1
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -42,7 +42,7 @@
 	runningCostMs             = 3.0                    // For each request that runs on the upstream.
 	interferenceShare         = 0.04                   // Cost per ms of prefill and per request that runs on the upstream, which the prefill delays.
 	recomputeShare            = 0.5                    // Cost per ms of prefill of shared parts, in addition to the wait for it.
-	fullCostMs                = 4000.0                 // For an upstream without a free slot or enough free KV cache.
+	fullCostMs                = 4000.0                 // For an upstream without a free slot or enough free KV cache, or beyond the request's maximum backlog.
 	remoteDomainCostMs        = 1.5                    // For an upstream in another failure domain.
 	sampledUpstreams          = 6                      // Expected size of the random sample from a partition if peer loads are delayed.
 	maxJitterShare            = 0.04                   // Largest jitterCost, as a share of the delay of peer loads.
@@ -77,6 +77,9 @@
 	OutputTokens int                      // Expected number.
 	Engine       *savoryloft.EngineTraits // nil for a service without inference engines.
 	Objective    time.Duration            // For the first token; 0 if there is none.
+	// MaxBacklog is the time that the prefill queued on an upstream may take for the
+	// request to be sent there while another upstream has less; 0 for no limit.
+	MaxBacklog time.Duration
 	// MaxConnections limits this instance's concurrent requests to one upstream;
 	// 0 for no limit.
 	MaxConnections int
@@ -352,6 +355,9 @@
 		c.Full = true
 		c.Cost += fullCostMs * float64(c.Running-slots+1) / float64(slots)
 	}
+	if r.MaxBacklog > 0 && float64(c.QueuedTokens)/s.prefillRate > float64(r.MaxBacklog)/float64(time.Millisecond) {
+		c.Cost += fullCostMs
+	}
 	if s.upstream.FailureDomain != p.FailureDomain {
 		c.Cost += remoteDomainCostMs
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -562,3 +562,26 @@
 		})
 	}
 }
+
+// A request with a maximum backlog must leave an upstream that has cached its prompt for
+// one with less prefill queued, and go to the one of least cost if there is none.
+func TestMaxBacklogSpreadsPrompts(t *testing.T) {
+	p := &Placer{FailureDomain: "a"}
+	list := testUpstreams(8)
+	r := prompt("contract", 13000, 2000)
+	cached := choose(t, p, start, r, list)
+	run := p.Start(start, cached, r)
+	run.RecordFirstToken(start.Add(300 * time.Millisecond))
+	now := start.Add(time.Second)
+	loads := map[string]savoryloft.LinkLoad{cached.Upstream.ID: {Upstream: cached.Upstream.ID, Running: 1, Prefill: 9000}}
+	p.SetPeerLoads(now, loads, 0)
+	r = prompt("contract", 13000, 2000)
+	require.Equal(t, cached.Upstream.ID, choose(t, p, now, r, list).Upstream.ID)
+	r.MaxBacklog = 100 * time.Millisecond
+	require.NotEqual(t, cached.Upstream.ID, choose(t, p, now, r, list).Upstream.ID)
+	for _, u := range list {
+		loads[u.ID] = savoryloft.LinkLoad{Upstream: u.ID, Running: 1, Prefill: 9000}
+	}
+	p.SetPeerLoads(now, loads, 0)
+	require.Equal(t, cached.Upstream.ID, choose(t, p, now, r, list).Upstream.ID)
+}
--- a/relayer/admission.go
+++ b/relayer/admission.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -17,13 +18,16 @@
 	// urgentBacklogShare is the time that the prefill queued on an upstream may take for a
 	// less urgent long prompt to be sent there, as a share of the objective of the more
 	// urgent requests. The second least urgent rank that is present gets half of it, etc.
-	urgentBacklogShare = 0.5
+	urgentBacklogShare = 1.0
 	// minBacklogShare is the same when more urgent first tokens come late, so that the
 	// less urgent ranks do not come to a standstill.
-	minBacklogShare = 0.1
+	minBacklogShare = 0.25
 	// longPrefillTokens is the number of uncached prompt tokens from which on a prompt
 	// delays others on its upstream noticeably.
 	longPrefillTokens = 1500
+	// spreadShare is the time after which a long prompt that waits goes to any upstream
+	// with little prefill queued, as a share of its objective.
+	spreadShare = 0.25
 	// refusableLoadShare is the share of the upstream's slots that must be in use for a
 	// request to be refused, unless the prompts queued there alone take too long.
 	refusableLoadShare = 0.5
@@ -47,6 +51,7 @@
 	Lateness       time.Duration // By which first tokens of this rank exceed the predictions.
 	UrgentNeed     time.Duration // Shortest objective of the more urgent ranks; 0 if they send no requests.
 	UrgentLateness time.Duration // The same as Lateness, of that rank.
+	Share          float64       // Of the slots that this instance may use; see Relayer.LoadShare.
 	Last           bool          // The request is refused if there is no room.
 }
 
@@ -58,13 +63,14 @@
 	if in.Rank < firstSheddableRank || in.Objective <= 0 {
 		return savoryloft.RoomReply{Taken: true}
 	}
-	if in.Choice.Full {
+	slots := in.Share * float64(in.Slots)
+	if in.Choice.Full || in.Share < 1 && slots > 0 && float64(in.Choice.Running) >= slots {
 		return savoryloft.RoomReply{Wait: fullUpstreamsWait}
 	}
 	limit, expected := maxFirstToken(in.Rank, in.Objective), in.Choice.TimeToFirstToken+in.Lateness
-	lightlyLoaded := in.Slots > 0 && float64(in.Choice.Running) < refusableLoadShare*float64(in.Slots)
-	if in.Last && lightlyLoaded && in.Choice.TimeToFirstToken <= limit {
-		return savoryloft.RoomReply{Taken: true}
+	lightlyLoaded := slots > 0 && float64(in.Choice.Running) < refusableLoadShare*slots
+	if in.Last && lightlyLoaded {
+		expected = in.Choice.TimeToFirstToken // What was late may have been one upstream.
 	}
 	if in.Waited+expected > limit {
 		return savoryloft.RoomReply{Hopeless: true, Wait: max(expected-in.Objective, 0)}
@@ -91,6 +97,13 @@
 	return time.Duration(limit / float64(in.Rank))
 }
 
+// spreads reports whether the request has waited so long that an upstream with less
+// queued prefill is better than the one with the least cost, which has cached the prompt
+// or is for prompts of its length.
+func (in admissionInput) spreads() bool {
+	return in.Rank >= firstSheddableRank && in.UrgentNeed > 0 && in.Waited > time.Duration(spreadShare*float64(in.Objective))
+}
+
 // room is the capacity of the upstreams for one exchange. It implements savoryloft.Room.
 type room struct {
 	exchange *exchange
@@ -104,19 +117,23 @@
 	x := m.exchange
 	now := time.Now()
 	x.relayer.RefreshPeerLoads()
-	_, m.choice, m.found = x.place(m.request)
-	if !m.found {
-		return savoryloft.RoomReply{Taken: true} // No upstream is eligible, which no wait here changes.
-	}
 	key := x.rankKey()
 	in := admissionInput{
 		Rank: x.identity.Rank, Objective: x.route.Objective, Waited: now.Sub(x.received), Last: last,
-		Choice: m.choice, Slots: m.choice.Upstream.Slots, Lateness: x.relayer.ranks.latenessOf(now, key),
+		Lateness: x.relayer.ranks.latenessOf(now, key), Share: x.relayer.loadShare(),
+	}
+	in.UrgentNeed, in.UrgentLateness = x.relayer.ranks.urgent(now, key)
+	if in.spreads() {
+		m.request.MaxBacklog = in.maxBacklog()
+	}
+	_, m.choice, m.found = x.place(m.request)
+	if !m.found {
+		return savoryloft.RoomReply{Taken: true} // No upstream is eligible, which no wait here changes.
 	}
+	in.Choice, in.Slots = m.choice, m.choice.Upstream.Slots
 	if in.Slots == 0 && m.request.Engine != nil {
 		in.Slots = m.request.Engine.Slots
 	}
-	in.UrgentNeed, in.UrgentLateness = x.relayer.ranks.urgent(now, key)
 	reply := decideAdmission(in)
 	if reply.Taken {
 		x.reserved, x.reservedUpstream = x.relayer.Placer.Start(now, m.choice, m.request), m.choice.Upstream.ID
@@ -157,8 +174,12 @@
 		return m.choice, err
 	}
 	x.grant = grant
-	if !m.found {
+	switch {
+	case !m.found:
 		return m.choice, errNoUpstream
+	case x.waited > revocationMargin/2 && !x.stillPermitted():
+		x.overloadWait = minOverloadRetryAfter // When it comes back it is told why.
+		return m.choice, errOverloaded
 	}
 	return m.choice, nil
 }
@@ -236,10 +257,19 @@
 	return max(min(x.overloadWait, limit), minOverloadRetryAfter)
 }
 
+// loadShare returns the last LoadShare.
+func (r *Relayer) loadShare() float64 {
+	if bits := r.share.Load(); bits != 0 {
+		return math.Float64frombits(bits)
+	}
+	return 1
+}
+
 // Maintain removes state that is not needed any more and updates the gauges of the
 // queues. It is called about once a second.
 func (r *Relayer) Maintain(now time.Time) {
 	r.ranks.prune(now)
+	r.share.Store(math.Float64bits(r.LoadShare()))
 	for _, name := range r.Admitter.Pools() {
 		for tier, status := range r.Admitter.Pool(name).RoomStatus() {
 			metrics.GetOrRegisterGauge("admission_queued."+name+"."+strconv.Itoa(tier), r.Metrics).Update(int64(status.Waiting))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -86,6 +86,7 @@
 	CountRequest     func(account string) // Counts a request for an account's usage when an upstream may have started to run it.
 	PrefillChanged   func(uncached int)   // Called with a prompt's uncached tokens when it is sent to an upstream, and when the first event of a stream arrives.
 	RefreshPeerLoads func()               // Updates the placer's peer loads; called before each choice of an upstream.
+	LoadShare        func() float64       // Returns the share of the upstreams' capacity that this instance may use with the loads that it knows; 1 unless it has lost the others.
 	Instances        func() int           // Returns the number of instances, this one included.
 	Revocation       time.Duration        // Maximum age of the configuration at which keys are accepted; bounds the use of a revoked key.
 	Stopping         func() bool          // Reports whether the instance is shutting down; client connections are then closed after the response.
@@ -96,6 +97,7 @@
 
 	active atomic.Int64
 	ranks  rankStates
+	share  atomic.Uint64 // Last LoadShare, as float64 bits; 0 before the first call of Maintain.
 }
 
 // exchange is one client request in progress.
