--- a/admitter/room_test.go
+++ b/admitter/room_test.go
@@ -211,3 +211,26 @@
 		require.Contains(t, started, "other")
 	})
 }
+
+// In a shortage the account that sends many times as much as the others is the one that
+// is refused.
+func TestHotAccountIsRefusedFirst(t *testing.T) {
+	runRoomTest(t, 50, func(t *testing.T, r *roomTest) { // 50 starts a second.
+		for n := range 250 {
+			for i := range 6 {
+				r.send(fmt.Sprint("hot ", n, " ", i), 1, "hot", 10, 100*time.Millisecond)
+			}
+			r.send(fmt.Sprint("usual ", n), 1, fmt.Sprint("usual ", n%8), 10, 100*time.Millisecond)
+			time.Sleep(40 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		started, refused := r.results()
+		served := map[string]int{}
+		for _, name := range started {
+			served[name[:3]]++
+		}
+		require.Equal(t, 1750, len(started)+len(refused))
+		require.Greater(t, served["usu"], 225, "of 250")
+		require.Greater(t, served["hot"], 200, "the rest of the room")
+	})
+}
