Long prompts start carefully; no two requests take the same room

After a start of all, no instance knows what the others send: an instance sends two long prompts, and one more for each first token that comes.

--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -31,7 +31,7 @@
 
 	external *externalRoom // Set if the capacity comes from the Rooms of the requests.
 
-	mu              sync.Mutex // Guards the fields below. Requests that get a slot without queueing do not lock it.
+	mu              sync.Mutex // Guards the fields below. Requests that get a slot of the pool without queueing do not lock it.
 	queue           queue
 	belowFloorSince [Tiers]time.Time // Time since which a tier has run fewer requests than its floor across the fleet; zero otherwise.
 }
--- a/admitter/room.go
+++ b/admitter/room.go
@@ -12,7 +12,8 @@
 
 const (
 	startRateInterval = 250 * time.Millisecond // Time between two updates of the start rate; short, so that it follows a burst of seconds.
-	startRateWeight   = 0.4                    // Weight of a new start rate in its moving average.
+	startRateWeight   = 0.2                    // Weight of a new start rate in its moving average.
+	clearExcess       = 2.0                    // Multiple of the time that a request may wait from which on its expected wait is clearly too long; starts come in bursts.
 	minStartRate      = 2.0                    // Starts per second; bounds the expected wait after a standstill.
 	roomFloorShare    = 0.05                   // Floor of each tier that waits, as a share of the running requests.
 	minRoomCredit     = 0.9                    // Floor credit in slot-seconds above which a floor is used: urgent requests wait for no smaller one.
@@ -94,12 +95,20 @@
 	if r.Arrived.IsZero() {
 		r.Arrived = time.Now()
 	}
-	if p.waiting.Load() == 0 && r.Room.Take(false).Taken {
+	if p.takeAtOnce(r) {
 		return p.start(ctx, r, false), nil
 	}
 	return p.wait(ctx, r)
 }
 
+// takeAtOnce takes room for a request if no other one waits. It locks p.mu, so that no two
+// requests take the same room.
+func (p *Pool) takeAtOnce(r *Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waiting.Load() == 0 && r.Room.Take(false).Taken
+}
+
 // start returns the grant of a request that has taken room.
 func (p *Pool) start(ctx context.Context, r *Request, floor bool) *Grant {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -119,7 +128,7 @@
 // ahead of it take longer to start than it may wait. The caller holds p.mu.
 func (p *Pool) enqueueForRoom(w *waiter) error {
 	tier, wait := w.request.Class.Tier, p.expectedRoomWait(w.request)
-	if wait > w.timeLeft() {
+	if wait > time.Duration(clearExcess*float64(w.timeLeft())) {
 		if !w.request.Room.Take(false).Taken {
 			return p.roomRefusal(tier, "QueueTooLong", "no room within the class's patience", wait)
 		}
--- a/relayer/admission.go
+++ b/relayer/admission.go
@@ -25,6 +25,9 @@
 	// longPrefillTokens is the number of uncached prompt tokens from which on a prompt
 	// delays others on its upstream noticeably.
 	longPrefillTokens = 1500
+	// lastBacklogFactor is the factor of that time for a request that is refused otherwise
+	// while slots are free.
+	lastBacklogFactor = 2
 	// spreadShare is the time after which a long prompt that waits goes to any upstream
 	// with little prefill queued, as a share of its objective.
 	spreadShare = 0.25
@@ -39,6 +42,8 @@
 	maxReturnShare = 0.33
 	// fullUpstreamsWait is the assumed time until a slot becomes free.
 	fullUpstreamsWait = 50 * time.Millisecond
+	// startingWait is the assumed time until the first token of an earlier long prompt.
+	startingWait = 50 * time.Millisecond
 )
 
 // admissionInput holds what the decision depends on whether a request may start.
@@ -51,14 +56,15 @@
 	Lateness       time.Duration // By which first tokens of this rank exceed the predictions.
 	UrgentNeed     time.Duration // Shortest objective of the more urgent ranks; 0 if they send no requests.
 	UrgentLateness time.Duration // The same as Lateness, of that rank.
+	Starting       bool          // See rankStates.starting.
 	Share          float64       // Of the slots that this instance may use; see Relayer.LoadShare.
 	Last           bool          // The request is refused if there is no room.
 }
 
-// decideAdmission decides whether a request starts now. Three loads keep it waiting: all
+// decideAdmission decides whether a request starts now. Four loads keep it waiting: all
 // upstreams are full; first tokens come so late that it would miss its objective by more
 // than its rank allows; and, for a long prompt, that it would queue ahead of the
-// requests of more urgent ranks.
+// requests of more urgent ranks, or that nothing is known of the upstreams yet.
 func decideAdmission(in admissionInput) savoryloft.RoomReply {
 	if in.Rank < firstSheddableRank || in.Objective <= 0 {
 		return savoryloft.RoomReply{Taken: true}
@@ -75,7 +81,14 @@
 	if in.Waited+expected > limit {
 		return savoryloft.RoomReply{Hopeless: true, Wait: max(expected-in.Objective, 0)}
 	}
-	if excess := in.backlog() - in.maxBacklog(); excess > 0 {
+	if in.Starting && !in.Last && in.Choice.UncachedTokens >= longPrefillTokens {
+		return savoryloft.RoomReply{Wait: startingWait}
+	}
+	maxBacklog := in.maxBacklog()
+	if in.Last && lightlyLoaded {
+		maxBacklog *= lastBacklogFactor
+	}
+	if excess := in.backlog() - maxBacklog; excess > 0 {
 		return savoryloft.RoomReply{Wait: excess}
 	}
 	return savoryloft.RoomReply{Taken: true}
@@ -120,7 +133,7 @@
 	key := x.rankKey()
 	in := admissionInput{
 		Rank: x.identity.Rank, Objective: x.route.Objective, Waited: now.Sub(x.received), Last: last,
-		Lateness: x.relayer.ranks.latenessOf(now, key), Share: x.relayer.loadShare(),
+		Lateness: x.relayer.ranks.latenessOf(now, key), Share: x.relayer.loadShare(), Starting: x.relayer.ranks.starting(x.service),
 	}
 	in.UrgentNeed, in.UrgentLateness = x.relayer.ranks.urgent(now, key)
 	if in.spreads() {
@@ -136,6 +149,7 @@
 	}
 	reply := decideAdmission(in)
 	if reply.Taken {
+		x.relayer.ranks.begin(now, key, x, m.choice)
 		x.reserved, x.reservedUpstream = x.relayer.Placer.Start(now, m.choice, m.request), m.choice.Upstream.ID
 	}
 	return reply
@@ -226,6 +240,7 @@
 func (x *exchange) dropReserved() {
 	if x.reserved != nil {
 		x.reserved.End(time.Now(), placer.Cancelled)
+		x.relayer.ranks.end(time.Now(), x.rankKey(), x, false)
 		x.reserved = nil
 	}
 }
@@ -243,7 +258,7 @@
 func (a *attempt) observeFirstToken() {
 	x := a.exchange
 	a.run.RecordFirstToken(a.firstEventAt)
-	x.relayer.ranks.end(a.firstEventAt, x.rankKey(), a, true)
+	x.relayer.ranks.end(a.firstEventAt, x.rankKey(), x, true)
 	x.relayer.Admitter.RoomChanged(x.service)
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -121,7 +121,7 @@
 	}
 	a := &attempt{exchange: x, choice: choice, run: x.takeReserved(choice, req)}
 	if len(x.call.Parts) > 0 {
-		r.ranks.begin(time.Now(), x.rankKey(), a, choice.TimeToFirstToken)
+		r.ranks.begin(time.Now(), x.rankKey(), x, choice)
 	}
 	a.ctx, a.cancel = context.WithCancel(x.ctx)
 	_, a.span = r.Tracer.Start(trace.ContextWithSpan(x.ctx, x.span), "Attempt",
@@ -381,7 +381,7 @@
 	}
 	a.released = true
 	a.run.End(time.Now(), o)
-	a.exchange.relayer.ranks.end(time.Now(), a.exchange.rankKey(), a, false)
+	a.exchange.relayer.ranks.end(time.Now(), a.exchange.rankKey(), a.exchange, false)
 	if a.conn != nil {
 		a.conn.Release()
 	}
--- a/relayer/ranks.go
+++ b/relayer/ranks.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"savoryloft.example/savoryloft/placer"
 )
 
 const (
@@ -12,6 +14,8 @@
 	latenessHalfLife   = time.Second     // A rank that is refused gives no new samples, so an old delay must be forgotten.
 	latenessWeight     = 0.3             // Weight of a new sample in the moving average.
 	maxLatenessFactor  = 2.0             // Upper bound of a sample, as a multiple of the objective; one upstream that hangs is not the load.
+	startWindow        = 2               // Long prompts that an instance sends before the first token of one; after a start of all no instance knows what the others send.
+	maxStartWindow     = 64              // First tokens of long prompts from which on their number is not limited any more. Each raises the limit by one.
 	minPendingRequests = 3               // Requests without a first token from which on their delay counts.
 )
 
@@ -27,7 +31,13 @@
 	lastRequest time.Time
 	lateness    float64 // Moving average of the excess of the first token's time over its prediction, in ns, at updatedAt.
 	updatedAt   time.Time
-	pending     map[*attempt]time.Time // Time at which the first token of a running request was expected.
+	pending     map[*exchange]pendingPrompt
+}
+
+// pendingPrompt is a request that was sent, or is about to be, and has no first token yet.
+type pendingPrompt struct {
+	expectedAt time.Time // Time at which the first token is expected.
+	long       bool      // It has at least longPrefillTokens to prefill.
 }
 
 // rankStates observes by how much first tokens come later than predicted, and which
@@ -35,6 +45,7 @@
 type rankStates struct {
 	mu     sync.Mutex
 	states map[rankKey]*rankState
+	opened map[string]int // Long prompts whose first token has arrived, by service, up to maxStartWindow.
 }
 
 func (s *rankStates) state(key rankKey) *rankState {
@@ -42,7 +53,7 @@
 		s.states = map[rankKey]*rankState{}
 	}
 	if s.states[key] == nil {
-		s.states[key] = &rankState{pending: map[*attempt]time.Time{}}
+		s.states[key] = &rankState{pending: map[*exchange]pendingPrompt{}}
 	}
 	return s.states[key]
 }
@@ -55,29 +66,35 @@
 	state.objective, state.lastRequest = objective, now
 }
 
-// begin records that a request is sent whose first token is expected after some time.
-func (s *rankStates) begin(now time.Time, key rankKey, a *attempt, expected time.Duration) {
+// begin records that a request is sent to the chosen upstream, or about to be.
+func (s *rankStates) begin(now time.Time, key rankKey, x *exchange, c placer.Choice) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.state(key).pending[a] = now.Add(expected)
+	s.state(key).pending[x] = pendingPrompt{now.Add(c.TimeToFirstToken), c.UncachedTokens >= longPrefillTokens}
 }
 
-// end records that the first token has arrived or, if arrived is false, that the attempt
-// has ended. Later calls have no effect.
-func (s *rankStates) end(now time.Time, key rankKey, a *attempt, arrived bool) {
+// end records that the first token has arrived or, if arrived is false, that the request
+// has ended at its upstream. Later calls have no effect.
+func (s *rankStates) end(now time.Time, key rankKey, x *exchange, arrived bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.states[key]
 	if state == nil {
 		return
 	}
-	expectedAt, ok := state.pending[a]
+	pending, ok := state.pending[x]
 	if !ok {
 		return
 	}
-	delete(state.pending, a)
+	delete(state.pending, x)
+	if arrived && pending.long && s.opened[key.service] < maxStartWindow {
+		if s.opened == nil {
+			s.opened = map[string]int{}
+		}
+		s.opened[key.service]++
+	}
 	if arrived {
-		sample := min(max(now.Sub(expectedAt), 0), time.Duration(maxLatenessFactor*float64(state.objective)))
+		sample := min(max(now.Sub(pending.expectedAt), 0), time.Duration(maxLatenessFactor*float64(state.objective)))
 		old := state.decayed(now)
 		state.lateness, state.updatedAt = old+latenessWeight*(float64(sample)-old), now
 	}
@@ -106,13 +123,36 @@
 		return lateness
 	}
 	var overdue []time.Duration
-	for _, expectedAt := range s.pending {
-		overdue = append(overdue, now.Sub(expectedAt))
+	for _, p := range s.pending {
+		overdue = append(overdue, now.Sub(p.expectedAt))
 	}
 	slices.Sort(overdue)
 	return max(lateness, overdue[(len(overdue)-1)/2])
 }
 
+// starting reports whether a service is so new to this instance that another long prompt
+// should wait for the first tokens of earlier ones.
+func (s *rankStates) starting(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	opened := s.opened[service]
+	if opened >= maxStartWindow {
+		return false
+	}
+	long := 0
+	for k, state := range s.states {
+		if k.service != service {
+			continue
+		}
+		for _, p := range state.pending {
+			if p.long {
+				long++
+			}
+		}
+	}
+	return long >= startWindow+opened
+}
+
 // urgent returns the shortest objective of the ranks above a given one that have sent
 // requests recently, and the lateness of that rank. The objective is 0 if there is none.
 func (s *rankStates) urgent(now time.Time, key rankKey) (objective, lateness time.Duration) {
