Requests that all upstreams of a plain service refuse are sent again

A request without a prompt was refused once each upstream had refused it for being full, though a slot is free again after one request's time.

--- a/launcher/admission_test.go
+++ b/launcher/admission_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft/platform/standin"
 )
 
 // Requests beyond the slots of all upstreams wait at the instance and are then served;
@@ -50,3 +53,36 @@
 	require.Zero(t, pool())
 	require.Eventually(t, func() bool { return len(i.launcher.placer.TotalLoads(time.Now())) == 0 }, eventuallyTimeout, time.Millisecond, "room is still taken")
 }
+
+// A request without a prompt that all upstreams refuse since they are full is sent again
+// after a pause, at most four times in all.
+func TestRequestsThatAllUpstreamsRefuse(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		refusals int // Of each of two upstreams.
+		status   int
+		sends    int
+	}{
+		{"full for a moment", 1, http.StatusOK, 3},
+		{"full for longer", 100, http.StatusServiceUnavailable, 4},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t)
+			refuse := func() func(*http.Request) standin.Behaviour {
+				var n atomic.Int32
+				return func(*http.Request) standin.Behaviour {
+					if int(n.Add(1)) <= tt.refusals {
+						return standin.Reject
+					}
+					return standin.Normal
+				}
+			}
+			a, b := c.addEngine(refuse()), c.addEngine(refuse())
+			i := c.start(time.Minute)
+			c.waitForUpstreams(i, 2)
+			resp := c.call(i, "once", "key-1")
+			require.Equal(t, tt.status, resp.status)
+			require.Equal(t, tt.sends, len(a.Requests())+len(b.Requests()))
+		})
+	}
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -152,6 +152,7 @@
 	}
 	if a.head.NotRun {
 		a.conn.MarkRefused(x.call.ID)
+		a.recordRefusal()
 		// Read the body so that the connection can be reused.
 		_, _ = a.conn.ReadResponseBody(a.ctx, a.response, maxResponseBytes)
 		outcome := placer.Refused
--- a/relayer/limit.go
+++ b/relayer/limit.go
@@ -39,6 +39,9 @@
 	}
 	r.RefreshPeerLoads()
 	upstreams, choice, ok := x.place(req)
+	if !ok && x.retryRefusing() {
+		upstreams, choice, ok = x.place(req)
+	}
 	switch {
 	case !ok && x.begun():
 		return choice, errVersionGone
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -120,6 +120,7 @@
 	origin    tracker.Origin // Where the stream began; empty before its first event.
 
 	triedUpstreams   map[string]bool     // Upstreams that refused or failed.
+	refusedBy        []string            // Those of them that were full; see retryRefusing.
 	sends            int                 // Attempts in which the request was sent.
 	possibleRuns     int                 // Attempts in which an upstream may have run the request.
 	retryReserved    bool                // The next retry counts toward the budget already.
