--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -63,14 +63,15 @@
 	Pool        string
 	Class       *savoryloft.Class
 	Account     string
-	Weight      int             // Weight of the client account.
-	Tokens      int             // Estimated tokens, prompt and output.
-	Prefix      uint64          // Hash of the prompt's prefix; zero for no affinity.
-	Exclude     []string        // Names of upstreams to avoid, such as those that failed the request.
-	Preemptible bool            // An attempt may be canceled and resumed by a later one.
-	Resumed     bool            // Part of the answer has already been forwarded to the caller.
-	Room        savoryloft.Room // Capacity for the request if the pool does not assign the upstreams' slots; nil otherwise.
-	Arrived     time.Time       // Start of the wait, from which slack and timeouts are measured; now if zero.
+	Weight      int       // Weight of the client account.
+	Tokens      int       // Estimated tokens, prompt and output.
+	Prefix      uint64    // Hash of the prompt's prefix; zero for no affinity.
+	Exclude     []string  // Names of upstreams to avoid, such as those that failed the request.
+	Preemptible bool      // An attempt may be canceled and resumed by a later one.
+	Resumed     bool      // Part of the answer has already been forwarded to the caller.
+	Arrived     time.Time // Start of the wait, from which slack and timeouts are measured; now if zero.
+
+	Room savoryloft.Room // Capacity for the request if the pool does not assign the upstreams' slots; nil otherwise.
 
 	lastUpstream string // Name of the upstream that ran the last attempt; it may still have the prompt cached.
 }
--- a/admitter/demand.go
+++ b/admitter/demand.go
@@ -126,7 +126,7 @@
 	}
 	d.averagesUpdated = now
 	weight := 1 - math.Exp(-dt.Seconds()/demandTimeConstant.Seconds())
-	waiting := p.waitingByTier()
+	waiting := p.WaitingByTier()
 	for t := range d.averages {
 		current := float64(waiting[t]+int(p.running[t].Load())) * fixedPointScale
 		old := float64(d.averages[t].Load())
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -59,7 +59,8 @@
 	return n
 }
 
-func (p *Pool) waitingByTier() [Tiers]int {
+// WaitingByTier returns the number of queued requests by tier.
+func (p *Pool) WaitingByTier() [Tiers]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.queue.waiting
--- a/admitter/room.go
+++ b/admitter/room.go
@@ -32,28 +32,8 @@
 	startRate float64          // Moving average of the starts per second; 0 while unknown.
 	saturated bool             // Requests were queued all the time since the last update of the rate, so that it is that of the room.
 	returns   [Tiers]time.Time // Time at which the last refused request of a tier was told to come back.
-	refused   [Tiers]atomic.Int64
-	round     int  // Calls of dispatchToRoom.
-	retrying  bool // A call of retryLater is pending.
-}
-
-// RoomStatus is the state of the queue of one tier of a pool whose capacity comes from
-// the Rooms of the requests.
-type RoomStatus struct {
-	Waiting int
-	Refused int // In total.
-}
-
-// RoomStatus returns the state of the pool's queue by tier.
-func (p *Pool) RoomStatus() (status [Tiers]RoomStatus) {
-	if p.external == nil {
-		return status
-	}
-	waiting := p.waitingByTier()
-	for t := range status {
-		status[t] = RoomStatus{Waiting: waiting[t], Refused: int(p.external.refused[t].Load())}
-	}
-	return status
+	round     int              // Calls of dispatchToRoom.
+	retrying  bool             // A call of retryLater is pending.
 }
 
 // RoomChanged looks for room for the queued requests of a pool. It is called when the
@@ -154,8 +134,8 @@
 }
 
 // expectedRoomWait returns the time that the requests ahead of a new one take to start.
-// Of each other account in its tier, as many are ahead as the request's own account has
-// queued, so that an account that queues many requests waits for them alone. The
+// Of each other account in its tier, one more than the request's own account has queued
+// are ahead at most, so that an account that queues many requests waits for its own. The
 // caller holds p.mu.
 func (p *Pool) expectedRoomWait(r *Request) time.Duration {
 	ahead := 0
@@ -296,7 +276,6 @@
 // those of more urgent ones. The caller holds p.mu.
 func (p *Pool) roomRefusal(tier int, code, message string, wait time.Duration) *savoryloft.Error {
 	e := p.external
-	e.refused[tier].Add(1)
 	now := time.Now()
 	at := now.Add(wait)
 	for t := range tier + 1 {
--- a/relayer/admission.go
+++ b/relayer/admission.go
@@ -286,8 +286,8 @@
 	r.ranks.prune(now)
 	r.share.Store(math.Float64bits(r.LoadShare()))
 	for _, name := range r.Admitter.Pools() {
-		for tier, status := range r.Admitter.Pool(name).RoomStatus() {
-			metrics.GetOrRegisterGauge("admission_queued."+name+"."+strconv.Itoa(tier), r.Metrics).Update(int64(status.Waiting))
+		for tier, queued := range r.Admitter.Pool(name).WaitingByTier() {
+			metrics.GetOrRegisterGauge("admission_queued."+name+"."+strconv.Itoa(tier), r.Metrics).Update(int64(queued))
 		}
 	}
 }
