Merge: requests with prompts wait for room on the edge path

The queue orders by urgency, as upstreams do, in place of the rank, which was the same for nearly all requests of ranked accounts.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -121,9 +121,13 @@
 	}
 	if err != nil {
 		x.abandonTrial()
+		x.dropReserved()
 		return nil, &sendError{notExecuted, err}
 	}
-	a := &attempt{exchange: x, choice: choice, run: r.Placer.Start(time.Now(), choice, req)}
+	a := &attempt{exchange: x, choice: choice, run: x.takeReserved(choice, req)}
+	if len(x.call.Parts) > 0 {
+		r.ranks.begin(time.Now(), x.rankKey(), x, choice)
+	}
 	a.ctx, a.cancel = context.WithCancel(x.ctx)
 	_, a.span = r.Tracer.Start(trace.ContextWithSpan(x.ctx, x.span), "Attempt",
 		trace.WithAttributes(attribute.String("upstream", choice.Upstream.ID)))
@@ -159,6 +163,7 @@
 	}
 	if a.head.NotRun {
 		a.conn.MarkRefused(x.call.ID)
+		a.recordRefusal()
 		// Read the body so that the connection can be reused.
 		_, _ = a.conn.ReadResponseBody(a.ctx, a.response, maxResponseBytes)
 		outcome := placer.Refused
@@ -390,6 +395,7 @@
 	}
 	a.released = true
 	a.run.End(time.Now(), o)
+	a.exchange.relayer.ranks.end(time.Now(), a.exchange.rankKey(), a.exchange, false)
 	if a.conn != nil {
 		a.conn.Release()
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -32,6 +32,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/admitter"
 	"savoryloft.example/savoryloft/budgeter"
 	"savoryloft.example/savoryloft/exchanger"
 	"savoryloft.example/savoryloft/limiter"
@@ -81,10 +82,12 @@
 	QuarantinesRead  <-chan struct{} // Closed once the quarantines of other instances, or of earlier ones, are known; nil if there are none.
 	Throttler        *throttler.Throttler
 	Tracker          *tracker.Tracker
+	Admitter         *admitter.Admitter
 	Pool             *exchanger.Pool
 	CountRequest     func(account string) // Counts a request for an account's usage when an upstream may have started to run it.
 	PrefillChanged   func(uncached int)   // Called with a prompt's uncached tokens when it is sent to an upstream, and when the first event of a stream arrives.
 	RefreshPeerLoads func()               // Updates the placer's peer loads; called before each choice of an upstream.
+	LoadShare        func() float64       // Returns the share of the upstreams' capacity that this instance may use with the loads that it knows; 1 unless it has lost the others.
 	Instances        func() int           // Returns the number of instances, this one included.
 	Regions          map[string]string    // Region of each failure domain.
 	Revocation       time.Duration        // Maximum age of the configuration at which keys are accepted; bounds the use of a revoked key.
@@ -96,6 +99,8 @@
 	Memory           *budgeter.Budget // For bodies of requests, and for responses until they are sent.
 
 	active atomic.Int64
+	ranks  rankStates
+	share  atomic.Uint64 // Last LoadShare, as float64 bits; 0 before the first call of Maintain.
 }
 
 // exchange is one client request in progress.
@@ -119,6 +124,7 @@
 	origin    tracker.Origin // Where the stream began; empty before its first event.
 
 	triedUpstreams   map[string]bool     // Upstreams that refused or failed.
+	refusedBy        []string            // Those of them that were full; see retryRefusing.
 	sends            int                 // Attempts in which the request was sent.
 	possibleRuns     int                 // Attempts in which an upstream may have run the request.
 	retryReserved    bool                // The next retry counts toward the budget already.
@@ -134,7 +140,12 @@
 	usageCounted     bool
 	upstream         string // ID of the last chosen upstream.
 	choice           placer.Choice
-	fetchFailed      bool              // A send that fetched prompt parts from another upstream has failed; the next ones read them.
+	fetchFailed      bool            // A send that fetched prompt parts from another upstream has failed; the next ones read them.
+	grant            *admitter.Grant // Of the admission; nil before.
+	reserved         *placer.Run     // Started by the admission and not yet used by an attempt.
+	reservedUpstream string
+	waited           time.Duration     // For the admission.
+	overloadWait     time.Duration     // Until there is room for the request.
 	timeToResponse   time.Duration     // To the first event or the complete response; 0 before.
 	fallbackResponse *bufferedResponse // Last server error, sent to the client if no retry succeeds.
 	finished         bool
@@ -329,6 +340,7 @@
 	}
 	x.cancel(nil)
 	x.memory.Close()
+	x.releaseGrant()
 	x.span.SetAttributes(attribute.String("outcome", outcome), attribute.Int("status", status))
 	x.span.End()
 	r := x.relayer
@@ -352,7 +364,7 @@
 		"upstream", x.upstream, "software", x.choice.Upstream.Version, "resumes", x.call.Resumes, "after", x.call.LastEventID, "sends", x.sends, "runs", x.possibleRuns,
 		"first", x.timeToResponse.Milliseconds(), "took", time.Since(x.received).Milliseconds(),
 		"version", version, "age", x.configAge.Milliseconds(),
-		"cost", int(x.choice.Cost), "preferred", x.choice.Preferred, "prompt", x.call.PromptTokens, "uncached", x.choice.UncachedTokens, "fetched", x.choice.FetchedTokens, "fetch_from", x.choice.FetchSource, "running", x.choice.Running, "waiting", x.choice.QueuedTokens)
+		"cost", int(x.choice.Cost), "preferred", x.choice.Preferred, "prompt", x.call.PromptTokens, "uncached", x.choice.UncachedTokens, "fetched", x.choice.FetchedTokens, "fetch_from", x.choice.FetchSource, "running", x.choice.Running, "waiting", x.choice.QueuedTokens, "waited", x.waited.Milliseconds())
 }
 
 // recordMetrics counts the outcome and records the latencies in ms.
--- a/router/router.go
+++ b/router/router.go
@@ -152,6 +152,12 @@
 	return id, true
 }
 
+// Tier divides the urgencies of the configuration into so many tiers and returns that of an
+// identity; 0 is the most urgent.
+func (t *Table) Tier(id Identity, tiers int) int {
+	return id.Urgency * tiers / max(len(t.urgencies), tiers)
+}
+
 // SelectService selects a service of a route in proportion to the weights of its
 // shares. The choice depends on a hash of the request ID, so repeated calls for
 // one request return the same service.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -84,6 +84,10 @@
 		return id.Urgency
 	}
 	require.Equal(t, []int{0, 1, 2, 3}, []int{urgency("/r/", "k0"), urgency("/x/", "k0"), urgency("/r/", "k1"), urgency("/x/", "k1")})
+	for i, key := range []string{"k0", "k1", "k"} {
+		id, _ := table.Authenticate(table.FindRoute("a.example", "/x/"), key)
+		require.Equal(t, []int{0, 2, 3}[i], table.Tier(id, 4))
+	}
 	require.Equal(t, []int{0, 4}, []int{urgency("/r/", "k"), urgency("/x/", "k")}, "without a rank of their own")
 }
 
