--- a/cmd/savoryloft/edge.go
+++ b/cmd/savoryloft/edge.go
@@ -56,7 +56,7 @@
 func edgeCommand() *cobra.Command {
 	var file string
 	var verbosity int
-	var check bool
+	var check, queue bool
 	c := &cobra.Command{
 		Use:   "edge",
 		Short: "Run an entry instance that is deployed by the platform",
@@ -73,16 +73,17 @@
 				fmt.Fprintln(c.OutOrStdout(), "ok")
 				return nil
 			}
-			return runEdge(file, verbosity)
+			return runEdge(file, verbosity, queue)
 		},
 	}
 	c.Flags().StringVar(&file, "settings", "", "path of the settings file (or set "+platform.SettingsVariable+")")
 	c.Flags().BoolVar(&check, "check", false, "validate the settings file and exit")
+	c.Flags().BoolVar(&queue, "queue", false, "let requests with prompts wait while the upstreams have no room")
 	c.Flags().IntVar(&verbosity, "verbosity", 0, "log verbosity; 1 adds details")
 	return c
 }
 
-func runEdge(file string, verbosity int) error {
+func runEdge(file string, verbosity int, queue bool) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	hangups := make(chan os.Signal, 1)
@@ -106,7 +107,7 @@
 		Deployment: d, Wire: platform.Wire{}, Decoder: platform.Decoder{},
 		Log:        &platform.LogClient{Address: d.LogAddress, Pool: pool},
 		DutyTarget: &platform.DutyClient{Address: d.DutyAddress, Instance: d.Instance, Pool: pool, Timeout: dutyTimeout},
-		Pool:       pool, Memory: memory, Logger: log, Tracer: tracer.Noop(),
+		Pool:       pool, Memory: memory, QueueRequests: queue, Logger: log, Tracer: tracer.Noop(),
 		ReadinessPath: platform.ReadinessPath, MetricsPath: platform.MetricsPath,
 	}
 	reload := &reloader{file: file, hangups: hangups, modified: modified, current: d, logger: log, memory: memory, addSeeds: l.AddSeeds}
--- a/cmd/savoryloft/hangup_test.go
+++ b/cmd/savoryloft/hangup_test.go
@@ -14,7 +14,7 @@
 func TestHangupDuringStartUpDoesNotEndTheProcess(t *testing.T) {
 	const variable = "SAVORYLOFT_HANGUP_TEST"
 	if file := os.Getenv(variable); file != "" {
-		require.Error(t, runEdge(file, 0), "the settings are not valid")
+		require.Error(t, runEdge(file, 0, false), "the settings are not valid")
 		return
 	}
 	file := filepath.Join(t.TempDir(), "settings")
--- a/launcher/admission_test.go
+++ b/launcher/admission_test.go
@@ -17,6 +17,7 @@
 func TestRequestsWaitForRoom(t *testing.T) {
 	const slots, streamTime = 8, 600 * time.Millisecond
 	c := newCluster(t)
+	c.queue = true
 	e := c.addEngine(nil)
 	e.EventInterval = streamTime / 6
 	i := c.start(time.Minute)
--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -47,6 +47,7 @@
 	otherKeys  []string       // Of "other".
 	limits     map[string]any // Of the configuration.
 	routes     []any          // Of the configuration; the usual ones when nil.
+	queue      bool           // Requests wait for room.
 	traits     map[string]any // Further ones of the engines.
 	instances  []*instance
 	engines    []*standin.Engine
@@ -191,7 +192,7 @@
 		Deployment: d, Wire: platform.Wire{}, Decoder: platform.Decoder{},
 		Log:        &delayedLog{&platform.LogClient{Address: c.logServer.Listener.Addr().String(), Pool: pool}, c, c.membersDelay},
 		DutyTarget: &platform.DutyClient{Address: c.dutyServer.Listener.Addr().String(), Instance: d.Instance, Pool: pool, Timeout: time.Second},
-		Pool:       pool, Logger: c.logger, Tracer: tracer.Noop(),
+		Pool:       pool, QueueRequests: c.queue, Logger: c.logger, Tracer: tracer.Noop(),
 		ReadinessPath: platform.ReadinessPath, MetricsPath: platform.MetricsPath,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -69,8 +69,10 @@
 	DutyTarget savoryloft.DutyTarget
 	Pool       *exchanger.Pool
 	Memory     *budgeter.Budget // For data of clients and upstreams; without a limit if nil.
-	Logger     logr.Logger
-	Tracer     trace.Tracer
+	// QueueRequests makes requests with prompts wait while the upstreams have no room.
+	QueueRequests bool
+	Logger        logr.Logger
+	Tracer        trace.Tracer
 	// ReadinessPath and MetricsPath are the URL paths of the readiness probe and
 	// of the metrics page.
 	ReadinessPath string
@@ -225,7 +227,7 @@
 	l.requests, l.abortRequests = context.WithCancelCause(context.Background())
 	l.relayer = &relayer.Relayer{
 		Context: l.requests,
-		Wire:    l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Admitter: l.admitter, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
+		Wire:    l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
 		Metrics: l.registry, Revocation: d.Bounds.Revocation, Regions: d.Regions, Stopping: l.stopping.Load, ExitTime: l.requestExitTime, Instances: l.linker.InstanceCount, LoadShare: l.linker.LoadShare,
 		Memory:       l.Memory,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
@@ -233,6 +235,9 @@
 			Ratio: d.Bounds.RetryRatio, Slack: d.Bounds.RetrySlack, Window: d.Bounds.RetryWindow, Instances: l.linker.InstanceCount,
 		},
 	}
+	if l.QueueRequests {
+		l.relayer.Admitter = l.admitter
+	}
 }
 
 // warmUpRate returns the requests a second that a cold upstream of a service takes, or 0
--- a/relayer/admission.go
+++ b/relayer/admission.go
@@ -162,7 +162,7 @@
 // subjectToAdmission reports whether the request must be admitted. What has been admitted
 // once stays so, and a stream that has begun goes on.
 func (x *exchange) subjectToAdmission() bool {
-	return x.sends == 0 && x.grant == nil && !x.begun() && len(x.call.Parts) > 0 && x.route.Objective > 0
+	return x.relayer.Admitter != nil && x.sends == 0 && x.grant == nil && !x.begun() && len(x.call.Parts) > 0 && x.route.Objective > 0
 }
 
 // admit waits until the upstreams have room for the request, and reserves it. It returns
@@ -259,7 +259,9 @@
 	x := a.exchange
 	a.recordFirstToken(a.firstEventAt)
 	x.relayer.ranks.end(a.firstEventAt, x.rankKey(), x, true)
-	x.relayer.Admitter.RoomChanged(x.service)
+	if queue := x.relayer.Admitter; queue != nil {
+		queue.RoomChanged(x.service)
+	}
 }
 
 // retryAfterOverload returns the Retry-After of a request that was refused because the
@@ -285,6 +287,9 @@
 func (r *Relayer) Maintain(now time.Time) {
 	r.ranks.prune(now)
 	r.share.Store(math.Float64bits(r.LoadShare()))
+	if r.Admitter == nil {
+		return
+	}
 	for _, name := range r.Admitter.Pools() {
 		for tier, queued := range r.Admitter.Pool(name).WaitingByTier() {
 			metrics.GetOrRegisterGauge("admission_queued."+name+"."+strconv.Itoa(tier), r.Metrics).Update(int64(queued))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -82,7 +82,7 @@
 	QuarantinesRead  <-chan struct{} // Closed once the quarantines of other instances, or of earlier ones, are known; nil if there are none.
 	Throttler        *throttler.Throttler
 	Tracker          *tracker.Tracker
-	Admitter         *admitter.Admitter
+	Admitter         *admitter.Admitter // Queues requests with prompts for which there is no room; they are sent or refused at once if nil.
 	Pool             *exchanger.Pool
 	CountRequest     func(account string) // Counts a request for an account's usage when an upstream may have started to run it.
 	PrefillChanged   func(uncached int)   // Called with a prompt's uncached tokens when it is sent to an upstream, and when the first event of a stream arrives.
