Upstreams that run several requests fetch whatever the delay of the request

Change: an upstream that runs three requests or more fetches, since reading holds up their streams. On a calm fleet nothing changes. Result: go test ./placer passes.

--- a/placer/prefix.go
+++ b/placer/prefix.go
@@ -13,6 +13,7 @@
 	maxFetchSources   = 4               // Sources that are compared for each request.
 	fetchLatencyMs    = 3.0             // Of a fetch, in addition to the transfer and to the earlier transfers of the source.
 	fetchNeedShare    = 0.25            // Expected delay, as a share of the request's objective, below which nothing is fetched: a transfer costs more than callers gain.
+	busyStreams       = 3               // Requests that run at an upstream from which on reading there holds up too many streams.
 	maxFetchShare     = 0.5             // Largest duration of a fetch, as a share of the time in which the upstream would read the same tokens.
 	transferCostShare = 1.0             // Cost per ms of a fetch, in addition to the wait for it.
 	fetchPause        = 3 * time.Second // For which a source is not used after a request that fetched from it has failed.
@@ -134,7 +135,7 @@
 	p := prefixPlan{cached: recorded + int(float64(max(f.sharedTokens-recorded, 0))*probability)}
 	p.read = max(f.request.PromptTokens-p.cached, 0)
 	p.readMs = float64(p.read) / s.prefillRate
-	all, needed := p, f.needsFetch(queueMs+p.readMs*(1+float64(running)*interferenceShare))
+	all, needed := p, f.needsFetch(queueMs+p.readMs*(1+float64(running)*interferenceShare), running)
 	for _, src := range f.sources[:f.sourceCount] {
 		if !needed && !src.state.upstream.Draining || src.state == s || src.tokens <= recorded || src.state.upstream.Version != s.upstream.Version {
 			continue
@@ -150,10 +151,10 @@
 }
 
 // needsFetch reports whether a delay, of the request and of the streams that it holds up, is
-// long enough to fetch parts of the prompt. What an upstream holds that leaves is about to
+// long enough, or so many requests run at the upstream, that parts of the prompt are fetched. What an upstream holds that leaves is about to
 // be lost, and is fetched in any case.
-func (f *prefix) needsFetch(delayMs float64) bool {
-	return delayMs >= fetchNeedShare*milliseconds(f.request.Objective)
+func (f *prefix) needsFetch(delayMs float64, running int) bool {
+	return running >= busyStreams || delayMs >= fetchNeedShare*milliseconds(f.request.Objective)
 }
 
 // startFetch records that a run fetches prompt tokens: the transfers of a source run one
--- a/placer/prefix_test.go
+++ b/placer/prefix_test.go
@@ -57,6 +57,12 @@
 			u.Draining, r.Objective = false, time.Minute
 			p.SetPeerLoads(start, map[string]savoryloft.LinkLoad{u.ID: {Upstream: u.ID, Running: 30, Prefill: 60000}}, 0)
 		}, 0},
+		{"an overloaded source, a delay that matters to the streams that run", func(p *Placer, u *savoryloft.RegisteredUpstream, r *Request) {
+			u.Draining, r.Objective = false, time.Minute
+			p.SetPeerLoads(start, map[string]savoryloft.LinkLoad{
+				u.ID: {Upstream: u.ID, Running: 30, Prefill: 60000}, "engine-1": {Upstream: "engine-1", Running: busyStreams}, "engine-2": {Upstream: "engine-2", Running: busyStreams},
+			}, 0)
+		}, documentTokens},
 		{"a source that leaves, a delay that does not matter", func(_ *Placer, _ *savoryloft.RegisteredUpstream, r *Request) { r.Objective = time.Minute }, documentTokens},
 		{"engines without a link", func(_ *Placer, _ *savoryloft.RegisteredUpstream, r *Request) { r.Engine.LinkRate = 0 }, 0},
 		{"tokens of unknown size", func(_ *Placer, _ *savoryloft.RegisteredUpstream, r *Request) { r.Engine.TokenBytes = 0 }, 0},
