Uneven upstreams: instances tell each other how fast upstreams are

Cause: each instance learnt the prefill rate of an upstream from its own samples only, few in a large deployment, began with a constant and was limited to 120 tokens per ms; the time between tokens was not looked at. An upstream slowed for a part of a second was found out by the waits at it.

Change: placer keeps two rates of each upstream, of prefill and of streams, as work by time, with a lasting average that fades towards the mean of the service and, for streams, a recent one that fades towards the lasting one. Samples that differ by 30% from what peers know travel like prompt parts, summed, in the new optional field Speeds of link frames (the protocol number stays; earlier builds skip it). The prefill rate, reduced by the slowdown of the streams, and the square root of the step time enter the cost of a choice.

--- a/check.go
+++ b/check.go
@@ -88,6 +88,11 @@
 			return err
 		}
 	}
+	if f.Speeds != nil {
+		if err := f.Speeds.Check(); err != nil {
+			return err
+		}
+	}
 	if f.Status != nil {
 		return f.Status.Check()
 	}
@@ -268,3 +273,20 @@
 	}
 	return nil
 }
+
+// valuesPerSpeed is the number of values of one speed in SpeedChanges.
+const valuesPerSpeed = 5
+
+// Check returns an error when changes of speeds violate their schema.
+func (c SpeedChanges) Check() error {
+	if slices.Contains(c.Names, "") {
+		return errors.New("speed of an upstream without a name")
+	}
+	if len(c.Values)%valuesPerSpeed != 0 {
+		return errors.Errorf("speed changes have %d values, want a multiple of %d", len(c.Values), valuesPerSpeed)
+	}
+	if slices.ContainsFunc(c.Values, func(v int) bool { return v < 0 }) {
+		return errors.New("speed is negative")
+	}
+	return nil
+}
--- a/frame_test.go
+++ b/frame_test.go
@@ -57,6 +57,7 @@
 		Requests: []savoryloft.TokenRequest{{ID: 3, Service: "s", Upstreams: []string{"i-1"}, Wait: 100}},
 		Replies:  []savoryloft.TokenReply{{ID: 3, Upstream: "i-1"}},
 	}
+	frame.Speeds = &savoryloft.SpeedChanges{Restart: true, Names: []string{"i-1"}, Values: []int{0, 30, 500, 20, 400}}
 	var same savoryloft.LinkFrame
 	transcode(t, &frame, &same)
 	require.Equal(t, frame, same)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -148,7 +148,7 @@
 // cancelled.
 func (l *Launcher) backgroundTasks() []func(context.Context) error {
 	d := l.Deployment
-	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.maintainMembership, l.cleanUp, l.logCounters}
+	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.maintainMembership, l.cleanUp, l.exchangeSpeeds, l.logCounters}
 	if d.Duties.UsageReports || d.Duties.Orders {
 		list = append(list, l.claimer.Run)
 	}
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"context"
 	"math"
 	"time"
 
@@ -84,6 +85,11 @@
 	return s.placer.MergeParts(time.Now(), parts)
 }
 
+// MergeSpeeds implements linker.Source.
+func (s linkSource) MergeSpeeds(speeds []savoryloft.UpstreamSpeed) []savoryloft.UpstreamSpeed {
+	return s.placer.MergeSpeeds(time.Now(), speeds)
+}
+
 // LeavingSince implements linker.Source.
 func (s linkSource) LeavingSince(cursor int) (list []savoryloft.LeavingUpstream, next int) {
 	return s.watcher.LeavingSince(cursor)
@@ -135,3 +141,14 @@
 		l.placer.SetInstances(l.linker.InstanceCount())
 	}
 }
+
+// exchangeSpeeds regularly tells the peers how fast upstreams are.
+func (l *Launcher) exchangeSpeeds(ctx context.Context) error {
+	for ctx.Err() == nil {
+		savoryloft.Sleep(ctx, speedInterval)
+		l.linker.QueueSpeeds(l.placer.TakeSpeeds(time.Now()))
+	}
+	return nil
+}
+
+const speedInterval = 200 * time.Millisecond // Between checks for speeds of upstreams that have changed.
--- a/linker/link.go
+++ b/linker/link.go
@@ -56,18 +56,21 @@
 	clockOffsetAt  time.Time             // Local time of the measurement, with its monotonic reading.
 	unneededSince  time.Duration         // Uptime since which neither side needs the link; 0 while one does.
 	pendingParts   []savoryloft.HeldPart // Not yet sent to the peer.
+	pendingSpeeds  speedSums             // Not yet sent to the peer.
 	decoder        loadDecoder
 	instances      int           // Live instances according to the peer's last status.
 	domainCount    int           // Live instances of the peer's failure domain according to that status.
 	countedAt      time.Duration // Uptime of that status.
 
 	// Used only by the reader.
-	behindCount int // Consecutive statuses in which the peer lacked records.
+	behindCount  int // Consecutive statuses in which the peer lacked records.
+	speedDecoder speedDecoder
 
 	// Used only by the writer.
-	usageCursor int
-	leaveCursor int
-	encoder     loadEncoder
+	usageCursor  int
+	leaveCursor  int
+	encoder      loadEncoder
+	speedEncoder speedEncoder
 }
 
 // runLink serves one connection until it ends. dialed is whether this instance
@@ -83,6 +86,7 @@
 		sendQueue: make(chan savoryloft.LinkFrame, maxQueuedFrames), statusDue: make(chan struct{}, 1),
 		updateDue: make(chan struct{}, 1),
 		sentAt:    map[int]time.Duration{}, loads: map[string]savoryloft.LinkLoad{},
+		pendingSpeeds: speedSums{},
 	}
 	if err := k.exchangeGreetings(); err != nil {
 		l.Logger.V(1).Info("link handshake failed", "step", savoryloft.StepPeer, "peer", conn.RemoteAddr().String(), "error", err.Error())
@@ -251,12 +255,12 @@
 			continue
 		case <-update:
 			update = nil
-			f = savoryloft.LinkFrame{Update: k.newUpdate()}
+			f = savoryloft.LinkFrame{Update: k.newUpdate(), Speeds: k.newSpeeds()}
 		case <-k.statusDue:
-			f = savoryloft.LinkFrame{Status: k.newStatus()}
+			f = savoryloft.LinkFrame{Status: k.newStatus(), Speeds: k.newSpeeds()}
 		case <-t.C:
 			t.Reset(savoryloft.AlignDelay(k.statusInterval()))
-			f = savoryloft.LinkFrame{Status: k.newStatus()}
+			f = savoryloft.LinkFrame{Status: k.newStatus(), Speeds: k.newSpeeds()}
 		}
 		if k.writeFrame(f) != nil {
 			return
@@ -344,6 +348,9 @@
 		l.Source.MergeBegun(f.Begun)
 		k.relayToHubs(savoryloft.LinkFrame{Begun: f.Begun})
 	}
+	if f.Speeds != nil {
+		k.handleSpeeds(f.Speeds)
+	}
 	if f.Update != nil {
 		k.handleUpdate(f.Update)
 	}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -82,6 +82,9 @@
 	// MergeParts stores which prompt parts upstreams have cached and returns the
 	// entries that should be relayed to other peers.
 	MergeParts(parts []savoryloft.HeldPart) []savoryloft.HeldPart
+	// MergeSpeeds stores how fast upstreams are according to a peer and returns those
+	// that should be relayed to other peers.
+	MergeSpeeds(speeds []savoryloft.UpstreamSpeed) []savoryloft.UpstreamSpeed
 	// LeavingSince returns the upstreams that became known to leave after a cursor,
 	// and the next cursor. The first cursor is 0.
 	LeavingSince(cursor int) (list []savoryloft.LeavingUpstream, next int)
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -26,6 +26,7 @@
 	version      int
 	loads        []savoryloft.LinkLoad
 	parts        []savoryloft.HeldPart
+	speeds       []savoryloft.UpstreamSpeed
 	statuses     int
 	recordFrames int                                                   // Frames with records.
 	relay        func(records []savoryloft.ControlRecord, from string) // Called with newly applied records; may be nil.
@@ -100,6 +101,13 @@
 	return added
 }
 
+func (p *fakeSource) MergeSpeeds(speeds []savoryloft.UpstreamSpeed) []savoryloft.UpstreamSpeed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.speeds = append(p.speeds, speeds...)
+	return speeds
+}
+
 func (p *fakeSource) Suspicions() savoryloft.Suspicions { return savoryloft.Suspicions{} }
 
 func (p *fakeSource) MergeSuspicions(string, savoryloft.Suspicions) {}
@@ -305,6 +313,17 @@
 	f.eventually(t, "parts reach all", func(i int) bool {
 		return i == 7 || f.sources[i].withLock(func(p *fakeSource) bool { return len(p.parts) > 0 })
 	})
+	speed := savoryloft.UpstreamSpeed{Upstream: "u", PromptTokens: 100 * promptTokensStep, PrefillMs: 400, StreamTokens: 3, StreamMs: 90}
+	f.linkers[7].QueueSpeeds([]savoryloft.UpstreamSpeed{speed})
+	f.eventually(t, "speeds reach all", func(i int) bool {
+		return i == 7 || f.sources[i].withLock(func(p *fakeSource) bool { return len(p.speeds) > 0 })
+	})
+	for i, p := range f.sources {
+		p.withLock(func(p *fakeSource) bool {
+			require.True(t, i == 7 && len(p.speeds) == 0 || len(p.speeds) == 1 && p.speeds[0] == speed, "instance %d has %v", i, p.speeds)
+			return true
+		})
+	}
 	f.sources[11].mu.Lock()
 	f.sources[11].version = 9
 	f.sources[11].mu.Unlock()
--- a/linker/loads_test.go
+++ b/linker/loads_test.go
@@ -101,3 +101,32 @@
 		require.Equal(t, children, l.childLoads)
 	}
 }
+
+// Speeds must arrive as they were sent, also when the numbering starts anew, and each
+// instance must learn of them once however they travel.
+func TestSpeedsSurviveEncoding(t *testing.T) {
+	var encoder speedEncoder
+	var decoder speedDecoder
+	restarts := 0
+	for round := range 3 * maxNumberedSpeeds / maxSpeedsPerFrame {
+		sums := speedSums{}
+		for i := range 2 * maxSpeedsPerFrame {
+			sums.add(savoryloft.UpstreamSpeed{Upstream: fmt.Sprint("u", round*16+i), PromptTokens: promptTokensStep * i, PrefillMs: i, StreamTokens: 1, StreamMs: 2})
+		}
+		for len(sums) > 0 {
+			sent := sums.take(maxSpeedsPerFrame)
+			c := encoder.encode(sent)
+			require.NoError(t, c.Check())
+			if c.Restart {
+				restarts++
+			}
+			require.Equal(t, sent, decoder.decode(c))
+		}
+	}
+	require.Nil(t, encoder.encode(nil))
+	require.Greater(t, restarts, 1)
+	require.Empty(t, (&speedDecoder{}).decode(&savoryloft.SpeedChanges{Values: []int{3, 1, 1, 1, 1}}), "no name")
+	for _, c := range []savoryloft.SpeedChanges{{Names: []string{""}}, {Values: []int{1}}, {Values: []int{0, 1, 1, 1, -1}}} {
+		require.Error(t, savoryloft.LinkFrame{Speeds: &c}.Check())
+	}
+}
--- a/linker/parts.go
+++ b/linker/parts.go
@@ -24,24 +24,38 @@
 	part     savoryloft.HeldPart
 }
 
+// relayLinks returns the links over which this instance has to pass on what it has
+// found out or received: in a mesh all; from an instance that is not a hub that to its
+// primary hub; from a hub those to the instances that rely on it and, unless another
+// hub sent it, to the other hubs. from is the link on which it arrived; nil if it is
+// this instance's own. The caller holds the lock.
+func (l *Linker) relayLinks(from *link) []*link {
+	t := l.currentTopology(savoryloft.Uptime())
+	if from != nil && (t.mesh || !t.hub) {
+		return nil
+	}
+	var links []*link
+	fromHub := from != nil && t.hubs[from.peer.Instance]
+	for name, k := range l.links {
+		if k != from && (t.mesh || k.child || t.primary == name || t.hub && t.hubs[name] && !fromHub) {
+			links = append(links, k)
+		}
+	}
+	return links
+}
+
 // queueParts queues prompt parts on the links over which this instance has to pass
-// them on: in a mesh on all; from an instance that is not a hub to its primary hub;
-// from a hub to the instances that rely on it and, unless another hub sent them, to
-// the other hubs. from is the link on which they arrived; nil if they are this
+// them on, see relayLinks. from is the link on which they arrived; nil if they are this
 // instance's own. The caller holds the lock.
 func (l *Linker) queueParts(parts []savoryloft.HeldPart, from *link) {
 	if len(parts) == 0 {
 		return
 	}
-	t := l.currentTopology(savoryloft.Uptime())
-	if from != nil && (t.mesh || !t.hub) {
+	if t := l.currentTopology(savoryloft.Uptime()); from != nil && (t.mesh || !t.hub) {
 		return
 	}
-	fromHub := from != nil && t.hubs[from.peer.Instance]
-	for name, k := range l.links {
-		if k != from && (t.mesh || k.child || t.primary == name || t.hub && t.hubs[name] && !fromHub) {
-			k.pendingParts = append(k.pendingParts, parts...)
-		}
+	for _, k := range l.relayLinks(from) {
+		k.pendingParts = append(k.pendingParts, parts...)
 	}
 	now := savoryloft.Uptime()
 	for _, p := range parts {
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -209,6 +209,9 @@
 	// Control records that the receiver may lack.
 	Records []ControlRecord `json:"Records,omitempty,omitzero" msgpack:"Records,omitempty"`
 
+	// Speeds corresponds to the JSON schema field "Speeds".
+	Speeds *SpeedChanges `json:"Speeds,omitempty,omitzero" msgpack:"Speeds,omitempty"`
+
 	// Status corresponds to the JSON schema field "Status".
 	Status *LinkStatus `json:"Status,omitempty,omitzero" msgpack:"Status,omitempty"`
 
@@ -645,6 +648,38 @@
 	return nil
 }
 
+// Speeds of upstreams that differ from those last told. Upstreams are numbered in
+// the order in which their names first appear here on the link, from 0.
+type SpeedChanges struct {
+	// Upstreams without a number so far.
+	Names []string `json:"Names,omitempty,omitzero" msgpack:"Names,omitempty"`
+
+	// The numbering of upstreams starts anew.
+	Restart bool `json:"Restart" msgpack:"Restart"`
+
+	// Five values for each speed: the upstream's number, PromptTokens in steps of
+	// 100, PrefillMs, StreamTokens and StreamMs.
+	Values []int `json:"Values,omitempty,omitzero" msgpack:"Values,omitempty"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *SpeedChanges) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Restart"]; raw != nil && !ok {
+		return fmt.Errorf("field Restart in SpeedChanges: required")
+	}
+	type Plain SpeedChanges
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = SpeedChanges(plain)
+	return nil
+}
+
 // Where streams that can be resumed began, see package tracker.
 type StreamOrigins struct {
 	// Batches corresponds to the JSON schema field "Batches".
@@ -911,6 +946,55 @@
 	return nil
 }
 
+// How fast an upstream has been lately: work and the time that it took. Speeds of
+// several instances are added up.
+type UpstreamSpeed struct {
+	// Milliseconds from the requests to their first tokens.
+	PrefillMs int `json:"PrefillMs" msgpack:"PrefillMs"`
+
+	// Prompt tokens that the upstream has read.
+	PromptTokens int `json:"PromptTokens" msgpack:"PromptTokens"`
+
+	// Milliseconds in which they arrived, summed over the streams.
+	StreamMs int `json:"StreamMs" msgpack:"StreamMs"`
+
+	// Tokens of streams after the first one.
+	StreamTokens int `json:"StreamTokens" msgpack:"StreamTokens"`
+
+	// Upstream corresponds to the JSON schema field "Upstream".
+	Upstream string `json:"Upstream" msgpack:"Upstream"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *UpstreamSpeed) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["PrefillMs"]; raw != nil && !ok {
+		return fmt.Errorf("field PrefillMs in UpstreamSpeed: required")
+	}
+	if _, ok := raw["PromptTokens"]; raw != nil && !ok {
+		return fmt.Errorf("field PromptTokens in UpstreamSpeed: required")
+	}
+	if _, ok := raw["StreamMs"]; raw != nil && !ok {
+		return fmt.Errorf("field StreamMs in UpstreamSpeed: required")
+	}
+	if _, ok := raw["StreamTokens"]; raw != nil && !ok {
+		return fmt.Errorf("field StreamTokens in UpstreamSpeed: required")
+	}
+	if _, ok := raw["Upstream"]; raw != nil && !ok {
+		return fmt.Errorf("field Upstream in UpstreamSpeed: required")
+	}
+	type Plain UpstreamSpeed
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = UpstreamSpeed(plain)
+	return nil
+}
+
 // Requests by account that began to run in one window, counted by one incarnation
 // of an instance.
 type UsageBatch struct {
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -18,7 +18,9 @@
 	kvTokens           int                   // KV cache that this instance's requests occupy, in tokens.
 	cachedParts        map[string]cachedPart // By part ID.
 	cachedTokens       int                   // Sum of the tokens in cachedParts.
+	speedAt            time.Time             // Time at which prefillRate and slowness were evaluated.
 	prefillRate        float64               // Prompt tokens per ms.
+	slowness           float64               // Factor of the cost of a running request.
 	failureScore       float64               // Value at failureScoreAt; it decays from then on.
 	failureScoreAt     time.Time
 	probedAt           time.Time // Last request while suspended.
@@ -28,6 +30,9 @@
 
 	hashPosition float64 // Hash of the ID, from 0 to 1, which partition.boundary divides.
 	jitter       float64 // Hash of this instance and the ID, from 0 to 1; scales jitterCost.
+
+	prefill speedEstimate // Of the prefill rate.
+	streams speedEstimate // Of the output tokens per ms of a stream.
 }
 
 // cachedPart is a prompt part that is assumed to be in an upstream's prefix
@@ -50,6 +55,11 @@
 	hasPrompt            bool    // The service runs inference engines, so the run counts in classTimes.
 	longPrompt           bool    // The prompt has at least longPromptTokens.
 	ended                bool
+
+	// Used only by the caller of RecordEvents.
+	eventTokens int
+	events      int       // At the last sample.
+	eventsAt    time.Time // Time of the last sample.
 }
 
 // state returns the state of an upstream. It creates a new state if the upstream
@@ -61,7 +71,7 @@
 	s := p.states[u.ID]
 	if s == nil || s.upstream.StartedAtMs != u.StartedAtMs {
 		s = &upstreamState{
-			addedAt: now, cachedParts: map[string]cachedPart{}, prefillRate: initialPrefillRate, awaitingFirstToken: map[*Run]struct{}{},
+			addedAt: now, cachedParts: map[string]cachedPart{}, prefillRate: initialPrefillRate, slowness: 1, awaitingFirstToken: map[*Run]struct{}{},
 			hashPosition: toUnitInterval(rendezvous("short", u.ID)), jitter: toUnitInterval(rendezvous(p.Instance, u.ID)),
 		}
 		p.states[u.ID] = s
@@ -210,18 +220,9 @@
 		return
 	}
 	r.endPrefill()
-	ms := float64(now.Sub(r.startedAt)) / float64(time.Millisecond)
-	if tokens := float64(r.uncachedTokens + r.queuedTokens); tokens > minSampleTokens && ms > 0 {
-		sample := max(tokens/ms, minPrefillRate)
-		r.upstream.prefillRate += (min(sample, 2*initialPrefillRate) - r.upstream.prefillRate) * sampleWeight
-	}
+	r.addPrefillSample(now)
 }
 
-const (
-	minSampleTokens = 1500 // The prefill time of shorter prompts depends on the engine's step time rather than on its prefill rate.
-	sampleWeight    = 0.1  // Of the moving average of the prefill rate.
-)
-
 func (r *Run) endPrefill() {
 	r.prefilling = false
 	r.upstream.prefillTokens -= r.uncachedTokens
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1,7 +1,7 @@
 // Package placer is a load balancer that chooses the upstream for a request. For
 // each upstream it estimates the number of running requests, the prompt tokens
-// that await prefill, the prompt parts in the prefix cache, the prefill rate and
-// the recent failures. It chooses the upstream with the lowest cost, which
+// that await prefill, the prompt parts in the prefix cache, the prefill rate, the
+// step time and the recent failures. It chooses the upstream with the lowest cost, which
 // covers the expected wait of the request, the prefill of shared parts that the
 // upstream has not cached, and the delay of other requests on the upstream.
 //
@@ -31,8 +31,6 @@
 )
 
 const (
-	initialPrefillRate        = 60.0                   // Prompt tokens per ms, until the first sample.
-	minPrefillRate            = 5.0                    // Prompt tokens per ms; limits the effect of an outlier.
 	partResendInterval        = 10 * time.Second       // Time without use after which a part is reported to peers again.
 	cachedPartTTL             = 60 * time.Second       // Time after which an unused part is assumed to be evicted.
 	cachedPartMemoryShare     = 0.6                    // Share of the KV cache that cached parts are assumed to occupy.
@@ -108,8 +106,9 @@
 	peerLoadDelay time.Duration // Propagation delay of peer loads.
 	instances     int           // Number of instances; 0 if unknown.
 	classTimes    classTimes
-	candidates    []*upstreamState      // Buffer that Choose reuses.
-	unsentParts   []savoryloft.HeldPart // Newly cached parts that were not reported to peers.
+	serviceSpeeds map[string]serviceSpeed // By service.
+	candidates    []*upstreamState        // Buffer that Choose reuses.
+	unsentParts   []savoryloft.HeldPart   // Newly cached parts that were not reported to peers.
 }
 
 // SetPeerLoads sets the total loads of the other instances by upstream, and the
@@ -268,6 +267,7 @@
 		if now.Before(s.pausedUntil) {
 			continue
 		}
+		p.refreshSpeed(now, s)
 		p.candidates = append(p.candidates, s)
 	}
 	preferred := preferredUpstream(now, r, p.candidates, pt)
@@ -337,7 +337,7 @@
 	c.UncachedTokens = s.uncachedTokens(now, r, probability)
 	prefillMs := float64(c.UncachedTokens) / s.prefillRate
 	c.TimeToFirstToken = time.Duration(float64(c.QueuedTokens+c.UncachedTokens) / s.prefillRate * float64(time.Millisecond))
-	c.Cost = float64(c.QueuedTokens)/s.prefillRate + prefillMs + float64(c.Running)*(runningCostMs+prefillMs*interferenceShare)
+	c.Cost = float64(c.QueuedTokens)/s.prefillRate + prefillMs + float64(c.Running)*(runningCostMs*s.slowness+prefillMs*interferenceShare)
 	if r.Engine != nil {
 		// No upstream has cached the last part, which is not shared.
 		shared := max(c.UncachedTokens-r.unsharedTokens(), 0)
@@ -448,6 +448,14 @@
 	return x
 }
 
+// eventTokens returns the output tokens of an event, or 1 if they are unknown.
+func (r Request) eventTokens() int {
+	if r.Engine != nil && r.Engine.EventTokens > 0 {
+		return r.Engine.EventTokens
+	}
+	return 1
+}
+
 // Start records that a request is sent to the chosen upstream, which will cache
 // the parts of its prompt. The caller must call End on the returned Run.
 func (p *Placer) Start(now time.Time, c Choice, r Request) *Run {
@@ -459,6 +467,7 @@
 		hasPrompt: r.Engine != nil, longPrompt: r.PromptTokens >= longPromptTokens,
 		uncachedTokens: c.UncachedTokens, kvTokens: r.PromptTokens + r.OutputTokens,
 		queuedTokens: c.QueuedTokens, expectedFirstTokenMs: float64(c.QueuedTokens+c.UncachedTokens) / s.prefillRate, prefilling: true,
+		eventTokens: r.eventTokens(),
 	}
 	s.running++
 	s.prefillTokens += run.uncachedTokens
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -263,6 +263,9 @@
 			s.brokenBy = err
 		}
 	}
+	if !s.attempt.firstEventAt.IsZero() {
+		s.attempt.run.RecordEvents(time.Now(), s.attemptEvents)
+	}
 	return nil
 }
 
