Orders follow a forecast of the load

Cause: the size of a service followed one average of running requests with two thresholds: it grew only once the load was there, although upstreams take the boot time to start, did not see prompts that wait, and shrank without regard to the loss of a failure domain.

Change: Resize, a pure function of a Forecast and the Fleet, replaces the thresholds. Upstreams are added by what is expected after the boot time and by the waiting prefill, and removed, a tenth at a time, only while twice the peak of 25 s and the prompts in use fit well into what the loss of a failure domain leaves; in doubt the size is kept. The inputs are the loads that instances exchange already. Running of the Provisioner became Load. One log line for each decision with its inputs, gauges scaling_*.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -161,8 +161,8 @@
 	}
 	if d.Duties.Orders {
 		p := &provisioner.Provisioner{
-			Store: l.claimer, Target: l.DutyTarget, Services: l.services, Upstreams: l.watcher.Upstreams, Running: l.runningRequests,
-			Heartbeat: d.Heartbeat, Logger: l.Logger,
+			Store: l.claimer, Target: l.DutyTarget, Services: l.services, Upstreams: l.watcher.Upstreams, Load: l.serviceLoad,
+			Heartbeat: d.Heartbeat, Metrics: l.registry, Logger: l.Logger,
 		}
 		list = append(list, p.Run)
 	}
@@ -348,16 +348,20 @@
 	return nil
 }
 
-// runningRequests returns the number of running requests of a service, summed
-// over all instances.
-func (l *Launcher) runningRequests(service string) int {
+// serviceLoad returns the load of a service, summed over all instances.
+func (l *Launcher) serviceLoad(service string) provisioner.ServiceLoad {
 	l.updatePeerLoads()
-	loads := l.placer.TotalLoads(time.Now())
-	n := 0
+	now := time.Now()
+	loads := l.placer.TotalLoads(now)
+	var sum provisioner.ServiceLoad
+	prefill := 0
 	for _, u := range l.watcher.Upstreams(service) {
-		n += loads[u.ID].Running
+		sum.Running += loads[u.ID].Running
+		prefill += loads[u.ID].Prefill
 	}
-	return n
+	sum.PrefillTime = l.placer.PrefillTime(now, service, prefill)
+	sum.PromptTokens = l.placer.PromptTokens(now, service)
+	return sum
 }
 
 // cleanUp regularly removes state that is not needed any more.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -107,6 +107,7 @@
 	instances     int           // Number of instances; 0 if unknown.
 	classTimes    classTimes
 	serviceSpeeds map[string]serviceSpeed // By service.
+	askedParts    map[string]askedPart    // By part ID.
 	candidates    []*upstreamState        // Buffer that Choose reuses.
 	unsentParts   []savoryloft.HeldPart   // Newly cached parts that were not reported to peers.
 }
@@ -205,6 +206,7 @@
 func (p *Placer) Prune(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.pruneAskedParts(now)
 	for id, s := range p.states {
 		if s.running == 0 && now.Sub(s.lastCandidateAt) > cachedPartTTL {
 			delete(p.states, id)
@@ -476,6 +478,7 @@
 	if s.suspended(now) {
 		s.probedAt = now
 	}
+	p.recordPrompt(now, r)
 	report := len(r.Parts) > 1 && (!c.Preferred || p.reportsPreferred())
 	for _, part := range r.Parts {
 		if cached, ok := s.cachedParts[part.ID]; report && (!ok || now.Sub(cached.lastUsed) > partResendInterval) {
--- a/placer/speed.go
+++ b/placer/speed.go
@@ -275,3 +275,11 @@
 	streams, _ = s.streams.told.rates(now, service.streams, streamPriorMs)
 	return prefill, streams
 }
+
+// PrefillTime returns the time that an upstream of a service takes to process prompt
+// tokens, at the mean rate of the service's upstreams.
+func (p *Placer) PrefillTime(now time.Time, service string, tokens int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(float64(tokens) / p.serviceSpeed(now, service).prefill * float64(time.Millisecond))
+}
--- a/provisioner/plan.go
+++ b/provisioner/plan.go
@@ -15,15 +15,10 @@
 	// spareSlots adds to the spare where upstreams have few slots, since these absorb
 	// little of a burst: that many divided by the slots, as a share of the upstreams.
 	spareSlots = 3.0
-	// Upstreams are added above scaleUpLoad running requests per upstream and
-	// removed below scaleDownLoad. Engines accept many more requests, but process
-	// prompts one at a time. Between the two limits the size does not change, since
-	// a change loses cached prompts.
-	scaleUpLoad   = 10.0
-	scaleDownLoad = 2.0
-	// scaleUpShare limits scaleUpLoad to a share of an upstream's slots, since requests
-	// spread unevenly; scaleDownLoad is reduced in proportion.
-	scaleUpShare     = 0.35
+	// Upstreams are added above scaleUpLoad running requests per upstream. Engines
+	// accept many more requests, but process prompts one at a time.
+	scaleUpLoad      = 10.0
+	scaleUpShare     = 0.35        // Limits scaleUpLoad to a share of an upstream's slots, since requests spread unevenly.
 	minScaleUpStep   = 0.25        // Of the size; each order moves prompts to other upstreams, and a burst needs few orders.
 	riseTimeConstant = time.Second // Smoothing of increasing load; bursts last a few seconds.
 	// fallTimeConstant smooths decreasing load; it is longer than the waves in daily
@@ -118,18 +113,24 @@
 // ceilDiv returns a/b rounded up, for a >= 0 and b > 0.
 func ceilDiv(a, b int) int { return (a + b - 1) / b }
 
-// sizer determines the number of upstreams of a service from the number of its
-// running requests. Times are uptimes, see savoryloft.Uptime.
+// sizer determines the number of upstreams of a service from its load. Times are
+// uptimes, see savoryloft.Uptime.
 type sizer struct {
 	averageRunning   float64       // Exponential moving average of running requests; rises faster than it falls.
+	averagePrefill   float64       // The same of the prefill time, in units of backlogLimit.
+	memory           float64       // Upstreams whose caches hold the prompts in use.
+	history          loadHistory   // Of averageRunning.
 	observedAt       time.Duration // Time of the last observation.
 	firstObservedAt  time.Duration // Time of the first observation.
 	hadRequests      bool          // At least one observation had running requests.
+	requestsSince    time.Duration // Time of the first such observation.
 	scaledDownAt     time.Duration // Time of the last reduction, or of the first observation.
 	registered       int           // Last number of registered upstreams while no size is stored.
 	registeredSince  time.Duration // Time at which registered last changed.
 	registrationTime time.Duration // Time that upstreams have to register before the initial size is set.
 	slots            int           // Of an upstream; 0 if unknown.
+	memoryTokens     int           // Of an upstream; 0 if unknown.
+	bootTime         time.Duration // Of upstreams.
 }
 
 // scaleUpLoad returns the number of running requests per upstream above which
@@ -141,34 +142,51 @@
 	return min(scaleUpLoad, scaleUpShare*float64(s.slots))
 }
 
-// scaleDownLoad returns the number of running requests per upstream below which
-// upstreams are removed.
-func (s *sizer) scaleDownLoad() float64 { return scaleDownLoad * s.scaleUpLoad() / scaleUpLoad }
-
-// observe updates the moving average with the number of running requests.
-func (s *sizer) observe(now time.Duration, running int) {
+// observe updates the averages with a load.
+func (s *sizer) observe(now time.Duration, load ServiceLoad) {
+	running, prefill := float64(load.Running), float64(load.PrefillTime)/float64(backlogLimit)
 	if s.observedAt == 0 {
-		s.observedAt, s.firstObservedAt, s.scaledDownAt, s.averageRunning = now, now, now, float64(running)
+		s.observedAt, s.firstObservedAt, s.scaledDownAt = now, now, now
+		s.averageRunning, s.averagePrefill = running, prefill
 	}
 	elapsed := now - s.observedAt
 	s.observedAt = now
-	if running > 0 {
-		s.hadRequests = true
+	if load.Running > 0 && !s.hadRequests {
+		s.hadRequests, s.requestsSince = true, now
+	}
+	s.averageRunning = smooth(s.averageRunning, running, elapsed)
+	s.averagePrefill = smooth(s.averagePrefill, prefill, elapsed)
+	s.history.add(now, s.averageRunning)
+	if s.memoryTokens > 0 {
+		s.memory = float64(load.PromptTokens) / (cacheShare * float64(s.memoryTokens))
 	}
+}
+
+// smooth returns an average after a new value, which it follows faster up than down.
+func smooth(average, value float64, elapsed time.Duration) float64 {
 	timeConstant := fallTimeConstant
-	if float64(running) > s.averageRunning {
+	if value > average {
 		timeConstant = riseTimeConstant
 	}
-	s.averageRunning += (float64(running) - s.averageRunning) * (1 - math.Exp(-float64(elapsed)/float64(timeConstant)))
+	return average + (value-average)*(1-math.Exp(-float64(elapsed)/float64(timeConstant)))
+}
+
+// forecast returns what the observations tell about the load.
+func (s *sizer) forecast() Forecast {
+	return Forecast{
+		Running: s.averageRunning, Expected: s.history.expected(s.bootTime), Peak: s.history.peak(s.observedAt),
+		Backlog: s.averagePrefill, Memory: s.memory, FleetLoad: s.scaleUpLoad(),
+		Complete: s.hadRequests && s.observedAt-s.requestsSince > waveWindow,
+	}
 }
 
-// desired returns the number of upstreams for the observed load. target is the
-// size that this or an earlier lease holder stored. If target is 0, the initial
+// desired returns the number of upstreams for the observed load. The target is the
+// size that this or an earlier lease holder stored. If it is 0, the initial
 // size is the number of registered upstreams plus spares, and desired returns 0
-// until upstreams have had time to register. domains is the number of failure
-// domains; the result is a multiple of it if target is.
-func (s *sizer) desired(registered, domains, target int) int {
-	if target == 0 {
+// until upstreams have had time to register.
+func (s *sizer) desired(fleet Fleet) int {
+	registered, domains := fleet.Registered, fleet.Domains
+	if fleet.Target == 0 {
 		if registered != s.registered {
 			s.registered, s.registeredSince = registered, s.observedAt
 		}
@@ -177,15 +195,11 @@
 		}
 		return roundUp(registered+s.initialSpare(registered, domains), domains)
 	}
-	switch perUpstream := s.averageRunning / float64(target); {
-	case perUpstream > s.scaleUpLoad():
-		needed := max(s.averageRunning/s.scaleUpLoad(), (1+minScaleUpStep)*float64(target))
-		return roundUp(int(math.Ceil(needed)), domains)
-	case s.hadRequests && perUpstream < s.scaleDownLoad() && target > minPerDomain*domains && s.observedAt-s.scaledDownAt > fallTimeConstant:
+	size := Resize(s.forecast(), fleet, s.observedAt-s.scaledDownAt > fallTimeConstant)
+	if size < fleet.Target {
 		s.scaledDownAt = s.observedAt
-		return target - domains
 	}
-	return target
+	return size
 }
 
 // initialSpare returns the number of spare upstreams that are ordered beside the
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -9,16 +9,18 @@
 // # Usage
 //
 //	p := &provisioner.Provisioner{Store: claimer, Target: target, Services: services, Upstreams: upstreams,
-//		Running: running, Heartbeat: time.Second, Logger: log}
+//		Load: load, Heartbeat: time.Second, Logger: log}
 //	go p.Run(ctx)
 package provisioner
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"savoryloft.example/savoryloft"
 )
@@ -56,10 +58,11 @@
 	Services func() []savoryloft.UpstreamService
 	// Upstreams returns the registered upstreams of a service.
 	Upstreams func(service string) []savoryloft.RegisteredUpstream
-	// Running returns the number of running requests of a service on all instances.
-	Running func(service string) int
+	// Load returns the load of a service on all instances.
+	Load func(service string) ServiceLoad
 	// Heartbeat is the interval at which upstreams renew their registration.
 	Heartbeat time.Duration
+	Metrics   metrics.Registry // Of the forecasts; go-metrics' default registry if nil.
 	Logger    logr.Logger
 
 	sizers map[string]*sizer
@@ -119,10 +122,12 @@
 	names := sortedDomains(*s.Scaling)
 	domains := make([]DomainState, len(names))
 	var current UpstreamCounts
+	fleet := Fleet{Domains: len(names), Max: s.Scaling.Max}
 	for i, name := range names {
 		domains[i] = DomainState{
 			Name: name, Current: countUpstreams(upstreams, name), NoCapacity: p.lastOrder(orderKey{s.Name, name, true}).noCapacity,
 		}
+		fleet.NoCapacity = fleet.NoCapacity || domains[i].NoCapacity
 		current.OnDemand += domains[i].Current.OnDemand
 		current.Reclaimable += domains[i].Current.Reclaimable
 	}
@@ -131,10 +136,16 @@
 		sz = &sizer{registrationTime: time.Duration(registrationHeartbeats * float64(p.Heartbeat))}
 		p.sizers[s.Name] = sz
 	}
-	sz.slots = slotsOf(s, upstreams)
-	sz.observe(savoryloft.Uptime(), p.Running(s.Name))
+	sz.slots, sz.bootTime = slotsOf(s, upstreams), s.Scaling.BootTime
+	if s.Engine != nil {
+		sz.memoryTokens = s.Engine.MemoryTokens
+	}
+	sz.observe(savoryloft.Uptime(), p.Load(s.Name))
 	target, _ := p.Store.Size(s.Name)
-	desired := sz.desired(current.sum(), len(domains), target)
+	fleet.Target, fleet.Registered = target, current.sum()
+	desired := sz.desired(fleet)
+	f := sz.forecast()
+	p.setGauges(s.Name, f, fleet, desired)
 	if desired == 0 {
 		return true
 	}
@@ -144,7 +155,7 @@
 			return false
 		}
 		p.Logger.Info("service size changed", "step", savoryloft.StepOrder, "service", s.Name, "upstreams", desired, "before", target,
-			"registered", current.sum(), "running", int(sz.averageRunning))
+			"registered", current.sum(), "forecast", f.String(), "kept", int(math.Ceil(f.Kept(fleet.Domains))), "no_capacity", fleet.NoCapacity)
 	}
 	plan := Plan(*s.Scaling, desired, domains, !sz.hadRequests)
 	for i, d := range domains {
@@ -158,6 +169,19 @@
 	return true
 }
 
+// setGauges sets the gauges that tell what the size of a service was decided on.
+func (p *Provisioner) setGauges(service string, f Forecast, fleet Fleet, size int) {
+	set := func(name string, v float64) {
+		metrics.GetOrRegisterGauge("scaling_"+name+"."+service, p.Metrics).Update(int64(math.Round(v)))
+	}
+	set("size", float64(size))
+	set("registered", float64(fleet.Registered))
+	set("running", f.Running)
+	set("running_expected", f.Expected)
+	set("running_peak", f.Peak)
+	set("kept", math.Ceil(f.Kept(fleet.Domains)))
+}
+
 // slotsOf returns the number of slots of a service's upstreams, or 0 if it is
 // unknown.
 func slotsOf(s savoryloft.UpstreamService, upstreams []savoryloft.RegisteredUpstream) int {
--- a/provisioner/provisioner_test.go
+++ b/provisioner/provisioner_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"savoryloft.example/savoryloft"
@@ -98,8 +99,8 @@
 	t.Run("waits until all upstreams have registered", func(t *testing.T) {
 		s := &sizer{registrationTime: 2 * second}
 		for i, registered := range []int{0, 5, 14, 18, 18, 18, 18} {
-			s.observe(time.Duration(i+1)*second, 0)
-			desired := s.desired(registered, 4, 0)
+			s.observe(time.Duration(i+1)*second, ServiceLoad{Running: 0})
+			desired := s.desired(Fleet{Registered: registered, Domains: 4, Target: 0})
 			if i < 4 {
 				require.Zero(t, desired, "step %d", i)
 				continue
@@ -109,22 +110,22 @@
 	})
 	t.Run("a new holder keeps the stored size after the loss of a domain", func(t *testing.T) {
 		s := &sizer{}
-		s.observe(second, 40)
-		require.Equal(t, 16, s.desired(8, 4, 16))
+		s.observe(second, ServiceLoad{Running: 40})
+		require.Equal(t, 16, s.desired(Fleet{Registered: 8, Domains: 4, Target: 16}))
 	})
 	t.Run("high load scales up within seconds", func(t *testing.T) {
 		s := &sizer{}
 		for i := range 80 {
-			s.observe(time.Duration(i+1)*second/4, 300)
+			s.observe(time.Duration(i+1)*second/4, ServiceLoad{Running: 300})
 		}
-		require.Equal(t, 32, s.desired(16, 4, 16))
+		require.Equal(t, 32, s.desired(Fleet{Registered: 16, Domains: 4, Target: 16}))
 	})
 	t.Run("upstreams with few slots scale up earlier", func(t *testing.T) {
 		s := &sizer{slots: 12}
 		for i := range 80 {
-			s.observe(time.Duration(i+1)*second/4, 1000)
+			s.observe(time.Duration(i+1)*second/4, ServiceLoad{Running: 1000})
 		}
-		require.Equal(t, 240, s.desired(147, 3, 147))
+		require.Equal(t, 240, s.desired(Fleet{Registered: 147, Domains: 3, Target: 147}))
 	})
 	t.Run("upstreams with few slots get more spares", func(t *testing.T) {
 		for _, tt := range []struct {
@@ -136,18 +137,18 @@
 			{12, 120, 150},
 		} {
 			s := &sizer{slots: tt.slots}
-			s.observe(second, 0)
-			s.desired(tt.registered, 6, 0)
-			s.observe(2*second, 0)
-			require.Equal(t, roundUp(tt.want, 6), s.desired(tt.registered, 6, 0), "%+v", tt)
+			s.observe(second, ServiceLoad{Running: 0})
+			s.desired(Fleet{Registered: tt.registered, Domains: 6, Target: 0})
+			s.observe(2*second, ServiceLoad{Running: 0})
+			require.Equal(t, roundUp(tt.want, 6), s.desired(Fleet{Registered: tt.registered, Domains: 6, Target: 0}), "%+v", tt)
 		}
 	})
 	t.Run("a burst is met with few orders", func(t *testing.T) {
 		s := &sizer{slots: 12}
 		size, orders := 147, 0
 		for i := range 40 {
-			s.observe(time.Duration(i+1)*second/4, 400+20*i)
-			if next := s.desired(size, 3, size); next != size {
+			s.observe(time.Duration(i+1)*second/4, ServiceLoad{Running: 400 + 20*i})
+			if next := s.desired(Fleet{Registered: size, Domains: 3, Target: size}); next != size {
 				size, orders = next, orders+1
 			}
 		}
@@ -156,15 +157,15 @@
 	})
 	t.Run("a short dip keeps the size, sustained low load scales down in steps", func(t *testing.T) {
 		s := &sizer{}
-		s.observe(second, 60)
+		s.observe(second, ServiceLoad{Running: 60})
 		for i := range 20 {
-			s.observe(time.Duration(i+2)*second/2, 40)
-			require.Equal(t, 16, s.desired(16, 4, 16))
+			s.observe(time.Duration(i+2)*second/2, ServiceLoad{Running: 40})
+			require.Equal(t, 16, s.desired(Fleet{Registered: 16, Domains: 4, Target: 16}))
 		}
 		size, steps := 16, 0
 		for i := range 400 {
-			s.observe(time.Duration(i+20)*second, 5)
-			if next := s.desired(size, 4, size); next != size {
+			s.observe(time.Duration(i+20)*second, ServiceLoad{Running: 5})
+			if next := s.desired(Fleet{Registered: size, Domains: 4, Target: size}); next != size {
 				require.Equal(t, size-4, next)
 				size, steps = next, steps+1
 			}
@@ -252,14 +253,14 @@
 		target := &fakeTarget{noCapacity: map[string]error{"b": savoryloft.ErrNoCapacity}}
 		target.orders = []savoryloft.ScaleOrder{{Service: "s", FailureDomain: "a", Count: 2}, {Service: "s", FailureDomain: "b", Count: 2}}
 		p := &Provisioner{
-			Store: store, Target: target, Heartbeat: time.Second, Logger: logr.Discard(),
+			Store: store, Target: target, Heartbeat: time.Second, Metrics: metrics.NewRegistry(), Logger: logr.Discard(),
 			Services: func() []savoryloft.UpstreamService {
 				return []savoryloft.UpstreamService{{Name: "s", Scaling: &savoryloft.ScalingTraits{
 					Min: 1, Max: 6, ReclaimablePriceRatio: 0.2, BootTime: time.Second, Prices: map[string]float64{"a": 1, "b": 1},
 				}}}
 			},
 			Upstreams: target.upstreams,
-			Running:   func(string) int { return 10 },
+			Load:      func(string) ServiceLoad { return ServiceLoad{Running: 10} },
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { _ = p.Run(ctx) }()
