Speeds of upstreams: slow clients do not count as slow upstreams

Cause: a stream's tokens per ms were sampled by the times at which events were read, and the relayer reads on only when the client has taken the earlier events.

Change: a sample counts only if the instance waited for the upstream for 70% of its time.

Measured: go test -race ./placer -run 'Follow|Slow|Rate' and ./relayer: ok.

--- a/placer/engine.go
+++ b/placer/engine.go
@@ -58,8 +58,9 @@
 
 	// Used only by the caller of RecordEvents.
 	eventTokens int
-	events      int       // At the last sample.
-	eventsAt    time.Time // Time of the last sample.
+	events      int           // At the last sample.
+	eventsAt    time.Time     // Time of the last sample.
+	eventsWait  time.Duration // Time for which the caller has waited for events since then.
 }
 
 // state returns the state of an upstream. It creates a new state if the upstream
--- a/placer/speed.go
+++ b/placer/speed.go
@@ -24,6 +24,7 @@
 	maxToldMs            = 10000                  // The same; limits the effect of one peer.
 	streamSampleInterval = 100 * time.Millisecond // Time between events of a stream that makes a sample.
 	maxStreamGap         = 2 * time.Second        // Longest such time; a longer one is taken for a stream that stood still.
+	minWaitShare         = 0.7                    // Share of such a time for which the instance must have waited for the upstream.
 	maxSlowness          = 5.0                    // Bound of an upstream's step time compared with the mean of its service.
 	speedRefreshInterval = 50 * time.Millisecond  // Between evaluations of an upstream's speed.
 	serviceSpeedInterval = 500 * time.Millisecond // Between evaluations of the speed of a service.
@@ -204,17 +205,19 @@
 	}
 }
 
-// RecordEvents records that the stream of a run has got so many events. Calls for one
-// run must not overlap.
-func (r *Run) RecordEvents(now time.Time, events int) {
+// RecordEvents records that the stream of a run has got so many events, and for how long
+// the caller has waited for the latest ones. Events that wait for a slow client tell nothing
+// about the upstream. Calls for one run must not overlap.
+func (r *Run) RecordEvents(now time.Time, events int, waited time.Duration) {
+	r.eventsWait += waited
 	elapsed := now.Sub(r.eventsAt)
-	if !r.eventsAt.IsZero() && elapsed < streamSampleInterval {
+	first := r.eventsAt.IsZero()
+	if !first && elapsed < streamSampleInterval {
 		return
 	}
-	added := events - r.events
-	first := r.eventsAt.IsZero()
-	r.events, r.eventsAt = events, now
-	if first || added <= 0 || elapsed > maxStreamGap {
+	added, waitShare := events-r.events, float64(r.eventsWait)/float64(elapsed)
+	r.events, r.eventsAt, r.eventsWait = events, now, 0
+	if first || added <= 0 || elapsed > maxStreamGap || waitShare < minWaitShare {
 		return
 	}
 	r.placer.mu.Lock()
--- a/placer/speed_test.go
+++ b/placer/speed_test.go
@@ -82,7 +82,7 @@
 					r.run.RecordFirstToken(now.Add(trialTick))
 				case !waiting:
 					r.events += float64(trialTick) / float64(trialStep) * speed
-					r.run.RecordEvents(now.Add(trialTick), int(r.events))
+					r.run.RecordEvents(now.Add(trialTick), int(r.events), trialTick)
 				}
 				if r.prefill -= read; r.events >= trialEvents {
 					r.run.End(now.Add(trialTick), Succeeded)
@@ -211,3 +211,32 @@
 		})
 	}
 }
+
+// A client that reads slowly must not make its upstream look slow.
+func TestSlowClientsAreNotSlowUpstreams(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		waited time.Duration // Of the 100 ms between events.
+		slow   bool
+	}{
+		{"the upstream is slow", 99 * time.Millisecond, true},
+		{"the client is slow", 5 * time.Millisecond, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := &Placer{FailureDomain: "a"}
+			list := testUpstreams(2)
+			r := prompt("", 0, 300)
+			var runs []*Run
+			for _, u := range list {
+				runs = append(runs, p.Start(start, Choice{Upstream: u}, r))
+			}
+			for i := range 40 {
+				now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+				runs[0].RecordEvents(now, i, tt.waited)
+				runs[1].RecordEvents(now, 5*i, 99*time.Millisecond)
+			}
+			choose(t, p, start.Add(4*time.Second), r, list)
+			require.Equal(t, tt.slow, p.states["engine-0"].slowness > 1.1)
+		})
+	}
+}
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -230,7 +230,8 @@
 // returns an error if that takes longer than timeout: single bytes of an event
 // do not extend the time.
 func (s *stream) fill(timeout time.Duration) error {
-	for end := time.Now().Add(timeout); s.completeBytes == 0 && !s.upstreamEnded; {
+	began := time.Now()
+	for end := began.Add(timeout); s.completeBytes == 0 && !s.upstreamEnded; {
 		if s.brokenBy != nil {
 			return s.brokenBy
 		}
@@ -264,7 +265,8 @@
 		}
 	}
 	if !s.attempt.firstEventAt.IsZero() {
-		s.attempt.run.RecordEvents(time.Now(), s.attemptEvents)
+		now := time.Now()
+		s.attempt.run.RecordEvents(now, s.attemptEvents, now.Sub(began))
 	}
 	return nil
 }
