Orders: waiting prompts count if they wait for longer than upstreams take to start

Cause: prefill of 250 ms at each upstream, smoothed in 1 s, may wait at the start of the traffic and in bursts that are over before ordered upstreams have booted.

Change: the limit is 500 ms, and the waiting prefill is smoothed over the boot time.

--- a/provisioner/forecast.go
+++ b/provisioner/forecast.go
@@ -11,7 +11,7 @@
 	peakBuckets     = 25                     // Parts of waveWindow of which each has its own peak.
 	slopeWindow     = 2 * time.Second        // Over which the rise of the load is taken.
 	maxForecastRise = 0.25                   // Bound of the rise until upstreams have booted, as a share of the load.
-	backlogLimit    = 250 * time.Millisecond // Prefill time that may wait at each upstream before more are added.
+	backlogLimit    = 500 * time.Millisecond // Prefill time that may wait at each upstream before more are added.
 	cacheShare      = 0.6                    // Share of an upstream's memory that holds cached prompts.
 	burstReserve    = 2.0                    // Multiple of the peak that is kept when upstreams are removed; bursts are shorter than a boot.
 	reductionMargin = 1.4                    // Multiple of what the load needs above which upstreams are removed.
@@ -32,7 +32,7 @@
 	Running   float64 // Requests, smoothed.
 	Expected  float64 // Requests when upstreams that are ordered now have booted.
 	Peak      float64 // Highest smoothed number of requests within waveWindow.
-	Backlog   float64 // Prefill time, smoothed, in units of backlogLimit, which is as much as an upstream may have.
+	Backlog   float64 // Prefill time, smoothed over the boot time, in units of backlogLimit, which is as much as an upstream may have.
 	Memory    float64 // Upstreams whose caches hold the prompts in use.
 	Complete  bool    // The load has been observed for waveWindow.
 	FleetLoad float64 // Running requests for an upstream from which upstreams are added.
--- a/provisioner/plan.go
+++ b/provisioner/plan.go
@@ -154,19 +154,20 @@
 	if load.Running > 0 && !s.hadRequests {
 		s.hadRequests, s.requestsSince = true, now
 	}
-	s.averageRunning = smooth(s.averageRunning, running, elapsed)
-	s.averagePrefill = smooth(s.averagePrefill, prefill, elapsed)
+	s.averageRunning = smooth(s.averageRunning, running, elapsed, riseTimeConstant)
+	s.averagePrefill = smooth(s.averagePrefill, prefill, elapsed, max(s.bootTime, riseTimeConstant))
 	s.history.add(now, s.averageRunning)
 	if s.memoryTokens > 0 {
 		s.memory = float64(load.PromptTokens) / (cacheShare * float64(s.memoryTokens))
 	}
 }
 
-// smooth returns an average after a new value, which it follows faster up than down.
-func smooth(average, value float64, elapsed time.Duration) float64 {
+// smooth returns an average after a new value, which it follows faster up than down. rise
+// is the time constant of the way up.
+func smooth(average, value float64, elapsed, rise time.Duration) float64 {
 	timeConstant := fallTimeConstant
 	if value > average {
-		timeConstant = riseTimeConstant
+		timeConstant = rise
 	}
 	return average + (value-average)*(1-math.Exp(-float64(elapsed)/float64(timeConstant)))
 }
