Orders stay within the maximum of the failure domains; test of what speeds are told

Cause: waiting prompts could raise the stored size step by step beyond what can be ordered, from where it would have come down slowly.

Change: Resize adds at most up to the maximum of all failure domains. Speeds are compared with what peers know only where there are enough samples.

Measured: go test -race ./provisioner ./placer: ok.

--- a/placer/speed.go
+++ b/placer/speed.go
@@ -232,6 +232,9 @@
 	defer p.mu.Unlock()
 	var speeds []savoryloft.UpstreamSpeed
 	for id, s := range p.states {
+		if s.prefill.unsent.ms < minToldPrefillMs && s.streams.unsent.ms < minToldStreamMs {
+			continue
+		}
 		service := p.serviceSpeed(now, s.upstream.Service)
 		knownPrefill, knownStreams := s.toldRates(now, service)
 		promptTokens, prefillMs := s.prefill.take(now, knownPrefill, minToldPrefillMs)
--- a/placer/speed_test.go
+++ b/placer/speed_test.go
@@ -240,3 +240,32 @@
 		})
 	}
 }
+
+func TestSpeedsAreToldAndRelayedWhenTheyChange(t *testing.T) {
+	p := &Placer{FailureDomain: "a"}
+	list := testUpstreams(2)
+	r := prompt("", 0, 300)
+	for _, u := range list {
+		p.Start(start, Choice{Upstream: u}, r)
+	}
+	usual := savoryloft.UpstreamSpeed{Upstream: "engine-0", StreamTokens: 100, StreamMs: 2000}
+	slow := savoryloft.UpstreamSpeed{Upstream: "engine-0", StreamTokens: 40, StreamMs: 2000}
+	unknown := savoryloft.UpstreamSpeed{Upstream: "new", StreamTokens: 1, StreamMs: 2000}
+	empty := savoryloft.UpstreamSpeed{Upstream: "engine-1"}
+	merge := func(at time.Duration, speeds ...savoryloft.UpstreamSpeed) []savoryloft.UpstreamSpeed {
+		return p.MergeSpeeds(start.Add(at), speeds)
+	}
+	require.Equal(t, []savoryloft.UpstreamSpeed{usual}, merge(0, usual), "nothing was known")
+	require.Empty(t, merge(time.Second, usual, empty))
+	require.Equal(t, []savoryloft.UpstreamSpeed{slow}, merge(2*time.Second, slow))
+	require.Equal(t, []savoryloft.UpstreamSpeed{unknown}, merge(2*time.Second, unknown), "peers may know the upstream")
+	require.Empty(t, p.TakeSpeeds(start.Add(2*time.Second)), "what peers have told is not told again")
+
+	at := start.Add(5 * time.Second)
+	p.states["engine-1"].streams.addOwn(at, 30, 100)
+	require.Empty(t, p.TakeSpeeds(at), "too short a sample")
+	p.states["engine-1"].streams.addOwn(at, 30, 100)
+	require.Equal(t, []savoryloft.UpstreamSpeed{{Upstream: "engine-1", StreamTokens: 60, StreamMs: 200}}, p.TakeSpeeds(at))
+	p.states["engine-1"].streams.addOwn(at, 60, 200)
+	require.Empty(t, p.TakeSpeeds(at), "peers know")
+}
--- a/provisioner/forecast.go
+++ b/provisioner/forecast.go
@@ -91,7 +91,11 @@
 func Resize(f Forecast, fleet Fleet, reducible bool) int {
 	target := float64(fleet.Target)
 	if needed := f.expectedUpstreams(fleet); needed > target {
-		return roundUp(int(math.Ceil(max(needed, (1+minScaleUpStep)*target))), fleet.Domains)
+		size := roundUp(int(math.Ceil(max(needed, (1+minScaleUpStep)*target))), fleet.Domains)
+		if fleet.Max > 0 {
+			size = max(min(size, fleet.Max*fleet.Domains), fleet.Target)
+		}
+		return size
 	}
 	if !reducible || !f.Complete || !fleet.whole() {
 		return fleet.Target
--- a/provisioner/forecast_test.go
+++ b/provisioner/forecast_test.go
@@ -169,4 +169,10 @@
 	}
 	fleet = Fleet{Target: 150, Registered: 120, Domains: 3, Max: 40}
 	require.Equal(t, 135, Resize(idle, fleet, true), "the maximum of the failure domains is registered")
+
+	overload := Forecast{Running: 2000, Expected: 2000, Peak: 2000, Backlog: 500, FleetLoad: 4.2}
+	fleet = Fleet{Target: 90, Registered: 90, Domains: 3, Max: 40}
+	require.Equal(t, 120, Resize(overload, fleet, true), "more can not be ordered")
+	fleet.Target, fleet.Registered = 120, 120
+	require.Equal(t, 120, Resize(overload, fleet, true))
 }
