Responses that are reset during an upload are not complete

Callers got part of an upstream's body as a complete 200. The upstream had answered a long request at once, without a length, and had reset the connection while the request was still being written.

Cause: a body of 16 KiB or more is written in the background. The kernel reports a reset once. If the write receives it, the read returns the end of the connection, which is the end of a body without a length or chunks. The result of the write was only used to decide whether to keep the connection.

Change: the body of such a response (exchanger.ReadResponse) ends without an error only if the write has not received one. For a reset that comes after a regular end the kernel reports EPIPE, so that early responses that are complete are still passed on.

Evidence, before: 8 of 18 cases of TestResponseResetDuringAnUpload failed, read after the reset: "part" without an error; 32 of 40 cases of TestResponseResetDuringAnUploadIsNotComplete, on all kinds of route. After: both pass, the first one 30 times, the second one 3 times with the race detector. TestExchangeResetDuringAnUpload and TestEarlyResponseToAnUploadIsPassedOn passed before as well.

--- a/exchanger/raw.go
+++ b/exchanger/raw.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"os"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -53,6 +56,9 @@
 			return nil, errors.Annotatef(cause(ctx, err), "read response from %s", c.Address)
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			if IsUnframed(resp) && resp.Body != http.NoBody {
+				resp.Body = unframedBody{resp.Body, c}
+			}
 			return resp, nil
 		}
 	}
@@ -105,6 +111,48 @@
 // The pool stops reusing the connection keepAliveMargin before it.
 func (c *Conn) SetKeepAliveTimeout(d time.Duration) { c.keepAliveTimeout = d }
 
+// IsUnframed reports whether a response has neither a length nor chunks, so that it ends
+// with its connection.
+func IsUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// unframedBody is the body of a response that ends with its connection.
+type unframedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader. Of a connection that was reset, the kernel tells either the
+// read or the write of the request body, and the other one finds it closed. The end of the
+// connection is therefore the end of the body only if the write has not failed.
+func (b unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if writeErr := b.conn.stopBodyWrite(); writeErr != nil {
+			return n, errors.Annotatef(writeErr, "connection to %s broke before the response ended with it", b.conn.Address)
+		}
+	}
+	return n, err
+}
+
+// stopBodyWrite ends the background write of the request body, if there is one, and returns
+// the error by which the connection broke meanwhile. The server may have ended its
+// direction of the connection without reading the whole request. That is no such error,
+// even if it resets the connection afterwards, for which the kernel reports EPIPE.
+func (c *Conn) stopBodyWrite() error {
+	if c.bodyWritten == nil {
+		return nil
+	}
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	err := <-c.bodyWritten
+	c.bodyWritten <- err // For bodySent.
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	return err
+}
+
 // bodySent reports whether the background write of the request body, if there
 // is one, has succeeded.
 func (c *Conn) bodySent() bool {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -178,12 +178,6 @@
 	return a, nil
 }
 
-// unframed reports whether the response has neither a length nor chunks, so that it
-// ends with its connection.
-func (a *attempt) unframed() bool {
-	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
-}
-
 // notifyPrefillChange calls PrefillChanged if the request has a prompt.
 func (a *attempt) notifyPrefillChange() {
 	if len(a.exchange.call.Parts) > 0 {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"savoryloft.example/savoryloft/exchanger"
 	"savoryloft.example/savoryloft/placer"
 )
 
@@ -272,7 +273,7 @@
 	if s.completeBytes < len(s.buffer) {
 		return true
 	}
-	return s.attemptEvents == 0 && s.attempt.unframed()
+	return s.attemptEvents == 0 && exchanger.IsUnframed(s.attempt.response)
 }
 
 // reserve makes room in the buffer for the next read. It reuses the memory of data
