Responses with malformed field names are not taken

Callers got responses in whose head the name of a field held a blank: with that line passed on, or, where it was the line of the length, with a body that was not the upstream's.

Cause: net/http keeps a field whose name has a blank under just that name, and fasthttp cuts the blank off. Both join folded lines to the value before. Nothing checked the names after them.

Change: the bytes of a head are checked as they are read from the connection, before either parser sees them. A name must be a token, and lines must not be folded. Such a response counts as broken off, as bytes that are no HTTP do. The check sits in exchanger.Conn, which reads the responses of upstreams and of the platform for all callers.

Control bytes in names were refused before as well; their cases are kept. TestUnusualHeads guards against sound heads that are refused.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -117,6 +117,7 @@
 	bodyWritten      chan error  // Receives the result of the background body write; nil if there is none.
 	stopCancel       func() bool // Stops the AfterFunc that closes the connection when the context ends.
 	headBytesLeft    int         // Bytes that may still be read before the end of the header; -1 outside of a header.
+	head             headChecker // Of the header that is being read.
 }
 
 // Get returns a connection to address. No request data has been sent when it
@@ -260,13 +261,7 @@
 		return errors.Annotatef(cause(ctx, err), "write request to %s", c.Address)
 	}
 	resp.StreamBody = true
-	c.beginHead()
-	err := resp.ReadLimitBody(c.reader, 0)
-	c.headBytesLeft = noHead
-	if err != nil {
-		return errors.Annotatef(cause(ctx, err), "read response from %s", c.Address)
-	}
-	return nil
+	return c.readHead(ctx, func() error { return resp.ReadLimitBody(c.reader, 0) })
 }
 
 // Sent reports whether any byte of the last request was written to the
@@ -429,8 +424,8 @@
 	return err
 }
 
-// timeoutReader resets the read deadline before each read, and limits the bytes
-// that are read in search of the end of a header.
+// timeoutReader resets the read deadline before each read, and limits and checks the
+// bytes that are read in search of the end of a header.
 type timeoutReader struct{ c *Conn }
 
 func (r timeoutReader) Read(b []byte) (int, error) {
@@ -449,18 +444,35 @@
 	}
 	if r.c.headBytesLeft != noHead {
 		r.c.headBytesLeft = max(r.c.headBytesLeft-n, 0)
+		if err := r.c.head.check(b[:n]); err != nil {
+			return 0, err
+		}
 	}
 	return n, err
 }
 
 const noHead = -1 // Value of headBytesLeft outside of a header.
 
-// beginHead starts to count the bytes of a header.
-func (c *Conn) beginHead() {
+// readHead calls parse, which reads the header of a response from c.reader. The header is
+// limited and checked, whatever library parses it.
+func (c *Conn) readHead(ctx context.Context, parse func() error) error {
 	c.headBytesLeft = defaultMaxHeadBytes
 	if c.pool.MaxHeadBytes > 0 {
 		c.headBytesLeft = c.pool.MaxHeadBytes
 	}
+	defer func() { c.headBytesLeft = noHead }()
+	c.head = headChecker{}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err == nil && c.head.check(buffered) == nil {
+		err = parse()
+	}
+	if c.head.err != nil {
+		err = c.head.err // Parsers may report the end of the connection instead.
+	}
+	if err != nil {
+		return errors.Annotatef(cause(ctx, err), "read response from %s", c.Address)
+	}
+	return nil
 }
 
 // countingWriter counts the bytes written to the connection.
--- a/exchanger/raw.go
+++ b/exchanger/raw.go
@@ -49,11 +49,13 @@
 // connection unless ReadResponseBody or MarkComplete is called afterwards.
 func (c *Conn) ReadResponse(ctx context.Context, method string) (*http.Response, error) {
 	for range maxInformationalResponses {
-		c.beginHead()
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		c.headBytesLeft = noHead
+		var resp *http.Response
+		err := c.readHead(ctx, func() (err error) {
+			resp, err = http.ReadResponse(c.reader, &http.Request{Method: method})
+			return err
+		})
 		if err != nil {
-			return nil, errors.Annotatef(cause(ctx, err), "read response from %s", c.Address)
+			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			if IsUnframed(resp) && resp.Body != http.NoBody {
