Responses whose status is none are not taken

Callers of the own interface got a response with status 000 as 200, an append to the log with such a response counted as done, and clients of the edge path got what followed its head as the response.

Cause: fasthttp uses 0 for "no status set" and returns 200 for it. net/http returns 0, and statuses below 200 were skipped as informational. Neither refuses statuses above 599; net/http takes signs.

Change: the check of heads in exchanger.Conn requires a status from 100 to 599, other than 101, and a version of HTTP/1. Such a response counts as broken off.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -48,3 +48,11 @@
 		}
 	}
 }
+
+// Guards against calls that succeed although the status of the response is none: 000 was read
+// as 200.
+func TestMalformedStatuses(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.0 000 OK", "HTTP/1.1 000", "HTTP/1.1 101 Switching Protocols", "HTTP/2.0 200 OK"} {
+		requireMalformedHead(t, line+"\r\n")
+	}
+}
--- a/exchanger/head.go
+++ b/exchanger/head.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
@@ -12,7 +14,8 @@
 
 // headChecker checks the heads of a response, informational ones included, as they are read.
 // The parsers of net/http and fasthttp are lenient, each in its own way: they take names of
-// fields with blanks, and may so miss the field that gives the length of the body.
+// fields with blanks, and may so miss the field that gives the length of the body. A status
+// of 000 is an informational response for one and 200 for the other.
 type headChecker struct {
 	line          []byte // Start of the line whose end has not been read yet.
 	begun         bool   // The status line has been read.
@@ -43,15 +46,36 @@
 func (h *headChecker) checkLine(line []byte) error {
 	switch {
 	case !h.begun:
-		h.begun = true
-		_, status, _ := bytes.Cut(line, []byte(" "))
-		h.informational = bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
+		status, err := parseStatusLine(line)
+		h.begun, h.informational = true, status < http.StatusOK
+		return err
 	case len(line) == 0:
 		h.begun, h.ended = false, !h.informational
+		return nil
 	default:
 		return checkField(line)
 	}
-	return nil
+}
+
+// versionPrefix is the start of a status line, without the minor version.
+const versionPrefix = "HTTP/1."
+
+const maxStatus = 599
+
+// parseStatusLine returns the status in a status line. It refuses the switch to another
+// protocol, since no request asks for one.
+func parseStatusLine(line []byte) (status int, err error) {
+	version, rest, _ := strings.Cut(string(line), " ")
+	minor, found := strings.CutPrefix(version, versionPrefix)
+	if !found || len(minor) != 1 || minor < "0" || minor > "9" {
+		return 0, errors.Annotatef(errMalformedHead, "%.80q does not begin with a version of HTTP/1", line)
+	}
+	digits, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	status, err = strconv.Atoi(digits)
+	if err != nil || len(digits) != 3 || status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return 0, errors.Annotatef(errMalformedHead, "%.80q has no valid status", line)
+	}
+	return status, nil
 }
 
 // checkField checks the line of a field. It refuses folded lines, as a gateway may.
--- a/exchanger/raw.go
+++ b/exchanger/raw.go
@@ -57,7 +57,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= http.StatusOK {
 			if IsUnframed(resp) && resp.Body != http.NoBody {
 				resp.Body = unframedBody{resp.Body, c}
 			}
--- a/launcher/head_test.go
+++ b/launcher/head_test.go
@@ -125,3 +125,11 @@
 		"X-A: 1\r\n X-Broken: 2\r\n" + soundLength, "X-Not-Executed: 1\r\nX Broken: 1\r\n" + soundLength, "X\x01Broken: 1\r\n" + soundLength, "Content-Length\x00" + length, "X\tBroken: 1\r\n" + soundLength,
 	})
 }
+
+// Guards against responses that reach clients although their status is none, or against what
+// follows them being taken for the response.
+func TestMalformedStatusesDoNotReachClients(t *testing.T) {
+	requireMalformedHeads(t, []string{"000 OK", "000", "001 OK", "099 OK", "+20 OK", "-00 OK", "600 OK", "999 OK", "101 Switching Protocols"}, []string{
+		soundLength, "", "Content-Length: 0\r\n", "X-Not-Executed: 1\r\n" + soundLength,
+	})
+}
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -43,3 +43,12 @@
 		require.NotZero(t, report.IncorrectOrLost(), field)
 	}
 }
+
+// Guards against responses that are counted as answers although their status is none.
+func TestMalformedStatuses(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.0 000 OK", "HTTP/2.0 200 OK"} {
+		report := load(t, line+"\r\n")
+		require.Zero(t, report.Answered(), line)
+		require.NotZero(t, report.IncorrectOrLost(), line)
+	}
+}
--- a/server/head_test.go
+++ b/server/head_test.go
@@ -96,3 +96,13 @@
 		"HTTP/1.1 103 Early Hints\r\nX Broken: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: LENGTH\r\n",
 	})
 }
+
+// Guards against responses that reach callers although their status is none: 000 was read as
+// 200.
+func TestMalformedStatusesDoNotReachCallers(t *testing.T) {
+	var heads []string
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.0 000 OK", "HTTP/1.1 000", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/2.0 200 OK"} {
+		heads = append(heads, line+"\r\nContent-Length: LENGTH\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n"+line+"\r\nContent-Length: LENGTH\r\n")
+	}
+	requireMalformedHeads(t, heads)
+}
