loftctl reads pages with package exchanger

Operators got a page with status 000, or with a malformed field name, as a whole one, and loftctl kept a body without end in memory until its time limit.

Cause: it read the pages of instances with the client of fasthttp, past the checks and limits of package exchanger.

--- a/cmd/loftctl/status.go
+++ b/cmd/loftctl/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"text/tabwriter"
@@ -10,12 +11,14 @@
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 
+	"savoryloft.example/savoryloft/exchanger"
 	"savoryloft.example/savoryloft/monitor"
 )
 
 const (
 	statusTimeout      = 2 * time.Second
 	statusPollInterval = 20 * time.Millisecond
+	maxPageBytes       = 16 << 20 // Of the pages of an instance and of stand-ins.
 )
 
 const statusUsage = `Status queries the status of instances and prints one row for each. With --json
@@ -89,12 +92,24 @@
 // httpGet returns the body of the response to a GET request. It returns an error
 // when the status is not 200.
 func httpGet(address, path string) ([]byte, error) {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, statusTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	conn, err := (&exchanger.Pool{Dial: exchanger.DialTCP}).Get(ctx, address, exchanger.Fresh)
 	if err != nil {
-		return nil, errors.Annotatef(err, "send request to %s", address)
+		return nil, errors.Trace(err)
 	}
-	if status != fasthttp.StatusOK {
-		return nil, errors.Errorf("%s returned status %d for %s: %.200s", address, status, path, body)
+	defer func() { _ = conn.Close() }()
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI("http://" + address + path)
+	if err := conn.Exchange(ctx, req, resp, statusTimeout); err != nil {
+		return nil, errors.Trace(err)
+	}
+	body, err := conn.ReadBody(ctx, resp, maxPageBytes)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, errors.Errorf("%s returned status %d for %s: %.200s", address, resp.StatusCode(), path, body)
 	}
 	return body, nil
 }
