Chunks of HTTP/1.0 responses are not passed on as the body

Callers got the chunks of a response, with their lengths, as its body, where the upstream had sent the version HTTP/1.0 and Transfer-Encoding.

Cause: HTTP/1.0 has no chunks, so that both parsers ignore the field and read the body up to the end of the connection. RFC 9112 counts the framing of such a response as faulty.

Change: the check of heads refuses Transfer-Encoding after HTTP/1.0.

Evidence, before: TestChunksOfHTTP10 and TestChunksOfHTTP10DoNotReachClients failed; the client got 74 bytes that begin with 3f for a body of 63.

--- a/exchanger/head.go
+++ b/exchanger/head.go
@@ -20,6 +20,7 @@
 	line          []byte // Start of the line whose end has not been read yet.
 	begun         bool   // The status line has been read.
 	informational bool   // Another head follows.
+	version10     bool   // The version is HTTP/1.0, which has no chunks.
 	ended         bool   // What follows is not a head.
 	err           error  // Returned by check.
 }
@@ -48,12 +49,13 @@
 	case !h.begun:
 		status, err := parseStatusLine(line)
 		h.begun, h.informational = true, status < http.StatusOK
+		h.version10 = bytes.HasPrefix(line, []byte(versionPrefix+"0"))
 		return err
 	case len(line) == 0:
 		h.begun, h.ended = false, !h.informational
 		return nil
 	default:
-		return checkField(line)
+		return h.checkField(line)
 	}
 }
 
@@ -79,10 +81,13 @@
 }
 
 // checkField checks the line of a field. It refuses folded lines, as a gateway may.
-func checkField(line []byte) error {
+func (h *headChecker) checkField(line []byte) error {
 	name, _, found := bytes.Cut(line, []byte(":"))
-	if !found || len(name) == 0 || bytes.IndexFunc(name, isNoToken) >= 0 {
+	switch {
+	case !found || len(name) == 0 || bytes.IndexFunc(name, isNoToken) >= 0:
 		return errors.Annotatef(errMalformedHead, "%.80q has no valid field name", line)
+	case h.version10 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		return errors.Annotatef(errMalformedHead, "%.80q is not a field of HTTP/1.0", line)
 	}
 	return nil
 }
--- a/exchanger/head_test.go
+++ b/exchanger/head_test.go
@@ -120,3 +120,20 @@
 		}
 	}
 }
+
+// Guards against chunks that are read as the body: HTTP/1.0 has none, so that parsers ignore
+// the field.
+func TestChunksOfHTTP10(t *testing.T) {
+	for _, field := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "Transfer-Encoding: gzip, chunked"} {
+		for _, format := range []string{"%s\r\n", "Content-Length: 5\r\n%s\r\n", "%s\r\nContent-Length: 5\r\n", "Connection: keep-alive\r\n%s\r\n"} {
+			fields := fmt.Sprintf(format, field)
+			requireMalformed(t, "HTTP/1.0 200 OK\r\n"+fields)
+			requireMalformed(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\n"+fields)
+		}
+	}
+	for client := range clients {
+		body, err := readAfter(t, client, 0, "HTTP/1.0 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\n\r\n")
+		require.NoError(t, err, client)
+		require.Equal(t, "sound", string(body), client)
+	}
+}
--- a/launcher/head_test.go
+++ b/launcher/head_test.go
@@ -133,3 +133,18 @@
 		soundLength, "", "Content-Length: 0\r\n", "X-Not-Executed: 1\r\n" + soundLength,
 	})
 }
+
+// Guards against chunks of an HTTP/1.0 response that reach clients as its body.
+func TestChunksOfHTTP10DoNotReachClients(t *testing.T) {
+	for _, route := range []string{"once", "twice", "stream", "resume"} {
+		c := newCluster(t)
+		u := &oddUpstream{version: "HTTP/1.0", cases: map[string]headCase{}, numbers: map[string]int{}}
+		c.addServer("i-0", u.respond)
+		i := c.start(longRevocation)
+		c.waitForUpstreams(i, 1)
+		chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(fullStream(3)), fullStream(3))
+		for _, kept := range []bool{false, true} {
+			c.requireNotPassedOn(i, u, route, headCase{"200 OK", "Transfer-Encoding: chunked\r\n", chunks}, kept)
+		}
+	}
+}
