All responses are read with the parser of net/http

A call or chat of the own interface hung until its caller left, and its slot was not free, if the upstream sent the extension of a chunk without end.

Cause: Exchange read responses with the parser of fasthttp, which skips an extension however long it is. The edge path reads with net/http, which limits the line of a chunk.

Change: Exchange reads responses with ReadResponse and hands them over as those of fasthttp, so that one parser, one check and one kind of body are left. A connection that the server closes after the response is not kept any more. The time-out of a head is os.ErrDeadlineExceeded now, as that of a body was; TestExtendedReadsEndWithTheExchange expects that instead of fasthttp.ErrTimeout.

Evidence, before: TestEndlessResponses/chunk_extension in server: the call took the 5 minutes of its caller; TestEndlessResponsesAreCutOff did not end in 20 s when it was run with Exchange too. After: both pass. TestEndlessUpstreamResponses has rows for all kinds of route now; the new ones passed at once.

--- a/exchanger/endless_test.go
+++ b/exchanger/endless_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"savoryloft.example/savoryloft/exchanger"
 )
@@ -37,6 +38,22 @@
 	return client, nil
 }
 
+// readByExchange is read with Exchange.
+func readByExchange(ctx context.Context, p *exchanger.Pool, limit int64) error {
+	conn, err := p.Get(ctx, "u", exchanger.Reuse)
+	if err != nil {
+		return err
+	}
+	defer conn.Release()
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI("http://u/")
+	if err := conn.Exchange(ctx, req, resp, time.Second); err != nil {
+		return err
+	}
+	_, err = conn.ReadBody(ctx, resp, int(limit))
+	return err
+}
+
 // read sends a request and reads the whole response.
 func read(ctx context.Context, p *exchanger.Pool, limit int64) error {
 	conn, err := p.Get(ctx, "u", exchanger.Reuse)
@@ -81,13 +98,15 @@
 		{"announced length too large", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", line},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := &endlessServer{start: tt.start, rest: tt.rest}
-				p := &exchanger.Pool{Dial: s.dial, MaxHeadBytes: headLimit}
-				require.Error(t, read(t.Context(), p, bodyLimit))
-				synctest.Wait()
-				require.LessOrEqual(t, s.sent.Load(), int64(headLimit+bodyLimit+slack))
-			})
+			for _, read := range []func(context.Context, *exchanger.Pool, int64) error{read, readByExchange} {
+				synctest.Test(t, func(t *testing.T) {
+					s := &endlessServer{start: tt.start, rest: tt.rest}
+					p := &exchanger.Pool{Dial: s.dial, MaxHeadBytes: headLimit}
+					require.Error(t, read(t.Context(), p, bodyLimit))
+					synctest.Wait()
+					require.LessOrEqual(t, s.sent.Load(), int64(headLimit+bodyLimit+slack))
+				})
+			}
 		})
 	}
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -260,10 +260,26 @@
 	if err := c.writer.Flush(); err != nil {
 		return errors.Annotatef(cause(ctx, err), "write request to %s", c.Address)
 	}
-	resp.StreamBody = true
-	return c.readHead(ctx, func() error { return resp.ReadLimitBody(c.reader, 0) })
+	received, err := c.ReadResponse(ctx, string(req.Header.Method()))
+	if err != nil {
+		return err
+	}
+	resp.SetStatusCode(received.StatusCode)
+	for name, values := range received.Header {
+		for _, v := range values {
+			resp.Header.Add(name, v)
+		}
+	}
+	resp.SetBodyStream(bodyReader{received.Body}, int(received.ContentLength))
+	if received.Close {
+		c.CloseOnRelease()
+	}
+	return nil
 }
 
+// bodyReader hides the Close method of a body, which would read what is left of it.
+type bodyReader struct{ io.Reader }
+
 // Sent reports whether any byte of the last request was written to the
 // connection.
 func (c *Conn) Sent() bool { return c.bytesWritten.Load() > c.writtenBefore }
@@ -454,7 +470,7 @@
 const noHead = -1 // Value of headBytesLeft outside of a header.
 
 // readHead calls parse, which reads the header of a response from c.reader. The header is
-// limited and checked, whatever library parses it.
+// limited and checked.
 func (c *Conn) readHead(ctx context.Context, parse func() error) error {
 	c.headBytesLeft = defaultMaxHeadBytes
 	if c.pool.MaxHeadBytes > 0 {
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -171,7 +171,7 @@
 		require.NoError(t, err)
 		conn.Release()
 		_, _, err = exchange(t.Context(), p, exchanger.Reuse, "GET")
-		require.ErrorIs(t, err, fasthttp.ErrTimeout)
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 		require.Zero(t, extensions)
 	})
 }
--- a/exchanger/head.go
+++ b/exchanger/head.go
@@ -12,21 +12,18 @@
 // errMalformedHead is the error of a response whose head is not one by RFC 9112.
 const errMalformedHead = errors.ConstError("head of the response is malformed")
 
-// headChecker checks the heads of a response, informational ones included, as they are read.
-// The parsers of net/http and fasthttp are lenient, each in its own way: they take names of
-// fields with blanks, and may so miss the field that gives the length of the body. A status
-// of 000 is an informational response for one and 200 for the other.
+// headChecker checks the head of a response, or of an informational one, as it is read. The
+// parser of net/http is lenient: it takes names of fields with blanks, and may so miss the
+// field that gives the length of the body, and statuses that are none.
 type headChecker struct {
-	line          []byte // Start of the line whose end has not been read yet.
-	begun         bool   // The status line has been read.
-	informational bool   // Another head follows.
-	version10     bool   // The version is HTTP/1.0, which has no chunks.
-	ended         bool   // What follows is not a head.
-	err           error  // Returned by check.
+	line      []byte // Start of the line whose end has not been read yet.
+	begun     bool   // The status line has been read.
+	version10 bool   // The version is HTTP/1.0, which has no chunks.
+	ended     bool   // What follows is not a head.
+	err       error  // Returned by check.
 }
 
-// check checks the next bytes of a connection. It ignores those after the head of the final
-// response.
+// check checks the next bytes of a connection. It ignores those after the head.
 func (h *headChecker) check(b []byte) error {
 	for h.err == nil && !h.ended {
 		line, rest, found := bytes.Cut(b, []byte("\n"))
@@ -47,12 +44,10 @@
 func (h *headChecker) checkLine(line []byte) error {
 	switch {
 	case !h.begun:
-		status, err := parseStatusLine(line)
-		h.begun, h.informational = true, status < http.StatusOK
-		h.version10 = bytes.HasPrefix(line, []byte(versionPrefix+"0"))
-		return err
+		h.begun, h.version10 = true, bytes.HasPrefix(line, []byte(versionPrefix+"0"))
+		return checkStatusLine(line)
 	case len(line) == 0:
-		h.begun, h.ended = false, !h.informational
+		h.ended = true
 		return nil
 	default:
 		return h.checkField(line)
@@ -64,20 +59,19 @@
 
 const maxStatus = 599
 
-// parseStatusLine returns the status in a status line. It refuses the switch to another
-// protocol, since no request asks for one.
-func parseStatusLine(line []byte) (status int, err error) {
+// checkStatusLine refuses the switch to another protocol, since no request asks for one.
+func checkStatusLine(line []byte) error {
 	version, rest, _ := strings.Cut(string(line), " ")
 	minor, found := strings.CutPrefix(version, versionPrefix)
 	if !found || len(minor) != 1 || minor < "0" || minor > "9" {
-		return 0, errors.Annotatef(errMalformedHead, "%.80q does not begin with a version of HTTP/1", line)
+		return errors.Annotatef(errMalformedHead, "%.80q does not begin with a version of HTTP/1", line)
 	}
 	digits, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	status, err = strconv.Atoi(digits)
+	status, err := strconv.Atoi(digits)
 	if err != nil || len(digits) != 3 || status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return 0, errors.Annotatef(errMalformedHead, "%.80q has no valid status", line)
+		return errors.Annotatef(errMalformedHead, "%.80q has no valid status", line)
 	}
-	return status, nil
+	return nil
 }
 
 // checkField checks the line of a field. It refuses folded lines, as a gateway may.
--- a/exchanger/head_test.go
+++ b/exchanger/head_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -105,9 +104,6 @@
 		"HTTP/1.0 100 Continue\r\n\r\nHTTP/1.1 413 Content Too Large\r\nConnection: close\r\n",
 	} {
 		for client := range clients {
-			if client == "Exchange" && strings.Contains(head, "OK\n") {
-				continue // fasthttp requires CRLF.
-			}
 			for before := range int32(2) {
 				got, err := readAfter(t, client, before, head+"\r\n"+body)
 				if client == "Query" && err != nil {
--- a/launcher/upstream_test.go
+++ b/launcher/upstream_test.go
@@ -179,6 +179,10 @@
 		{"head, stream", "stream", standin.EndlessHead, http.StatusBadGateway},
 		{"body, non-idempotent", "once", standin.EndlessEvent, http.StatusBadGateway},
 		{"event, stream", "stream", standin.EndlessEvent, http.StatusBadGateway},
+		{"head, idempotent", "twice", standin.EndlessHead, http.StatusBadGateway},
+		{"head, resumable stream", "resume", standin.EndlessHead, http.StatusBadGateway},
+		{"body, idempotent", "twice", standin.EndlessEvent, http.StatusBadGateway},
+		{"event, resumable stream", "resume", standin.EndlessEvent, http.StatusBadGateway},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := newCluster(t)
