Bytes without end after the end marker do not hold a chat up

Callers of the own interface got all tokens of a chat but never its end, if the upstream went on sending after the end marker; loftctl load did not end.

Cause: the rest of the response was read to the end of the connection. The limit of 50 ms held for each read, not for all.

Change: DrainFor reads the rest for a time at most and closes the connection then.

Evidence, before: two cases of TestEndlessResponses in server failed (after the end marker; the same, slowly), with text "token" and no end, and loader's TestStreamThatGoesOnAfterItsEndMarker: not ended after 20 s. After: both pass, the first one twice with the race detector.

--- a/dispatcher/chat.go
+++ b/dispatcher/chat.go
@@ -277,10 +277,7 @@
 		}
 	}
 	// The stream is complete, whatever happens to its connection now.
-	conn.SetReadTimeout(endTimeout)
-	if _, err := io.Copy(io.Discard, lines); err == nil {
-		conn.MarkComplete()
-	}
+	conn.DrainFor(lines, endTimeout)
 	return first, nil
 }
 
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -411,6 +411,16 @@
 // HasRefused reports whether the server has refused a request on the connection.
 func (c *Conn) HasRefused(id string) bool { return c.refused[id] }
 
+// DrainFor reads what follows the part of a response that its reader needs, for a time at
+// most. If the response ends meanwhile it is marked as completely read.
+func (c *Conn) DrainFor(rest io.Reader, timeout time.Duration) {
+	timer := time.AfterFunc(timeout, func() { _ = c.Close() })
+	_, err := io.Copy(io.Discard, rest)
+	if timer.Stop() && err == nil {
+		c.MarkComplete()
+	}
+}
+
 // MarkComplete marks the response as completely read, so that Release keeps the
 // connection open.
 func (c *Conn) MarkComplete() { c.reusable = true }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -52,3 +52,31 @@
 		require.NotZero(t, report.IncorrectOrLost(), line)
 	}
 }
+
+// Guards against a load test that does not end, since a response goes on after its end marker.
+func TestStreamThatGoesOnAfterItsEndMarker(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go (&faker.Server{Respond: func(r faker.Request) (keep bool) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		for _, err := r.Conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\ndata: [DONE]\n\n")); err == nil; _, err = r.Conn.Write([]byte("more\n")) {
+			time.Sleep(time.Millisecond)
+		}
+		return false
+	}}).Serve(l)
+	done := make(chan *loader.Report, 1)
+	go func() {
+		done <- (&loader.Loader{
+			Plan: savoryloft.LoadPlan{Duration: savoryloft.Duration(20 * time.Millisecond), Flows: []savoryloft.Flow{
+				{Name: "chats", Rate: 100, Method: "POST", Path: "/v1/chat/completions", Model: "m", Stream: true, OutputTokens: 1, PromptWords: 1},
+			}},
+			Targets: []string{l.Addr().String()},
+		}).Run(t.Context())
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		require.FailNow(t, "the load test has not ended")
+	}
+}
--- a/loader/stream.go
+++ b/loader/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"io"
 	"strings"
 	"time"
 
@@ -13,6 +12,10 @@
 	"savoryloft.example/savoryloft/exchanger"
 )
 
+// endTimeout limits the wait for the end of a response after its end marker, which only serves
+// to reuse the connection.
+const endTimeout = time.Second
+
 // streamChunk is the data of one event of a streamed chat completion.
 type streamChunk struct {
 	Choices []struct {
@@ -75,8 +78,6 @@
 	if tokens > 1 {
 		m.timeBetweenTokens = last.Sub(first) / time.Duration(tokens-1)
 	}
-	if _, err := io.Copy(io.Discard, body); err == nil {
-		conn.MarkComplete()
-	}
+	conn.DrainFor(body, endTimeout)
 	return m
 }
--- a/server/endless_test.go
+++ b/server/endless_test.go
@@ -32,6 +32,8 @@
 		{"body without length", sound + "\r\ndata: ", line, false},
 		{"chunks", sound + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + line + "\r\n", false},
 		{"chunk extension", sound + "Transfer-Encoding: chunked\r\n\r\n1;", line, false},
+		{"after the end marker", sound + "\r\nEVENTS", line, true},
+		{"after the end marker, slowly", sound + "\r\nEVENTS", "\n", true},
 		{"trailer", sound + "Transfer-Encoding: chunked\r\n\r\nCHUNK0\r\n", "X-Trailer: " + line + "\r\n", true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
