--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -411,8 +411,8 @@
 // HasRefused reports whether the server has refused a request on the connection.
 func (c *Conn) HasRefused(id string) bool { return c.refused[id] }
 
-// DrainFor reads what follows the part of a response that its reader needs, for a time at
-// most. If the response ends meanwhile it is marked as completely read.
+// DrainFor discards the rest of a response, which its reader does not need. If the response
+// ends within the timeout it is marked as completely read, else the connection is closed.
 func (c *Conn) DrainFor(rest io.Reader, timeout time.Duration) {
 	timer := time.AfterFunc(timeout, func() { _ = c.Close() })
 	_, err := io.Copy(io.Discard, rest)
@@ -493,7 +493,7 @@
 		err = parse()
 	}
 	if c.head.err != nil {
-		err = c.head.err // Parsers may report the end of the connection instead.
+		err = c.head.err // The parser may report another error.
 	}
 	if err != nil {
 		return errors.Annotatef(cause(ctx, err), "read response from %s", c.Address)
--- a/exchanger/head.go
+++ b/exchanger/head.go
@@ -12,9 +12,9 @@
 // errMalformedHead is the error of a response whose head is not one by RFC 9112.
 const errMalformedHead = errors.ConstError("head of the response is malformed")
 
-// headChecker checks the head of a response, or of an informational one, as it is read. The
-// parser of net/http is lenient: it takes names of fields with blanks, and may so miss the
-// field that gives the length of the body, and statuses that are none.
+// headChecker checks the head of a response as it is read. The parser of net/http is lenient:
+// it accepts statuses such as 000, and blanks in the names of fields, by which it misses the
+// field that gives the length of the body.
 type headChecker struct {
 	line      []byte // Start of the line whose end has not been read yet.
 	begun     bool   // The status line has been read.
@@ -54,12 +54,13 @@
 	}
 }
 
-// versionPrefix is the start of a status line, without the minor version.
-const versionPrefix = "HTTP/1."
-
-const maxStatus = 599
+const (
+	versionPrefix = "HTTP/1." // Start of a status line; the minor version follows.
+	maxStatus     = 599       // RFC 9110 defines no class of statuses beyond it.
+)
 
-// checkStatusLine refuses the switch to another protocol, since no request asks for one.
+// checkStatusLine checks the version and the status. It refuses the switch to another
+// protocol, since no request asks for one.
 func checkStatusLine(line []byte) error {
 	version, rest, _ := strings.Cut(string(line), " ")
 	minor, found := strings.CutPrefix(version, versionPrefix)
@@ -78,7 +79,7 @@
 func (h *headChecker) checkField(line []byte) error {
 	name, _, found := bytes.Cut(line, []byte(":"))
 	switch {
-	case !found || len(name) == 0 || bytes.IndexFunc(name, isNoToken) >= 0:
+	case !found || !isToken(name):
 		return errors.Annotatef(errMalformedHead, "%.80q has no valid field name", line)
 	case h.version10 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		return errors.Annotatef(errMalformedHead, "%.80q is not a field of HTTP/1.0", line)
@@ -86,11 +87,13 @@
 	return nil
 }
 
-// isNoToken reports whether a character cannot be part of the name of a field.
-func isNoToken(r rune) bool {
-	switch {
-	case 'a' <= r && r <= 'z', 'A' <= r && r <= 'Z', '0' <= r && r <= '9':
-		return false
-	}
-	return !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+// isToken reports whether a name consists of the characters that names of fields may have.
+func isToken(name []byte) bool {
+	return len(name) > 0 && !bytes.ContainsFunc(name, func(r rune) bool {
+		switch {
+		case 'a' <= r && r <= 'z', 'A' <= r && r <= 'Z', '0' <= r && r <= '9':
+			return false
+		}
+		return !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+	})
 }
--- a/exchanger/raw.go
+++ b/exchanger/raw.go
@@ -125,8 +125,8 @@
 	conn *Conn
 }
 
-// Read implements io.Reader. Of a connection that was reset, the kernel tells either the
-// read or the write of the request body, and the other one finds it closed. The end of the
+// Read implements io.Reader. The kernel reports a reset once, either to the read or to the
+// write of the request body; the other one finds the connection closed. The end of the
 // connection is therefore the end of the body only if the write has not failed.
 func (b unframedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
@@ -139,9 +139,9 @@
 }
 
 // stopBodyWrite ends the background write of the request body, if there is one, and returns
-// the error by which the connection broke meanwhile. The server may have ended its
-// direction of the connection without reading the whole request. That is no such error,
-// even if it resets the connection afterwards, for which the kernel reports EPIPE.
+// the error with which the connection broke, or nil if the server has ended its direction
+// of the connection in the regular way. If it resets the connection after that, which it does
+// when it has not read the whole request, the write fails with EPIPE.
 func (c *Conn) stopBodyWrite() error {
 	if c.bodyWritten == nil {
 		return nil
--- a/loader/stream.go
+++ b/loader/stream.go
@@ -13,7 +13,7 @@
 )
 
 // endTimeout limits the wait for the end of a response after its end marker, which only serves
-// to reuse the connection.
+// to reuse the connection. Instances end a response at once.
 const endTimeout = time.Second
 
 // streamChunk is the data of one event of a streamed chat completion.
