--- /dev/null
+++ b/watcher/removal_test.go
@@ -0,0 +1,110 @@
+package watcher
+
+import (
+	"context"
+	"math"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/faker"
+)
+
+// Guards against requests to an upstream that is gone, at an instance whose peers have
+// deferred its removal.
+func TestDeferredRemovalReachesPeers(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		remove func(w *fixture)
+	}{
+		{"missing from the list", func(w *fixture) {
+			w.log.Set(savoryloft.TopicRegistry, "a", nil)
+			w.log.ExpireRecords(savoryloft.TopicRegistry)
+		}},
+		{"read as a record", func(w *fixture) { w.log.Set(savoryloft.TopicRegistry, "a", nil) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			runFixture(t, func(w *fixture) {
+				peer := &Watcher{Decoder: decoder{}, Logger: logr.Discard()}
+				w.watcher.OnChange = func(records []savoryloft.ControlRecord, _ string) { peer.ApplyRelayed("reader", records) }
+				w.setUpstream("a")
+				w.setUpstream("b")
+				time.Sleep(time.Second)
+				require.Len(t, peer.Upstreams("s"), 2)
+				w.log.SetDown(true)
+				time.Sleep(5 * time.Second)
+				tt.remove(w)
+				w.log.SetDown(false)
+				time.Sleep(1200 * time.Millisecond)
+				require.Equal(t, 2, w.upstreams(), "it may only have lapsed in the outage")
+				peer.ApplyRelayed("reader", w.watcher.RecordsSince(0, -1)) // As when a link comes up.
+				require.Len(t, peer.Upstreams("s"), 2)
+				time.Sleep(recoveryGrace)
+				require.Equal(t, 1, w.upstreams())
+				require.Len(t, peer.Upstreams("s"), 1)
+			})
+		})
+	}
+}
+
+// Guards against requests to an upstream that is gone, at an instance that takes its own
+// troubles for an outage of the log.
+func TestRemovalIsDeferredOnlyAfterAnOutage(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		limit time.Duration // Within which a change must take effect.
+		// run calls relay until the time at which the upstream is removed.
+		run func(w *fixture, rank *atomic.Int64, relay func())
+	}{
+		{"the reader has failed", 2 * time.Second, func(_ *fixture, rank *atomic.Int64, _ func()) {
+			rank.Store(0)
+		}},
+		{"a read has failed long ago", 2 * time.Second, func(w *fixture, rank *atomic.Int64, relay func()) {
+			w.log.SetDown(true)
+			time.Sleep(2 * time.Second)
+			w.log.SetDown(false)
+			for range 40 {
+				relay()
+				time.Sleep(100 * time.Millisecond)
+			}
+			rank.Store(0)
+		}},
+		{"no peer is there", 3 * time.Second, func(*fixture, *atomic.Int64, func()) {}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				var rank atomic.Int64
+				rank.Store(math.MaxInt32)
+				log := &faker.Log{}
+				w := &fixture{t, log, &Watcher{
+					Log: log, Decoder: decoder{}, Logger: logr.Discard(), ReaderRank: func() int { return int(rank.Load()) },
+					PropagationLimits: [2]time.Duration{tt.limit, tt.limit},
+				}}
+				go func() { _ = w.watcher.Run(ctx) }()
+				w.setUpstream("a")
+				w.setUpstream("b")
+				time.Sleep(time.Second)
+				relay := func() {
+					for _, topic := range []savoryloft.Topic{savoryloft.TopicConfiguration, savoryloft.TopicRegistry} {
+						w.watcher.MarkUpToDate(topic, savoryloft.Uptime())
+					}
+				}
+				relay()
+				tt.run(w, &rank, relay)
+				require.Equal(t, 2, w.upstreams())
+				w.log.Set(savoryloft.TopicRegistry, "a", nil)
+				time.Sleep(tt.limit * 8 / 10)
+				require.Equal(t, 1, w.upstreams())
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
