A deferred removal reaches peers with its own position

What callers saw: a request may end at an upstream that is gone, at instances that know it from a peer only (DRAIN).

Cause: a removal that is deferred after an outage kept the position of the entry that it removes. When it took effect it was relayed with that position, and peers drop records that are not newer. A removal read as a record moved the entry's position instead, so that a peer could receive the old value as if it were as new as the removal. Class: one number stands for two things, the value and what supersedes it.

Change: an entry has the position of its value and that of a deferred removal.

--- a/launcher/missed_test.go
+++ b/launcher/missed_test.go
@@ -104,4 +104,3 @@
 		})
 	}
 }
-
--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -17,6 +17,15 @@
 	usable       bool
 	receivedAt   time.Duration // Uptime at which value was received.
 	missingSince time.Duration // recoveredAt when the entry was found missing; 0 if it is present.
+	removal      int           // Position of the removal that is deferred since then.
+}
+
+// newest returns the position of the newest record that is known of the entry.
+func (e *entry) newest() int {
+	if e.missingSince != 0 {
+		return max(e.position, e.removal)
+	}
+	return e.position
 }
 
 // removeMissingLoop periodically applies the removals that were deferred, until ctx ends.
@@ -80,10 +89,10 @@
 	}
 	e := w.entries[r.Key]
 	if e != nil && !fromLog && r.Value == "" && e.missingSince != 0 && r.Position >= e.position {
-		w.removeEntry(r.Key, e, r.Position) // Deferred here, but not by the peer.
+		w.removeEntry(r.Key, e, max(r.Position, e.removal)) // Deferred here, but not by the peer.
 		return true
 	}
-	if e != nil && (r.Position <= e.position || fromLog && w.isCopied(r.Position, e.position)) {
+	if e != nil && (r.Position <= e.newest() || fromLog && w.isCopied(r.Position, e.newest())) {
 		return false
 	}
 	if r.Value == "" && e == nil {
@@ -93,11 +102,11 @@
 		e = &entry{}
 		w.entries[r.Key] = e
 	}
-	old := *e
-	e.position = r.Position
 	if r.Value == "" {
-		return w.applyRemoval(r.Key, e, fromLog)
+		return w.applyRemoval(r, e, fromLog)
 	}
+	old := *e
+	e.position = r.Position
 	e.value, e.missingSince, e.receivedAt = []byte(r.Value), 0, savoryloft.Uptime()
 	u, err := w.Decoder.Upstream(r.Key, e.value)
 	e.usable = err == nil
@@ -118,20 +127,21 @@
 	return true
 }
 
-// applyRemoval applies the removal of a key and reports whether it took effect.
+// applyRemoval applies the removal of an entry and reports whether it took effect.
 // Upstreams cannot renew their entries while the log is down, so entries expire.
 // A removal read from the log shortly after its recovery is therefore deferred for
 // recoveryGrace. A removal relayed by a peer takes effect immediately, because the
 // peer has already deferred it. The caller holds the lock.
-func (w *Watcher) applyRemoval(key string, e *entry, fromLog bool) bool {
-	if e.value == nil {
+func (w *Watcher) applyRemoval(r savoryloft.ControlRecord, e *entry, fromLog bool) bool {
+	switch {
+	case e.value == nil:
+		e.position = r.Position
 		return false
-	}
-	if fromLog && w.inRecoveryGrace() {
-		e.missingSince = w.recoveredAt
+	case fromLog && w.inRecoveryGrace():
+		e.missingSince, e.removal = w.recoveredAt, r.Position
 		return false
 	}
-	w.removeEntry(key, e, e.position)
+	w.removeEntry(r.Key, e, r.Position)
 	return true
 }
 
@@ -170,7 +180,7 @@
 			continue
 		}
 		if w.inRecoveryGrace() {
-			e.missingSince = w.recoveredAt
+			e.missingSince, e.removal = w.recoveredAt, end-1
 			continue
 		}
 		w.removeEntry(key, e, end-1)
@@ -195,7 +205,7 @@
 		if e.missingSince == 0 || now-e.missingSince < recoveryGrace {
 			continue
 		}
-		w.removeEntry(key, e, e.position)
+		w.removeEntry(key, e, e.removal)
 		changed = append(changed, removalRecord(key, e))
 	}
 	return changed
