Instances compare their copies of the registry by content

Cause: an instance took its copy of the registry for complete up to the latest record that it had received. After a partition the first relayed record jumped over those it had missed, and its status then told its peers that it had all. They sent nothing again, and it took over the age of their copies: it did not read the log either. Class: a high-water mark that is raised by partial information.

Change: a status comes with a digest of the upstreams that the sender's copy names. Ages are taken over only if the digests agree. While they differ, the peer sends all of its records, and the newest of each upstream wins; one that is older than the log as this instance has read it does not bring an upstream back. The digest is a new field of the frame, which earlier builds skip; with these, positions are compared as before.

--- a/frame.go
+++ b/frame.go
@@ -31,6 +31,7 @@
 	add("Members", f.Members, len(f.Members) > 0)
 	add("Origins", f.Origins, f.Origins != nil)
 	add("Records", f.Records, len(f.Records) > 0)
+	add("Registry", f.Registry, f.Registry != nil)
 	add("Status", f.Status, f.Status != nil)
 	add("Suspicions", f.Suspicions, f.Suspicions != nil)
 	add("Update", f.Update, f.Update != nil)
--- a/frame_test.go
+++ b/frame_test.go
@@ -52,6 +52,7 @@
 	}
 
 	frame.Features = []string{"a", "b"}
+	frame.Registry = &savoryloft.RegistryState{Digest: 7}
 	frame.Limits = &savoryloft.LimitExchange{
 		Limits:   []savoryloft.UpstreamLimit{{Upstream: "i-1", Version: 2, PerSecond: 0.5}},
 		Requests: []savoryloft.TokenRequest{{ID: 3, Service: "s", Upstreams: []string{"i-1"}, Wait: 100}},
--- a/launcher/missed_test.go
+++ b/launcher/missed_test.go
@@ -62,7 +62,7 @@
 // records in a partition and takes its copy of the registry for complete because it has
 // received a later record.
 func TestInstanceLearnsRegistryChangesThatItHasMissed(t *testing.T) {
-	ready := func(offset int, id string) savoryloft.ControlRecord { return registryRecord(offset, id, "ready") }
+	first, last := registryRecord(4, "u", "ready"), registryRecord(98, "w", "ready")
 	for _, tt := range []struct {
 		name   string
 		missed savoryloft.ControlRecord
@@ -70,16 +70,16 @@
 	}{
 		{"removal", registryRecord(60, "u", ""), 1},
 		{"draining", registryRecord(60, "u", "draining"), 1},
-		{"new upstream", ready(60, "v"), 3},
+		{"new upstream", registryRecord(60, "v", "ready"), 3},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			list := linkedWatchers(t,
 				func(l *Launcher) {
-					l.watcher.ApplyRelayed("reader", []savoryloft.ControlRecord{ready(4, "u"), tt.missed, ready(98, "w")})
+					l.watcher.ApplyRelayed("reader", []savoryloft.ControlRecord{first, tt.missed, last})
 					l.watcher.MarkUpToDate(savoryloft.TopicRegistry, savoryloft.Uptime())
 				},
 				func(l *Launcher) {
-					l.watcher.ApplyRelayed("reader", []savoryloft.ControlRecord{ready(4, "u"), ready(98, "w")})
+					l.watcher.ApplyRelayed("reader", []savoryloft.ControlRecord{first, last})
 				})
 			known := func() bool {
 				n := 0
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -62,10 +62,15 @@
 	s.counter.Merge(s.clusterTime(), counts, relay)
 }
 
+// RegistryState implements linker.Source.
+func (s linkSource) RegistryState() savoryloft.RegistryState {
+	return savoryloft.RegistryState{Digest: s.watcher.RegistryDigest()}
+}
+
 // ApplyStatus implements linker.Source. If this instance has at least the
-// peer's configuration version and registry offset, the ages that the peer
+// peer's configuration version, or the same registry, the ages that the peer
 // reports hold for this instance's data too; they are counted back from asOf.
-func (s linkSource) ApplyStatus(_ string, st *savoryloft.LinkStatus, asOf time.Duration) {
+func (s linkSource) ApplyStatus(_ string, st *savoryloft.LinkStatus, registry *savoryloft.RegistryState, asOf time.Duration) {
 	s.watcher.ObserveEra(st.Era)
 	s.watcher.ObserveVersion(st.Version)
 	if asOf == 0 {
@@ -74,11 +79,21 @@
 	if st.VersionAge >= 0 && s.watcher.Version() >= st.Version {
 		s.watcher.MarkUpToDate(savoryloft.TopicConfiguration, asOf-time.Duration(st.VersionAge)*time.Millisecond)
 	}
-	if _, read := s.watcher.RegistryPositions(); st.RegistryAge >= 0 && read >= st.RegistryOffset {
+	if st.RegistryAge >= 0 && s.hasRegistry(st, registry) {
 		s.watcher.MarkUpToDate(savoryloft.TopicRegistry, asOf-time.Duration(st.RegistryAge)*time.Millisecond)
 	}
 }
 
+// hasRegistry reports whether this instance's copy of the registry agrees with that of a
+// peer. Builds that send no digest are compared by position.
+func (s linkSource) hasRegistry(st *savoryloft.LinkStatus, registry *savoryloft.RegistryState) bool {
+	if registry != nil {
+		return *registry == s.RegistryState()
+	}
+	_, read := s.watcher.RegistryPositions()
+	return read >= st.RegistryOffset
+}
+
 // MergeParts implements linker.Source.
 func (s linkSource) MergeParts(parts []savoryloft.HeldPart) []savoryloft.HeldPart {
 	return s.placer.MergeParts(time.Now(), parts)
--- a/linker/link.go
+++ b/linker/link.go
@@ -256,10 +256,10 @@
 			update = nil
 			f = savoryloft.LinkFrame{Update: k.newUpdate()}
 		case <-k.statusDue:
-			f = savoryloft.LinkFrame{Status: k.newStatus()}
+			f = k.newStatusFrame()
 		case <-t.C:
 			t.Reset(savoryloft.AlignDelay(k.statusInterval()))
-			f = savoryloft.LinkFrame{Status: k.newStatus()}
+			f = k.newStatusFrame()
 		}
 		if k.writeFrame(f) != nil {
 			return
@@ -351,6 +351,6 @@
 		k.handleUpdate(f.Update)
 	}
 	if f.Status != nil {
-		k.handleStatus(f.Status)
+		k.handleStatus(f.Status, f.Registry)
 	}
 }
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -67,18 +67,22 @@
 	// UsageSince returns the usage counts of a scope that have changed after a cursor,
 	// and the next cursor. The first cursor is 0.
 	UsageSince(cursor int, scope savoryloft.UsageScope) (counts []savoryloft.UsageBatch, next int)
-	// RecordsSince returns the control records missing at an instance that has
-	// the given configuration version and the registry up to the given position.
+	// RegistryState returns the state of this instance's copy of the registry.
+	RegistryState() savoryloft.RegistryState
+	// RecordsSince returns the control records that an instance may lack that has the
+	// given configuration version and the registry up to the given position, which is -1
+	// for all of it.
 	RecordsSince(version, registryRead int) []savoryloft.ControlRecord
 	// ApplyRecords applies control records received from a peer.
 	ApplyRecords(peer string, records []savoryloft.ControlRecord)
 	// MergeUsage merges usage counts received from a peer. relay is whether this
 	// instance has to relay them to other hubs.
 	MergeUsage(counts []savoryloft.UsageBatch, relay bool)
-	// ApplyStatus processes a status received from a peer. asOf is the local uptime
+	// ApplyStatus processes a status received from a peer. registry is the peer's copy of
+	// the registry, or nil if its build does not send it. asOf is the local uptime
 	// to which the ages in the status are relative, or 0 if the send time of the
 	// echoed status is not stored; see Ages in the package documentation.
-	ApplyStatus(peer string, s *savoryloft.LinkStatus, asOf time.Duration)
+	ApplyStatus(peer string, s *savoryloft.LinkStatus, registry *savoryloft.RegistryState, asOf time.Duration)
 	// MergeParts stores which prompt parts upstreams have cached and returns the
 	// entries that should be relayed to other peers.
 	MergeParts(parts []savoryloft.HeldPart) []savoryloft.HeldPart
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -74,7 +74,9 @@
 
 func (p *fakeSource) MergeUsage([]savoryloft.UsageBatch, bool) {}
 
-func (p *fakeSource) ApplyStatus(_ string, _ *savoryloft.LinkStatus, asOf time.Duration) {
+func (p *fakeSource) RegistryState() savoryloft.RegistryState { return savoryloft.RegistryState{} }
+
+func (p *fakeSource) ApplyStatus(_ string, _ *savoryloft.LinkStatus, _ *savoryloft.RegistryState, asOf time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if asOf > 0 {
@@ -432,7 +434,7 @@
 	l.addMembers([]savoryloft.LinkGreeting{k.peer}, nil)
 	k.handleStatus(&savoryloft.LinkStatus{
 		Sequence: 4, Echo: echo, EchoAge: int(echoAge / time.Millisecond), Yielded: true, LeaderAge: -1,
-	})
+	}, nil)
 	return source.asOf, l.Members()[0].Yielded
 }
 
@@ -442,7 +444,7 @@
 	asOf time.Duration
 }
 
-func (s *statusRecorder) ApplyStatus(_ string, _ *savoryloft.LinkStatus, asOf time.Duration) {
+func (s *statusRecorder) ApplyStatus(_ string, _ *savoryloft.LinkStatus, _ *savoryloft.RegistryState, asOf time.Duration) {
 	s.asOf = asOf
 }
 
--- a/linker/status.go
+++ b/linker/status.go
@@ -13,6 +13,14 @@
 	return &savoryloft.LoadUpdate{Loads: loads, Parts: k.drainParts()}
 }
 
+// newStatusFrame returns a frame with the next status for the peer. The state of the
+// registry is taken after its age, so that the age holds for it.
+func (k *link) newStatusFrame() savoryloft.LinkFrame {
+	status := k.newStatus()
+	registry := k.linker.Source.RegistryState()
+	return savoryloft.LinkFrame{Status: status, Registry: &registry}
+}
+
 // newStatus returns the next status for the peer.
 func (k *link) newStatus() *savoryloft.LinkStatus {
 	s := &savoryloft.LinkStatus{}
@@ -91,7 +99,7 @@
 
 // handleStatus processes a status from the peer. The side that did not dial
 // replies immediately with its own status.
-func (k *link) handleStatus(s *savoryloft.LinkStatus) {
+func (k *link) handleStatus(s *savoryloft.LinkStatus, registry *savoryloft.RegistryState) {
 	k.mu.Lock()
 	now := savoryloft.Uptime()
 	k.peerSequence, k.peerSequenceAt = s.Sequence, now
@@ -132,20 +140,28 @@
 		l.Source.MergeLeaving(s.LeavingUpstreams)
 	}
 	k.notifySource(s.Parts)
-	l.Source.ApplyStatus(k.peer.Instance, s, asOf)
-	k.resendIfBehind(s)
+	l.Source.ApplyStatus(k.peer.Instance, s, registry, asOf)
+	k.resendIfBehind(s, registry)
 	if !k.dialed {
 		k.requestStatus()
 	}
 }
 
-// resendIfBehind sends the control records that the peer lacks: on its first
+// resendIfBehind sends the control records that the peer may lack: on its first
 // status, and later when resendThreshold consecutive statuses show that records
 // sent earlier have not arrived.
-func (k *link) resendIfBehind(s *savoryloft.LinkStatus) {
+func (k *link) resendIfBehind(s *savoryloft.LinkStatus, registry *savoryloft.RegistryState) {
+	source := k.linker.Source
 	var own savoryloft.LinkStatus
-	k.linker.Source.FillStatus(&own)
-	if s.Version >= own.Version && s.RegistryRead >= own.RegistryOffset {
+	source.FillStatus(&own)
+	since, upToDate := s.RegistryRead, s.RegistryRead >= own.RegistryOffset
+	if registry != nil {
+		upToDate = *registry == source.RegistryState()
+		if !upToDate {
+			since = -1 // Any record may be missing.
+		}
+	}
+	if s.Version >= own.Version && upToDate {
 		k.behindCount = 0
 		return
 	}
@@ -153,7 +169,7 @@
 		return
 	}
 	k.behindCount = 0
-	if records := k.linker.Source.RecordsSince(s.Version, s.RegistryRead); len(records) > 0 {
+	if records := source.RecordsSince(s.Version, since); len(records) > 0 {
 		k.send(savoryloft.LinkFrame{Records: records})
 	}
 }
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -209,6 +209,9 @@
 	// Control records that the receiver may lack.
 	Records []ControlRecord `json:"Records,omitempty,omitzero" msgpack:"Records,omitempty"`
 
+	// Registry corresponds to the JSON schema field "Registry".
+	Registry *RegistryState `json:"Registry,omitempty,omitzero" msgpack:"Registry,omitempty"`
+
 	// Status corresponds to the JSON schema field "Status".
 	Status *LinkStatus `json:"Status,omitempty,omitzero" msgpack:"Status,omitempty"`
 
@@ -609,6 +612,30 @@
 	return nil
 }
 
+// The sender's copy of the registry; beside Status.
+type RegistryState struct {
+	// Sum over the upstreams that it names; equal for instances whose copies agree.
+	Digest int `json:"Digest" msgpack:"Digest"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *RegistryState) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Digest"]; raw != nil && !ok {
+		return fmt.Errorf("field Digest in RegistryState: required")
+	}
+	type Plain RegistryState
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = RegistryState(plain)
+	return nil
+}
+
 // Desired number of upstreams of a service.
 type SizeFact struct {
 	// Of the record, see savoryloft.Position.
--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/fnv"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -15,6 +18,7 @@
 	value        []byte                        // nil after the key was removed.
 	upstream     savoryloft.RegisteredUpstream // According to the last value that was not malformed.
 	usable       bool
+	digest       int           // Of upstream; 0 unless usable.
 	receivedAt   time.Duration // Uptime at which value was received.
 	missingSince time.Duration // recoveredAt when the entry was found missing; 0 if it is present.
 	removal      int           // Position of the removal that is deferred since then.
@@ -95,8 +99,8 @@
 	if e != nil && (r.Position <= e.newest() || fromLog && w.isCopied(r.Position, e.newest())) {
 		return false
 	}
-	if r.Value == "" && e == nil {
-		return false
+	if e == nil && (r.Value == "" || !fromLog && r.Position <= w.registryListed) {
+		return false // The upstream was removed before this instance read the log.
 	}
 	if e == nil {
 		e = &entry{}
@@ -109,11 +113,11 @@
 	e.position = r.Position
 	e.value, e.missingSince, e.receivedAt = []byte(r.Value), 0, savoryloft.Uptime()
 	u, err := w.Decoder.Upstream(r.Key, e.value)
-	e.usable = err == nil
+	e.usable, e.digest = err == nil, 0
 	if err != nil {
 		w.logMalformed(r, err)
 	} else {
-		e.upstream = u
+		e.upstream, e.digest = u, digest(u)
 	}
 	if startedAt, ok := w.leaving[r.Key]; ok && err == nil && u.StartedAtMs > startedAt {
 		delete(w.leaving, r.Key)
@@ -229,8 +233,10 @@
 // caller holds the lock.
 func (w *Watcher) publish() {
 	services := map[string][]savoryloft.RegisteredUpstream{}
+	w.registryDigest = 0
 	for _, e := range w.entries {
 		if e.usable && e.value != nil {
+			w.registryDigest = addDigests(w.registryDigest, e.digest)
 			u := e.current()
 			if w.isLeaving(u) {
 				u.Draining = true
@@ -245,6 +251,17 @@
 	w.services.Store(&services)
 }
 
+// digest returns a hash of what a registry entry says of an upstream, without what changes
+// with time.
+func digest(u savoryloft.RegisteredUpstream) int {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%q %q %q %q %q %d %t %t %d", u.ID, u.Service, u.Address, u.FailureDomain, u.Version, u.Slots, u.Draining, u.Reclaimable, u.StartedAtMs)
+	return int(h.Sum64() & math.MaxInt64)
+}
+
+// addDigests adds digests modulo a power of two, so that their order does not matter.
+func addDigests(a, b int) int { return int((uint64(a) + uint64(b)) & math.MaxInt64) }
+
 // current returns the upstream according to its entry, with the end of its warm-up.
 func (e *entry) current() savoryloft.RegisteredUpstream {
 	u := e.upstream
--- a/watcher/removal_test.go
+++ b/watcher/removal_test.go
@@ -52,6 +52,29 @@
 	}
 }
 
+// Guards against requests to an upstream that is gone, at an instance that has read the log
+// since and is sent the entry by a peer that has missed the removal.
+func TestOwnReadOutweighsEarlierRelayedRecords(t *testing.T) {
+	runFixture(t, func(w *fixture) {
+		w.setUpstream("removed")
+		w.log.Set(savoryloft.TopicRegistry, "removed", nil)
+		w.setUpstream("a")
+		w.log.ExpireRecords(savoryloft.TopicRegistry)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, w.upstreams())
+		value := string(encode(t, savoryloft.RegisteredUpstream{Service: "s", Address: "10.0.0.1:1"}))
+		relay := func(offset int) {
+			w.watcher.ApplyRelayed("peer", []savoryloft.ControlRecord{
+				{Topic: int(savoryloft.TopicRegistry), Key: "removed", Value: value, Position: savoryloft.Position(w.log.Era(), offset)},
+			})
+		}
+		relay(0)
+		require.Equal(t, 1, w.upstreams())
+		relay(3)
+		require.Equal(t, 2, w.upstreams(), "it has registered again")
+	})
+}
+
 // Guards against requests to an upstream that is gone, at an instance that takes its own
 // troubles for an outage of the log.
 func TestRemovalIsDeferredOnlyAfterAnOutage(t *testing.T) {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -103,7 +103,9 @@
 	entries            map[string]*entry
 	upToDateAt         [2]time.Duration       // Latest uptime, by topic, at which the copy was known to be up to date; 0 if never.
 	registryChanged    int                    // Highest position of a registry record that changed an entry.
-	registryRead       int                    // Position up to which all such records have been applied.
+	registryRead       int                    // Position of the latest such record that has been read or received.
+	registryListed     int                    // Position up to which this instance has read all of them itself; -1 before.
+	registryDigest     int                    // Sum of the digests of the usable entries.
 	registryReadFailed bool                   // Whether a read of the registry has failed since the last successful one.
 	recoveredAt        time.Duration          // Uptime of the log's last recovery from an outage; 0 if there was none.
 	first              chan struct{}          // Closed when the first configuration is in force.
@@ -122,7 +124,7 @@
 		w.leaving = map[string]int{}
 		w.evacuations = map[string]*evacuation{}
 		w.first = make(chan struct{})
-		w.registryChanged, w.registryRead, w.registryEraEnd = -1, -1, -1
+		w.registryChanged, w.registryRead, w.registryListed, w.registryEraEnd = -1, -1, -1, -1
 		w.configuration.Position = -1
 	})
 }
@@ -169,8 +171,7 @@
 }
 
 // MarkUpToDate records that the copy of a topic was up to date at an uptime. Call
-// it for a peer's status only if this instance has all records that the peer had
-// when it sent the status.
+// it for a peer's status only if the copies agree.
 func (w *Watcher) MarkUpToDate(t savoryloft.Topic, at time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -186,9 +187,18 @@
 	return 0
 }
 
+// RegistryDigest returns a number that is equal for instances whose copies of the registry
+// name the same upstreams.
+func (w *Watcher) RegistryDigest() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.registryDigest
+}
+
 // RegistryPositions returns the highest position of a registry record that changed
-// an entry, and the position up to which all such records have been applied. Each is
-// -1 before the first record.
+// an entry, and that of the latest record that was read or received. Each is -1 before the
+// first record. Earlier records may be missing, so only instances whose peers do not send
+// digests compare their copies by position.
 func (w *Watcher) RegistryPositions() (changed, read int) {
 	w.init()
 	w.mu.Lock()
@@ -196,8 +206,8 @@
 	return w.registryChanged, w.registryRead
 }
 
-// RecordsSince returns the records missing at an instance that has the given
-// configuration version and the registry up to the given position.
+// RecordsSince returns the records that an instance may lack that has the given
+// configuration version and the registry up to the given position, which is -1 for all of it.
 func (w *Watcher) RecordsSince(version, registryRead int) []savoryloft.ControlRecord {
 	w.init()
 	w.mu.Lock()
@@ -402,7 +412,8 @@
 			changed = append(changed, w.removeUnlisted(page)...)
 		}
 		w.mu.Lock()
-		w.registryRead = max(w.registryRead, savoryloft.Position(page.Era, page.Next)-1)
+		w.registryListed = max(w.registryListed, savoryloft.Position(page.Era, page.Next)-1)
+		w.registryRead = max(w.registryRead, w.registryListed)
 		w.mu.Unlock()
 	}
 	if len(changed) > 0 && w.OnChange != nil {
