Removals are deferred only after an outage of the log

What callers saw: requests to an upstream for up to two seconds more after its entry was removed (DRAIN).

Cause: an instance that reads the log takes the time for an outage, and defers removals for two seconds, if its copy was older than 1.5 s, or if a read had failed at any time before. The copy of an instance whose peers are away is that old by design where changes have 3 s to take effect (it starts to read at 1.8 s), and a failure was remembered for as long as the instance did not read itself. Class: a sign of trouble that is never taken back, and one that has two causes.

Change: an outage is concluded from failed reads, from peers that say that theirs fail, and from reads that take as long; a peer's read after that ends it.

--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -45,6 +45,15 @@
 	}
 }
 
+// handleReadsStart records that this instance begins to read a topic continuously.
+func (w *Watcher) handleReadsStart(t savoryloft.Topic) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t == savoryloft.TopicRegistry {
+		w.registryReadsSince = savoryloft.Uptime()
+	}
+}
+
 // handleReadFailure records that reading a topic failed.
 func (w *Watcher) handleReadFailure(t savoryloft.Topic) {
 	w.mu.Lock()
@@ -52,7 +61,7 @@
 	if t == savoryloft.TopicConfiguration {
 		w.logUnreachable = true
 	} else {
-		w.registryReadFailed = true
+		w.registryOutageAt = savoryloft.Uptime()
 	}
 }
 
@@ -68,7 +77,8 @@
 
 // handleReadSuccess records that reading a topic succeeded. It must be called
 // before the records are applied, since a recovery of the log delays the removal
-// of registry entries.
+// of registry entries. An old copy alone is no sign of an outage: the peers that relay
+// records may be away.
 func (w *Watcher) handleReadSuccess(t savoryloft.Topic) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -77,12 +87,17 @@
 		return
 	}
 	upToDateAt := w.upToDateAt[savoryloft.TopicRegistry]
-	if now := savoryloft.Uptime(); w.registryReadFailed || upToDateAt > 0 && now-upToDateAt > outageThreshold {
-		w.registryReadFailed = false
-		w.recoveredAt = now
+	slow := upToDateAt > 0 && savoryloft.Uptime()-max(upToDateAt, w.registryReadsSince) > outageThreshold
+	if slow || w.registryOutageAt > 0 {
+		w.endOutage()
 	}
 }
 
+// endOutage records that the log has recovered from an outage. The caller holds the lock.
+func (w *Watcher) endOutage() {
+	w.registryOutageAt, w.recoveredAt = 0, savoryloft.Uptime()
+}
+
 // applyEntry applies a registry record and reports whether it changed an entry.
 // fromLog is whether this instance read the record from the log itself.
 func (w *Watcher) applyEntry(r savoryloft.ControlRecord, fromLog bool) bool {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -59,7 +59,7 @@
 	removalCheckInterval     = 200 * time.Millisecond  // Between checks for entries that are still missing.
 	recoveryGrace            = 2 * time.Second         // Upstreams renew entries that expired in an outage within this time of the recovery.
 	maxLoggedError           = 500                     // Bytes of an error in a log line.
-	outageThreshold          = 1500 * time.Millisecond // A successful read counts as a recovery of the log if the registry is older than this.
+	outageThreshold          = 1500 * time.Millisecond // A successful read counts as a recovery of the log if reads have not brought the registry up to date for this long.
 )
 
 // Watcher maintains a copy of the configuration and the registry. Set the exported
@@ -106,7 +106,8 @@
 	registryRead       int                    // Position of the latest such record that has been read or received.
 	registryListed     int                    // Position up to which this instance has read all of them itself; -1 before.
 	registryDigest     int                    // Sum of the digests of the usable entries.
-	registryReadFailed bool                   // Whether a read of the registry has failed since the last successful one.
+	registryOutageAt   time.Duration          // Uptime of the last sign that the registry cannot be read; 0 once it has been read since, by this instance or a peer.
+	registryReadsSince time.Duration          // Uptime at which this instance began to read the registry continuously.
 	recoveredAt        time.Duration          // Uptime of the log's last recovery from an outage; 0 if there was none.
 	first              chan struct{}          // Closed when the first configuration is in force.
 	leaving            map[string]int         // Start times, by ID, of the upstreams that have said that they leave.
@@ -176,6 +177,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.upToDateAt[t] = max(w.upToDateAt[t], at)
+	if t == savoryloft.TopicRegistry && w.registryOutageAt > 0 && at > w.registryOutageAt {
+		w.endOutage()
+	}
 }
 
 // Version returns the version of the configuration in force, or 0 before the
@@ -251,7 +255,7 @@
 func (w *Watcher) follow(ctx context.Context, t savoryloft.Topic, pollTimeout, pause time.Duration) {
 	next, era := -1, 0 // Offset of the next read, and the era that it belongs to.
 	backoff := minBackoff
-	unreachable := false
+	unreachable, reading := false, false
 	own := ownReads{startedAt: savoryloft.Uptime()}
 	for ctx.Err() == nil {
 		rank := w.readerRank()
@@ -261,9 +265,14 @@
 				unreachable = false
 				w.forgetReadFailure(t)
 			}
+			reading = false
 			savoryloft.Sleep(ctx, readCheckInterval)
 			continue
 		}
+		if !reading {
+			reading = true
+			w.handleReadsStart(t)
+		}
 		timeout := pollTimeout
 		if rank > 0 {
 			timeout *= standbyPollFactor
@@ -334,6 +343,11 @@
 		return false
 	case w.ReadersFail == nil || !w.ReadersFail():
 		return true
+	}
+	if t == savoryloft.TopicRegistry {
+		w.handleReadFailure(t) // By the readers.
+	}
+	switch {
 	case own.succeededAt > 0 && now-own.succeededAt < 2*probeInterval:
 		return true // The log serves this instance, though not its readers.
 	case own.probeAt == 0:
