Requests are not sent to upstreams that have left while they waited

What callers saw: a request may reach an upstream later than it may after the upstream has said that it leaves (DRAIN): one that waited for a token of its limit for up to half of its objective, and then for a connection for up to 0.4 s.

Cause: between the choice of the upstream and the send only evacuations were looked at again. Class: a decision that is used long after the facts that it rests on.

Change: right before the send the upstream must still be registered with the same start, must not leave and must not be evacuated. Otherwise the request, which has not run, goes elsewhere.

--- a/launcher/evacuation_test.go
+++ b/launcher/evacuation_test.go
@@ -9,6 +9,7 @@
 
 	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/platform"
+	"savoryloft.example/savoryloft/platform/standin"
 )
 
 func (c *cluster) evacuate(domain string, inForce bool) {
@@ -59,26 +60,51 @@
 }
 
 // Guards against a request that waits for a token of an upstream's limit, and is sent there
-// once it gets it although the failure domain has been evacuated meanwhile.
-func TestWaitForTokenDoesNotEndInAnEvacuatedFailureDomain(t *testing.T) {
+// once it gets it although the upstream must not get requests any more.
+func TestWaitForTokenDoesNotEndAtAnUpstreamThatMustNotBeUsed(t *testing.T) {
 	const waiting = 6
-	c := newCluster(t)
-	e := c.addEngine(nil)
-	e.SetLimit("8") // A token each 125 ms; requests wait for up to 500 ms.
-	i := c.start(longRevocation)
-	c.waitForUpstreams(i, 1)
-	require.Equal(t, 200, c.call(i, "once", "key-1").status)
-	u := i.launcher.watcher.Upstreams("s")[0]
-	require.Eventually(t, func() bool { _, ok := i.launcher.throttler.Limit(u); return ok }, eventuallyTimeout, time.Millisecond)
-	var calls sync.WaitGroup
-	for range waiting {
-		r := c.request(i, "once", "key-1")
-		calls.Go(func() { _ = c.do(r) })
+	for _, tt := range []struct {
+		name   string
+		change func(c *cluster, e *standin.Engine)
+	}{
+		{"its failure domain is evacuated", func(c *cluster, _ *standin.Engine) { c.evacuate("a", true) }},
+		{"it drains", func(c *cluster, e *standin.Engine) { c.register(e.ID, registeredAddress(c.t, c, e.ID), "draining") }},
+		{"it is gone", func(c *cluster, e *standin.Engine) { c.log.Set(savoryloft.TopicRegistry, e.ID, nil) }},
+		{"it has said that it leaves", func(c *cluster, _ *standin.Engine) {
+			w := c.instances[0].launcher.watcher
+			w.MarkLeaving(w.Upstreams("s")[0])
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t)
+			e := c.addEngine(nil)
+			e.SetLimit("8") // A token each 125 ms; requests wait for up to 500 ms.
+			i := c.start(longRevocation)
+			c.waitForUpstreams(i, 1)
+			require.Equal(t, 200, c.call(i, "once", "key-1").status)
+			u := i.launcher.watcher.Upstreams("s")[0]
+			require.Eventually(t, func() bool { _, ok := i.launcher.throttler.Limit(u); return ok }, eventuallyTimeout, time.Millisecond)
+			// The log is read each 300 ms; a request that is sent just after that waits longer.
+			known := func() bool {
+				list := i.launcher.watcher.Upstreams("s")
+				return len(list) == 0 || list[0].Draining || list[0].Evacuated
+			}
+			var calls sync.WaitGroup
+			call := func() {
+				r := c.request(i, "once", "key-1")
+				calls.Go(func() { _ = c.do(r) })
+			}
+			for range waiting {
+				call()
+			}
+			for tt.change(c, e); !known(); time.Sleep(10 * time.Millisecond) {
+				call()
+			}
+			before := len(e.Requests())
+			calls.Wait()
+			require.LessOrEqual(t, len(e.Requests()), before+1, "one may have been on its way")
+		})
 	}
-	c.evacuate("a", true)
-	before := len(e.Requests())
-	calls.Wait()
-	require.LessOrEqual(t, len(e.Requests()), before+1, "one may have been on its way")
 }
 
 // registeredAddress returns the address at which an engine of the cluster is registered.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -98,8 +98,8 @@
 	probeWait      = 100 * time.Millisecond // For the results of the probes; they usually take 20 to 40 ms.
 )
 
-// errEvacuated is returned if the chosen upstream's failure domain has been evacuated.
-const errEvacuated = errors.ConstError("the failure domain of the upstream is evacuated")
+// errWithdrawn is returned if the chosen upstream must not get requests any more.
+const errWithdrawn = errors.ConstError("the upstream leaves, has left, or is evacuated")
 
 // errNoUpstream is returned when no registered upstream is eligible.
 const errNoUpstream = errors.ConstError("no upstream is available")
@@ -145,10 +145,10 @@
 		Rank: min(x.identity.Urgency, maxWireRank), HasRank: req.Engine != nil, LastEventID: lastEventID,
 		FetchFrom: choice.FetchFrom,
 	}
-	if r.Watcher.IsEvacuated(choice.Upstream.FailureDomain) { // Since the choice, or while it waited for a token or a connection.
+	if !r.Watcher.MayReceive(choice.Upstream) { // Since the choice, or while it waited for a token or a connection.
 		x.abandonTrial()
 		a.release(placer.Cancelled)
-		return nil, x.recordFailure(choice, &sendError{notExecuted, errEvacuated})
+		return nil, x.recordFailure(choice, &sendError{notExecuted, errWithdrawn})
 	}
 	a.notifyPrefillChange()
 	head := r.Wire.AppendCall(nil, &x.call, d)
--- a/watcher/registry.go
+++ b/watcher/registry.go
@@ -297,6 +297,19 @@
 	return u, false
 }
 
+// MayReceive reports whether an upstream may still get requests: it is registered with the
+// same start, is not about to leave and is not evacuated.
+func (w *Watcher) MayReceive(u savoryloft.RegisteredUpstream) bool {
+	if w.IsEvacuated(u.FailureDomain) {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.entries[u.ID]
+	return e != nil && e.usable && e.value != nil && e.upstream.StartedAtMs == u.StartedAtMs &&
+		!e.upstream.Draining && !w.isLeaving(e.upstream)
+}
+
 // HasEnded reports whether the registry shows that the process of an upstream has ended:
 // a later one has started under its ID or at its address, or its entry has lapsed although
 // it had not said that it leaves.
