Failing test: clients of instances that are cut off from the upstreams

What callers see: requests at such an instance fail until the partition ends (RECOVER).

Cause: not mended yet.

--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -63,6 +63,7 @@
 // instance is one running Launcher.
 type instance struct {
 	launcher     *Launcher
+	partition    *partition // Of the instance from the engines.
 	cancel       context.CancelFunc
 	done         chan error // Receives the result of Run.
 	url          string
@@ -187,7 +188,8 @@
 	if len(c.instances) > 0 {
 		d.Seeds = []string{c.instances[0].launcher.Deployment.Listen.Links}
 	}
-	pool := &exchanger.Pool{Dial: exchanger.DialTCP}
+	cut := &partition{isUpstream: c.isEngine}
+	pool := &exchanger.Pool{Dial: cut.dial}
 	l := &Launcher{
 		Deployment: d, Wire: platform.Wire{}, Decoder: platform.Decoder{},
 		Log:        &delayedLog{&platform.LogClient{Address: c.logServer.Listener.Addr().String(), Pool: pool}, c, c.membersDelay},
@@ -197,7 +199,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &instance{
-		launcher: l, cancel: cancel, done: make(chan error, 1),
+		launcher: l, cancel: cancel, done: make(chan error, 1), partition: cut,
 		url: "http://" + d.Listen.Callers, readinessURL: "http://" + d.Listen.Readiness + platform.ReadinessPath,
 	}
 	go func() { i.done <- l.Run(ctx) }()
