The log is not called on connections that were idle for long

What callers may see: a configuration, or a leaving upstream, that takes effect later than it must (CONFIG, DRAIN), at an instance that has lost its peers.

Its idle connections to the log are up to 20 s old. One that has gone silent takes a second to fail (TCP_USER_TIMEOUT), and the next one may be silent too. Class: the first use after a long rest pays for what happened meanwhile.

Change: calls to the log use connections that were in use within the last second, or new ones. The readers, which poll all the time, keep theirs.

It is a possible cause of the reported CONFIG, not a proven one.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -41,6 +41,10 @@
 const (
 	// Reuse returns an idle connection if there is one and dials otherwise.
 	Reuse Mode = iota
+	// Recent is Reuse for connections that have been used within the last second. It is
+	// meant for rare requests that must not be late: an idle connection may have gone
+	// silent, which shows only after a timeout.
+	Recent
 	// Fresh always dials. It is meant for requests that must not fail because
 	// the server has already closed an idle connection.
 	Fresh
@@ -49,6 +53,7 @@
 const (
 	defaultMaxIdle     = 64
 	defaultIdleTimeout = 10 * time.Second
+	recentTime         = time.Second
 	keepAliveMargin    = 700 * time.Millisecond // The server may close an idle connection while a request is in transit.
 	readBufferBytes    = 16 << 10
 	writeBufferBytes   = 16 << 10
@@ -123,8 +128,8 @@
 // Get returns a connection to address. No request data has been sent when it
 // returns an error.
 func (p *Pool) Get(ctx context.Context, address string, mode Mode) (*Conn, error) {
-	if mode == Reuse {
-		if c := p.takeIdle(address); c != nil {
+	if mode != Fresh {
+		if c := p.takeIdle(address, mode); c != nil {
 			return c, nil
 		}
 	}
@@ -140,7 +145,7 @@
 
 // takeIdle returns the most recently used idle connection that is still usable,
 // or nil.
-func (p *Pool) takeIdle(address string) *Conn {
+func (p *Pool) takeIdle(address string, mode Mode) *Conn {
 	v, ok := p.idle.Load(address)
 	if !ok {
 		return nil
@@ -150,6 +155,9 @@
 	defer l.mu.Unlock()
 	for len(l.conns) > 0 {
 		c := l.conns[len(l.conns)-1]
+		if mode == Recent && time.Since(c.idleSince) >= recentTime {
+			return nil // So are the others.
+		}
 		l.conns = l.conns[:len(l.conns)-1]
 		// Unread data would be read as the response to the next request.
 		if time.Since(c.idleSince) < c.idleTimeout() && IsIdle(c.Conn) {
