An instance that cannot reach the upstreams sends requests on through another one

Cause: nothing remembered that no upstream can be reached, and an instance had no other way than its own. Each request dialled one upstream after the other, 0.4 s each where dials hang, until its time was up. Readiness stayed good, since it only looks at the configuration. Class: a dependency that fails for one instance only was treated like one that fails for all.

Change: package detourer counts the upstreams that cannot be reached without a sign of life in between; from three on the instance is cut off. It then sends what it accepts to another instance, which handles it like a request of its own client: it checks the key, chooses the upstream and resumes streams. A request is sent on once, by an instance of a client only, with the time and the number of upstreams that are left; after a send without a response it is not sent again unless it may run more than once. An instance that is cut off itself refuses with a header, and the next one is asked, up to three. A request that cannot connect to two upstreams goes the same way, so that old connections that live on do not hide the partition. Probes end it. Instances announce their address and a token on their links, and hubs pass a sample of eight on, so that an instance whose whole domain is cut off knows others.

--- a/call.go
+++ b/call.go
@@ -36,7 +36,8 @@
 	OutputHint   int // Caller's estimate of the number of tokens in the answer; 0 when it gave none.
 	Parts        []PromptPart
 	LastEventID  string
-	Resumes      string // ID of the caller's attempt that brought the first event of the stream to resume; empty when it named none.
+	Detour       DetourDispatch // What another instance says that sent the call on; zero otherwise.
+	Resumes      string         // ID of the caller's attempt that brought the first event of the stream to resume; empty when it named none.
 }
 
 // Fingerprint returns a string that is the same for calls of an account with the same
@@ -64,6 +65,16 @@
 	FetchFrom   string // Address of the upstream from which to copy cached prompt parts first; empty for none.
 }
 
+// DetourDispatch holds what an instance adds to a call that it sends on through another one.
+type DetourDispatch struct {
+	Token    string // Of the other instance.
+	Attempts int    // Upstreams that may still run the call.
+}
+
+// DetourRefused is the value of the header of WireFormat.DetourHeader in a response of an
+// instance that has not taken a call of another one.
+const DetourRefused = "refused"
+
 // AnswerHead is the head of an upstream's answer.
 type AnswerHead struct {
 	StatusCode  int
@@ -99,6 +110,11 @@
 	DecodeCall(method, uri []byte, rawHeaders []byte) (Call, error)
 	// AppendCall appends the head of a request to an upstream to dst.
 	AppendCall(dst []byte, call *Call, d Dispatch) []byte
+	// AppendDetour appends the head of a request to another instance to dst.
+	AppendDetour(dst []byte, call *Call, remaining time.Duration, d DetourDispatch) []byte
+	// DetourHeader returns the name of the header of such requests and their responses that
+	// no request of a caller may have.
+	DetourHeader() string
 	// DecodeAnswer decodes the head of an upstream's answer.
 	DecodeAnswer(resp *http.Response) AnswerHead
 	// AppendReportCall appends the request for an upstream's report on itself to dst.
--- a/check.go
+++ b/check.go
@@ -3,8 +3,10 @@
 import (
 	"math"
 	"net"
+	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -88,12 +90,31 @@
 			return err
 		}
 	}
+	for _, d := range f.Detours {
+		if err := d.Check(); err != nil {
+			return err
+		}
+	}
 	if f.Status != nil {
 		return f.Status.Check()
 	}
 	return nil
 }
 
+// maxTokenBytes is the length of the longest token of a Detour.
+const maxTokenBytes = 128
+
+// Check returns an error when an announcement names no instance that can be sent requests.
+func (d Detour) Check() error {
+	if _, err := netip.ParseAddrPort(d.Address); err != nil || d.Instance == "" || d.Age < 0 {
+		return errors.Errorf("announcement of instance %q at %q is malformed", d.Instance, d.Address)
+	}
+	if d.Token == "" || len(d.Token) > maxTokenBytes || strings.Trim(d.Token, "0123456789abcdef") != "" {
+		return errors.Errorf("announcement of instance %q has no valid token", d.Instance)
+	}
+	return nil
+}
+
 // maxUnixMs is the latest start of a process that is taken for one; it is in the year 2248.
 const maxUnixMs = 1 << 43
 
--- a/deployment.go
+++ b/deployment.go
@@ -26,6 +26,7 @@
 	Readiness string
 	Links     string // Accepts links from the other instances.
 	Metrics   string
+	Detours   string // Accepts requests that other instances send on; none are taken if empty.
 }
 
 // DeploymentLimits holds the resource limits of the process.
--- a/frame.go
+++ b/frame.go
@@ -24,6 +24,7 @@
 		}
 	}
 	add("Begun", f.Begun, len(f.Begun) > 0)
+	add("Detours", f.Detours, len(f.Detours) > 0)
 	add("Duties", f.Duties, f.Duties != nil)
 	add("Features", f.Features, len(f.Features) > 0)
 	add("Greeting", f.Greeting, f.Greeting != nil)
--- a/launcher/doors.go
+++ b/launcher/doors.go
@@ -43,6 +43,9 @@
 	for ctx.Err() == nil {
 		savoryloft.Sleep(ctx, cleanupInterval)
 		l.listener.CloseIdleFor(l.clientIdleTimeout())
+		if l.detourListener != nil {
+			l.detourListener.CloseIdleFor(defaultIdleTimeout)
+		}
 		l.Pool.CloseExpired()
 	}
 	return nil
--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -177,7 +177,7 @@
 	d := savoryloft.Deployment{
 		Instance: fmt.Sprintf("entry-%d", len(c.instances)), FailureDomain: "a", Bootstrap: c.bootstrap,
 		Listen: savoryloft.DeploymentListen{
-			Callers: ip + ":7101", Readiness: ip + ":7102", Links: ip + ":7103", Metrics: ip + ":7104",
+			Callers: ip + ":7101", Readiness: ip + ":7102", Links: ip + ":7103", Metrics: ip + ":7104", Detours: ip + ":7105",
 		},
 		Bounds: savoryloft.DeploymentBounds{
 			Revocation: revocation, ConfigurationInForce: 2 * time.Second, Drain: 2 * time.Second, Grace: 5 * time.Second,
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -31,6 +31,7 @@
 	"savoryloft.example/savoryloft/budgeter"
 	"savoryloft.example/savoryloft/claimer"
 	"savoryloft.example/savoryloft/counter"
+	"savoryloft.example/savoryloft/detourer"
 	"savoryloft.example/savoryloft/exchanger"
 	"savoryloft.example/savoryloft/limiter"
 	"savoryloft.example/savoryloft/linker"
@@ -96,9 +97,11 @@
 	quarantine       *quarantiner.Quarantiner
 	throttler        *throttler.Throttler
 	tracker          *tracker.Tracker
+	detours          *detourer.Detourer
 	admitter         *admitter.Admitter
 	relayer          *relayer.Relayer
 	listener         *relayer.Listener
+	detourListener   *relayer.Listener // For requests of other instances; nil if there is none.
 }
 
 // AddSeeds adds addresses of instances to which links are opened. It has no
@@ -119,6 +122,7 @@
 		return err
 	}
 	l.listener = &relayer.Listener{Listener: clients, MaxOpen: l.maxClientConnections()}
+	l.listenForDetours()
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(background)
@@ -126,6 +130,9 @@
 		group.Go(func() error { return errors.Annotate(s.Serve(ln), name) })
 	}
 	serve("serve clients", l.clientServer(), l.listener)
+	if l.detourListener != nil {
+		serve("serve requests of other instances", l.detourServer(), l.detourListener)
+	}
 	serve("serve readiness", pageServer(l.handleReadiness), readiness)
 	if pages != nil {
 		serve("serve metrics", pageServer(l.handleMetrics), pages)
@@ -142,6 +149,9 @@
 	}
 	cancel()
 	_ = l.listener.Close()
+	if l.detourListener != nil {
+		_ = l.detourListener.Close()
+	}
 	_ = readiness.Close()
 	if pages != nil {
 		_ = pages.Close()
@@ -155,7 +165,7 @@
 // cancelled.
 func (l *Launcher) backgroundTasks() []func(context.Context) error {
 	d := l.Deployment
-	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.admitter.Run, l.maintainMembership, l.cleanUp, l.closeIdleConnections, l.logCounters}
+	list := []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.detours.Run, l.admitter.Run, l.maintainMembership, l.cleanUp, l.closeIdleConnections, l.logCounters}
 	if d.Duties.UsageReports || d.Duties.Orders {
 		list = append(list, l.claimer.Run)
 	}
@@ -223,11 +233,17 @@
 		Send:        l.linker.SendOrigins, SendBegun: l.linker.SendBegun, Broadcast: l.linker.BroadcastOrigins, Reply: l.linker.ReplyOrigins,
 		Logger: l.Logger, Metrics: l.registry,
 	}
+	l.detours = &detourer.Detourer{
+		Instance: d.Instance, Incarnation: l.incarnation, Address: d.Listen.Detours, Upstreams: l.watcher.AllUpstreams, Dial: l.Pool.Dial,
+		PassesOn:  func() bool { return !l.linker.InMesh() && l.linker.IsHub() },
+		Accepting: func() bool { return !l.stopping.Load() && l.watcher.Table() != nil },
+		Broadcast: l.linker.BroadcastDetours, Logger: l.Logger, Metrics: l.registry,
+	}
 	l.admitter = &admitter.Admitter{Instance: d.Instance, FailureDomain: d.FailureDomain, MaxQueued: maxQueuedRequests}
 	l.requests, l.abortRequests = context.WithCancelCause(context.Background())
 	l.relayer = &relayer.Relayer{
 		Context: l.requests,
-		Wire:    l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
+		Wire:    l.Wire, Watcher: l.watcher, Placer: l.placer, Quarantine: l.quarantine, QuarantinesRead: l.quarantinesRead, Throttler: l.throttler, Tracker: l.tracker, Detours: l.detours, Pool: l.Pool, Logger: l.Logger, Tracer: l.Tracer,
 		Metrics: l.registry, Revocation: d.Bounds.Revocation, Regions: d.Regions, Stopping: l.stopping.Load, ExitTime: l.requestExitTime, Instances: l.linker.InstanceCount, LoadShare: l.linker.LoadShare,
 		Memory:       l.Memory,
 		CountRequest: l.countRequest, PrefillChanged: l.broadcastPlacement, RefreshPeerLoads: l.updatePeerLoads,
--- a/launcher/pages.go
+++ b/launcher/pages.go
@@ -38,9 +38,33 @@
 	return clients, steadyListener{readiness}, steadyListener{links}, steadyListener{pages}, nil
 }
 
+// listenForDetours opens the listener for requests of other instances. Without it, this
+// instance takes none.
+func (l *Launcher) listenForDetours() {
+	address := l.Deployment.Listen.Detours
+	if address == "" {
+		return
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		l.Logger.Info("address not available, no requests of other instances are taken", "address", address, "error", err.Error())
+		l.detours.Address = ""
+		return
+	}
+	l.detourListener = &relayer.Listener{Listener: listener, MaxOpen: l.maxClientConnections()}
+}
+
 func (l *Launcher) clientServer() *fasthttp.Server {
+	return l.requestServer(l.relayer.Handle, l.listener)
+}
+
+func (l *Launcher) detourServer() *fasthttp.Server {
+	return l.requestServer(l.relayer.HandleDetour, l.detourListener)
+}
+
+func (l *Launcher) requestServer(handler fasthttp.RequestHandler, listener *relayer.Listener) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                       l.relayer.Handle,
+		Handler:                       handler,
 		NoDefaultServerHeader:         true,
 		NoDefaultDate:                 true,
 		NoDefaultContentType:          true,
@@ -51,7 +75,7 @@
 		IdleTimeout:                   maxIdleTimeout, // CloseIdleFor closes idle connections.
 		StreamRequestBody:             true,
 		HeaderReceived:                l.relayer.RequestConfig,
-		ConnState:                     l.listener.ObserveState,
+		ConnState:                     listener.ObserveState,
 		ErrorHandler:                  relayer.HandleProtocolError,
 		Logger:                        logger.Discard{},
 	}
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -107,6 +107,12 @@
 // MergeLeaving implements linker.Source.
 func (s linkSource) MergeLeaving(list []savoryloft.LeavingUpstream) { s.watcher.MergeLeaving(list) }
 
+// Detours implements linker.Source.
+func (s linkSource) Detours() []savoryloft.Detour { return s.detours.Announcements() }
+
+// MergeDetours implements linker.Source.
+func (s linkSource) MergeDetours(list []savoryloft.Detour) { s.detours.Merge(list) }
+
 // Evacuations implements linker.Source.
 func (s linkSource) Evacuations() []savoryloft.ControlRecord { return s.watcher.Evacuations() }
 
--- a/linker/link.go
+++ b/linker/link.go
@@ -95,6 +95,9 @@
 	if records := l.Source.Evacuations(); len(records) > 0 {
 		k.send(savoryloft.LinkFrame{Records: records})
 	}
+	if list := l.Source.Detours(); len(list) > 0 {
+		k.send(savoryloft.LinkFrame{Detours: list})
+	}
 	if f := l.Source.DutyFacts(); len(f.Figures)+len(f.Sizes) > 0 && l.isHub(k.peer.Instance) {
 		k.send(savoryloft.LinkFrame{Duties: &f})
 	}
@@ -347,6 +350,9 @@
 		l.Source.MergeBegun(f.Begun)
 		k.relayToHubs(savoryloft.LinkFrame{Begun: f.Begun})
 	}
+	if len(f.Detours) > 0 {
+		l.Source.MergeDetours(f.Detours)
+	}
 	if f.Update != nil {
 		k.handleUpdate(f.Update)
 	}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -99,6 +99,11 @@
 	// Evacuations returns the records of the evacuations that are known, for a peer whose
 	// link comes up.
 	Evacuations() []savoryloft.ControlRecord
+	// Detours returns the announcements of instances that take requests of others, for a
+	// peer whose link comes up.
+	Detours() []savoryloft.Detour
+	// MergeDetours takes over such announcements of a peer.
+	MergeDetours(list []savoryloft.Detour)
 	// Suspicions returns what is known about prompt parts that crash upstreams, for a
 	// peer whose link comes up.
 	Suspicions() savoryloft.Suspicions
@@ -364,6 +369,12 @@
 	l.sendToAll(savoryloft.LinkFrame{Records: records}, from)
 }
 
+// BroadcastDetours sends announcements of instances that take requests of others on all
+// links.
+func (l *Linker) BroadcastDetours(list []savoryloft.Detour) {
+	l.sendToAll(savoryloft.LinkFrame{Detours: list}, "")
+}
+
 // sendToAll sends a frame on all links except the one to a peer.
 func (l *Linker) sendToAll(f savoryloft.LinkFrame, except string) {
 	l.init()
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -106,6 +106,10 @@
 
 func (p *fakeSource) MergeSuspicions(string, savoryloft.Suspicions) {}
 
+func (p *fakeSource) Detours() []savoryloft.Detour { return nil }
+
+func (p *fakeSource) MergeDetours([]savoryloft.Detour) {}
+
 func (p *fakeSource) LeavingSince(int) ([]savoryloft.LeavingUpstream, int) { return nil, 0 }
 
 func (p *fakeSource) MergeLeaving([]savoryloft.LeavingUpstream) {}
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -50,6 +50,61 @@
 	return nil
 }
 
+// Announcement of an instance that takes the requests of others which cannot reach
+// the upstreams.
+type Detour struct {
+	// Address at which it takes them.
+	Address string `json:"Address" msgpack:"Address"`
+
+	// Milliseconds since the instance made the announcement.
+	Age int `json:"Age" msgpack:"Age"`
+
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation int `json:"Incarnation" msgpack:"Incarnation"`
+
+	// Instance corresponds to the JSON schema field "Instance".
+	Instance string `json:"Instance" msgpack:"Instance"`
+
+	// That they must bear.
+	Token string `json:"Token" msgpack:"Token"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Detour) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Address"]; raw != nil && !ok {
+		return fmt.Errorf("field Address in Detour: required")
+	}
+	if _, ok := raw["Age"]; raw != nil && !ok {
+		return fmt.Errorf("field Age in Detour: required")
+	}
+	if _, ok := raw["Incarnation"]; raw != nil && !ok {
+		return fmt.Errorf("field Incarnation in Detour: required")
+	}
+	if _, ok := raw["Instance"]; raw != nil && !ok {
+		return fmt.Errorf("field Instance in Detour: required")
+	}
+	if _, ok := raw["Token"]; raw != nil && !ok {
+		return fmt.Errorf("field Token in Detour: required")
+	}
+	type Plain Detour
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Age {
+		return fmt.Errorf("field %s: must be >= %v", "Age", 0)
+	}
+	if utf8.RuneCountInString(string(plain.Instance)) < 1 {
+		return fmt.Errorf("field %s length: must be >= %d", "Instance", 1)
+	}
+	*j = Detour(plain)
+	return nil
+}
+
 // Records of the duties topic that must outlive a restore of the log.
 type DutyFacts struct {
 	// Figures corresponds to the JSON schema field "Figures".
@@ -188,6 +243,9 @@
 	// origins; the log need not.
 	Begun []OriginBatch `json:"Begun,omitempty,omitzero" msgpack:"Begun,omitempty"`
 
+	// Instances that take requests of others.
+	Detours []Detour `json:"Detours,omitempty,omitzero" msgpack:"Detours,omitempty"`
+
 	// Duties corresponds to the JSON schema field "Duties".
 	Duties *DutyFacts `json:"Duties,omitempty,omitzero" msgpack:"Duties,omitempty"`
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -136,6 +136,9 @@
 		outcome := placer.Failed
 		if errors.Is(err, errStaleEntry) {
 			outcome = placer.Refused
+		} else if x.ctx.Err() == nil {
+			x.unreachable++
+			r.Detours.ObserveFailure(choice.Upstream.ID)
 		}
 		a.release(outcome)
 		return nil, x.recordFailure(choice, &sendError{notExecuted, err})
@@ -223,6 +226,7 @@
 			return err
 		}
 		a.response = resp
+		a.exchange.relayer.Detours.ObserveContact()
 		a.head = a.exchange.relayer.Wire.DecodeAnswer(resp)
 		isFirst := n == 0 && !a.conn.Reused() // Nothing else can have been refused on the connection.
 		if a.head.ID == a.exchange.call.ID || a.head.ID == "" && a.head.NotRun && isFirst {
@@ -292,6 +296,9 @@
 		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 		switch {
 		case a.ctx.Err() == nil && !timedOut:
+			if a.response == nil {
+				a.exchange.relayer.Detours.ObserveFailure(a.choice.Upstream.ID)
+			}
 			a.observeBroken()
 		case a.response == nil || timedOut:
 			a.exchange.relayer.Quarantine.ObserveSilent(a.choice.Upstream, a.exchange.quarantineRequest())
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -24,6 +24,9 @@
 			x.respond(h, body)
 			return
 		}
+		if x.mustDetour() && x.detour() {
+			return
+		}
 		if !x.allowRetry(e) {
 			x.respondToFailure(e)
 			return
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -34,6 +34,7 @@
 	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/admitter"
 	"savoryloft.example/savoryloft/budgeter"
+	"savoryloft.example/savoryloft/detourer"
 	"savoryloft.example/savoryloft/exchanger"
 	"savoryloft.example/savoryloft/limiter"
 	"savoryloft.example/savoryloft/observer"
@@ -82,6 +83,7 @@
 	QuarantinesRead  <-chan struct{} // Closed once the quarantines of other instances, or of earlier ones, are known; nil if there are none.
 	Throttler        *throttler.Throttler
 	Tracker          *tracker.Tracker
+	Detours          *detourer.Detourer
 	Admitter         *admitter.Admitter // Queues requests with prompts for which there is no room; they are sent or refused at once if nil.
 	Pool             *exchanger.Pool
 	CountRequest     func(account string) // Counts a request for an account's usage when an upstream may have started to run it.
@@ -127,6 +129,8 @@
 	refusedBy        []string            // Those of them that were full; see retryRefusing.
 	sends            int                 // Attempts in which the request was sent.
 	possibleRuns     int                 // Attempts in which an upstream may have run the request.
+	unreachable      int                 // Upstreams that no connection could be opened to.
+	fromPeer         bool                // Another instance has sent the request on.
 	retryReserved    bool                // The next retry counts toward the budget already.
 	brokenSends      int                 // Sends whose connection broke before the response was complete.
 	probed           chan bool           // Receives for each of these sends whether its upstream has ended.
@@ -182,15 +186,19 @@
 		return
 	}
 	x.call.Body = body
-	if !x.resolve() {
+	if !x.acceptDetour() || !x.resolve() {
 		return
 	}
+	x.limitAttempts()
 	x.setDeadline()
 	streaming := x.route.Kind == savoryloft.StreamingCall
 	if exit := r.ExitTime(); streaming && !exit.IsZero() && x.deadline.After(exit) {
 		x.refuseStopping()
 		return
 	}
+	if r.Detours.CutOff() && x.detour() {
+		return
+	}
 	r.Limiter.RecordRequest(x.received, x.service)
 	if streaming {
 		if x.resolveOrigin() {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -41,6 +41,9 @@
 		if e == nil {
 			break
 		}
+		if x.mustDetour() && x.detour() {
+			return
+		}
 		if !x.allowRetry(e) {
 			x.respondToFailure(e)
 			return
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -160,6 +160,17 @@
 	return (*m)[service]
 }
 
+// AllUpstreams returns the registered upstreams of all services.
+func (w *Watcher) AllUpstreams() []savoryloft.RegisteredUpstream {
+	var all []savoryloft.RegisteredUpstream
+	if m := w.services.Load(); m != nil {
+		for _, list := range *m {
+			all = append(all, list...)
+		}
+	}
+	return all
+}
+
 // Age returns the time since the copy of a topic was last known to be up to date.
 // ok is false if it never was.
 func (w *Watcher) Age(t savoryloft.Topic) (age time.Duration, ok bool) {
