Detours: announcements differ by link; tests

Cause: one sample for all links made 195 instances choose among 29 others, one of them 13 times; and announcements every 2 s cost 900 bytes/s for each instance. Change: each link gets a sample of its own, every 10 s, 45 s of life.

--- a/check.go
+++ b/check.go
@@ -1,12 +1,12 @@
 package savoryloft
 
 import (
+	"encoding/base64"
 	"math"
 	"net"
 	"net/netip"
 	"slices"
 	"strconv"
-	"strings"
 
 	"github.com/juju/errors"
 )
@@ -109,7 +109,7 @@
 	if _, err := netip.ParseAddrPort(d.Address); err != nil || d.Instance == "" || d.Age < 0 {
 		return errors.Errorf("announcement of instance %q at %q is malformed", d.Instance, d.Address)
 	}
-	if d.Token == "" || len(d.Token) > maxTokenBytes || strings.Trim(d.Token, "0123456789abcdef") != "" {
+	if _, err := base64.RawURLEncoding.DecodeString(d.Token); err != nil || d.Token == "" || len(d.Token) > maxTokenBytes {
 		return errors.Errorf("announcement of instance %q has no valid token", d.Instance)
 	}
 	return nil
--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -26,7 +26,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/subtle"
-	"encoding/hex"
+	"encoding/base64"
 	mathrand "math/rand/v2"
 	"net"
 	"sync"
@@ -45,10 +45,10 @@
 	probeInterval    = 200 * time.Millisecond // Between probes of upstreams while cut off.
 	probeTimeout     = 400 * time.Millisecond
 	probedUpstreams  = 2                // At a time.
-	announceInterval = 2 * time.Second  // Between announcements on the links.
-	targetTTL        = 10 * time.Second // Of an announcement, since its instance made it.
-	maxSample        = 8                // Announcements of others that a hub passes on at a time.
-	failurePause     = time.Second      // For which a target that could not take a request is not chosen.
+	announceInterval = 10 * time.Second // Between announcements on the links.
+	targetTTL        = 45 * time.Second // Of an announcement, since its instance made it.
+	maxSample        = 3                // Announcements that a hub passes on at a time.
+	failurePause     = 2 * time.Second  // For which a target that could not take a request is not chosen.
 	tokenBytes       = 16
 )
 
@@ -64,7 +64,8 @@
 	PassesOn func() bool
 	// Accepting reports whether this instance may announce itself.
 	Accepting func() bool
-	Broadcast func(list []savoryloft.Detour)
+	// Broadcast sends Announcements on all links.
+	Broadcast func()
 	Logger    logr.Logger
 	Metrics   metrics.Registry
 
@@ -88,7 +89,7 @@
 	d.once.Do(func() {
 		var b [tokenBytes]byte
 		_, _ = rand.Read(b[:]) // It never fails.
-		d.token = hex.EncodeToString(b[:])
+		d.token = base64.RawURLEncoding.EncodeToString(b[:])
 		d.failed, d.targets = map[string]bool{}, map[string]*target{}
 	})
 }
@@ -160,8 +161,8 @@
 	}
 }
 
-// Announcements returns what to announce on a link: this instance and, if it passes on what
-// others announce, a sample of these.
+// Announcements returns what to announce on a link: this instance or, if it passes on what
+// others announce, a sample of these and itself.
 func (d *Detourer) Announcements() []savoryloft.Detour {
 	d.init()
 	var list []savoryloft.Detour
@@ -173,14 +174,15 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now, most := savoryloft.Uptime(), len(list)+maxSample
-	for _, t := range d.targets { // Maps are walked in random order.
-		if age := now - t.madeAt; age < targetTTL && len(list) < most {
+	now := savoryloft.Uptime()
+	for _, t := range d.targets {
+		if age := now - t.madeAt; age < targetTTL {
 			t.Age = int(age / time.Millisecond)
 			list = append(list, t.Detour)
 		}
 	}
-	return list
+	mathrand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), maxSample)]
 }
 
 // Merge takes over what a peer announces.
@@ -213,9 +215,7 @@
 		if now := savoryloft.Uptime(); now-announced >= announceInterval {
 			announced = now
 			d.prune(now)
-			if list := d.Announcements(); len(list) > 0 {
-				d.Broadcast(list)
-			}
+			d.Broadcast()
 		}
 		if d.CutOff() {
 			d.probe(ctx)
--- a/frame_test.go
+++ b/frame_test.go
@@ -52,6 +52,7 @@
 	}
 
 	frame.Features = []string{"a", "b"}
+	frame.Detours = []savoryloft.Detour{{Instance: "entry-2", Incarnation: 5, Address: "10.0.0.2:1", Token: "dA", Age: 3}}
 	frame.Registry = &savoryloft.RegistryState{Digest: 7}
 	frame.Limits = &savoryloft.LimitExchange{
 		Limits:   []savoryloft.UpstreamLimit{{Upstream: "i-1", Version: 2, PerSecond: 0.5}},
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -84,7 +84,7 @@
 			Deployment: savoryloft.Deployment{
 				Instance: fmt.Sprintf("edge-%d", i), FailureDomain: fmt.Sprint("d", i%size.domains),
 				Seeds:  []string{fleetAddress(0), fleetAddress(1), fleetAddress(2)},
-				Listen: savoryloft.DeploymentListen{Links: fleetAddress(i)},
+				Listen: savoryloft.DeploymentListen{Links: fleetAddress(i), Detours: fleetAddress(i)},
 				Limits: savoryloft.DeploymentLimits{CPUMillicores: millicores},
 				Bounds: savoryloft.DeploymentBounds{
 					Revocation: 5 * time.Second, ConfigurationInForce: 4 * time.Second, Drain: 4 * time.Second,
@@ -100,7 +100,7 @@
 		listener := &pipeListener{conns: listeners[fleetAddress(i)], done: make(chan struct{})}
 		f.group.Go(func() { _ = l.linker.Serve(ctx, listener) })
 		delay := time.Duration(f.rng.Int64N(int64(startSpread)))
-		for _, run := range []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.claimer.Run, l.maintainMembership, l.cleanUp} {
+		for _, run := range []func(context.Context) error{l.linker.Run, l.watcher.Run, l.tracker.Run, l.detours.Run, l.claimer.Run, l.maintainMembership, l.cleanUp} {
 			f.group.Go(func() {
 				time.Sleep(delay)
 				_ = run(ctx)
@@ -372,6 +372,33 @@
 	})
 }
 
+// Guards against instances that know no way round a partition of their whole failure domain
+// from the upstreams, and against few instances that get the requests of all others.
+func TestInstancesOfALargeFleetKnowDetoursThroughOtherDomains(t *testing.T) {
+	size := fleetSize{instances: 195, domains: 6, upstreams: 20, accounts: 1, parts: 1, requestsPerSecond: 1}
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, size, 5)
+		defer f.stop()
+		time.Sleep(time.Minute)
+		chosen := map[string]int{}
+		for _, l := range f.launchers {
+			tried := map[string]bool{}
+			for _, other := range f.launchers {
+				tried[other.Deployment.Instance] = other.Deployment.FailureDomain == l.Deployment.FailureDomain
+			}
+			target, ok := l.detours.Choose(tried)
+			require.True(t, ok, l.Deployment.Instance)
+			chosen[target.Instance]++
+		}
+		most := 0
+		for _, n := range chosen {
+			most = max(most, n)
+		}
+		t.Logf("%d instances are chosen by %d, one by %d at most", len(chosen), size.instances, most)
+		require.LessOrEqual(t, most, size.instances/10)
+	})
+}
+
 // Guards against crashes that only the neighbours of the instance that saw them receive.
 func TestQuarantinesReachAllInstancesOfALargeFleet(t *testing.T) {
 	const bound = time.Second
--- a/launcher/partition_test.go
+++ b/launcher/partition_test.go
@@ -6,16 +6,21 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/exchanger"
+	"savoryloft.example/savoryloft/platform"
+	"savoryloft.example/savoryloft/platform/standin"
 )
 
 // partitionMode is what happens to connections to the engines.
@@ -245,3 +250,89 @@
 	group.Wait()
 	return served, slowest
 }
+
+// Guards against clients that pass for instances: they could name the number of upstreams
+// that may run their request, and learn what is refused to other instances only.
+func TestOnlyInstancesMayUseTheDetour(t *testing.T) {
+	c := newCluster(t)
+	var forwarded atomic.Int64 // Requests with the header that have reached the engine.
+	c.addEngine(func(r *http.Request) standin.Behaviour {
+		if r.Header.Get(platform.Wire{}.DetourHeader()) != "" {
+			forwarded.Add(1)
+		}
+		return standin.Normal
+	})
+	i := c.start(longRevocation)
+	c.waitForUpstreams(i, 1)
+	own := i.launcher.detours.Announcements()[0]
+	for _, tt := range []struct {
+		name   string
+		url    string
+		header string
+		status int
+		runs   int
+	}{
+		{"without a token", "http://" + own.Address, "", http.StatusForbidden, 0},
+		{"another token", "http://" + own.Address, "abc 1", http.StatusForbidden, 0},
+		{"the token", "http://" + own.Address, own.Token + " 1", http.StatusOK, 1},
+		{"a client", i.url, own.Token + " 1", http.StatusOK, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := c.request(&instance{url: tt.url}, "twice", "key-1")
+			if tt.header != "" {
+				r.Header.Set(platform.Wire{}.DetourHeader(), tt.header)
+			}
+			id := standin.AttemptID(r)
+			require.Equal(t, tt.status, c.do(r).status)
+			require.Equal(t, tt.runs, c.startedRuns(id))
+			require.Zero(t, forwarded.Load())
+		})
+	}
+}
+
+// Guards against answers of "not run" to requests that another instance may have run, and
+// against truncated responses that look complete, where that instance fails.
+func TestDetourThatFails(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nSavoryloft-Detour: refused\r\nContent-Length: 0\r\n\r\n"
+	const stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, tt := range []struct {
+		name, route, response string
+		status                int
+		broken                bool // The client sees that the body is not complete.
+	}{
+		{"it refuses", "once", refusal, http.StatusServiceUnavailable, false},
+		{"it ends the connection", "once", "", http.StatusBadGateway, false},
+		{"it ends the connection of a request that may be repeated", "twice", "", http.StatusBadGateway, false},
+		{"its response is cut", "once", "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length: 9\r\n\r\nhalf", http.StatusBadGateway, false},
+		{"its stream is cut", "stream", stream + "5\r\nid: 1\r\n", http.StatusOK, true},
+		{"its response is complete", "once", "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length: 4\r\n\r\nfull", http.StatusOK, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			for range 3 {
+				c.addEngine(nil)
+			}
+			i := c.start(longRevocation)
+			c.waitForUpstreams(i, 3)
+			i.partition.set(refusing)
+			peer := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err == nil {
+					_, _ = conn.Write([]byte(tt.response))
+					_ = conn.Close()
+				}
+			}))
+			listener, err := net.Listen("tcp", instanceIP()+":0") // The partition does not concern it.
+			require.NoError(t, err)
+			peer.Listener = listener
+			peer.Start()
+			defer peer.Close()
+			i.launcher.detours.Merge([]savoryloft.Detour{{Instance: "peer", Incarnation: 1, Address: peer.Listener.Addr().String(), Token: "dG9rZW4"}})
+			r := c.do(c.request(i, tt.route, "key-1"))
+			require.Equal(t, tt.status, r.status, r.body)
+			require.Equal(t, tt.broken, r.err != nil)
+		})
+	}
+}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -99,8 +99,7 @@
 	// Evacuations returns the records of the evacuations that are known, for a peer whose
 	// link comes up.
 	Evacuations() []savoryloft.ControlRecord
-	// Detours returns the announcements of instances that take requests of others, for a
-	// peer whose link comes up.
+	// Detours returns announcements of instances that take requests of others, for one link.
 	Detours() []savoryloft.Detour
 	// MergeDetours takes over such announcements of a peer.
 	MergeDetours(list []savoryloft.Detour)
@@ -370,9 +369,17 @@
 }
 
 // BroadcastDetours sends announcements of instances that take requests of others on all
-// links.
-func (l *Linker) BroadcastDetours(list []savoryloft.Detour) {
-	l.sendToAll(savoryloft.LinkFrame{Detours: list}, "")
+// links, different ones on each, so that the requests spread.
+func (l *Linker) BroadcastDetours() {
+	l.init()
+	l.mu.Lock()
+	links := slices.Collect(maps.Values(l.links))
+	l.mu.Unlock()
+	for _, k := range links {
+		if list := l.Source.Detours(); len(list) > 0 {
+			k.send(savoryloft.LinkFrame{Detours: list})
+		}
+	}
 }
 
 // sendToAll sends a frame on all links except the one to a peer.
--- a/relayer/detour.go
+++ b/relayer/detour.go
@@ -74,7 +74,7 @@
 // mustDetour reports whether the request should be sent through another instance after a
 // failure, rather than to another upstream.
 func (x *exchange) mustDetour() bool {
-	if x.ctx.Err() != nil || x.begun() {
+	if x.ctx.Err() != nil {
 		return false
 	}
 	if x.possibleRuns == 0 {
