Connections to upstreams outlive a silence of a second

What callers saw: 502, or a stream that is cut, where a sound upstream was silent for more than a second while it was sent a request.

Cause: TCP_USER_TIMEOUT of 1 s, which found partitions early. Class: one time limit for two purposes, to notice that a host is gone and to wait for one that is slow.

Change: 3 s for connections to upstreams and other instances, 1 s as before for those to the platform's services, which have a pool of their own. To notice a partition early, an instance that has heard from no upstream for 0.8 s after a request dials one, and three others if that fails: these count as failures of package detourer.

--- a/cmd/savoryloft/edge.go
+++ b/cmd/savoryloft/edge.go
@@ -24,9 +24,11 @@
 )
 
 const (
-	// userTimeout is the TCP_USER_TIMEOUT of connections. It fails connections to
-	// hosts that have lost power or are behind a network partition.
-	userTimeout         = time.Second
+	// userTimeout is the TCP_USER_TIMEOUT of connections to upstreams and other instances. It
+	// fails connections to hosts that have lost power or are behind a network partition, but
+	// not to upstreams that are silent for a second or so.
+	userTimeout         = 3 * time.Second
+	platformUserTimeout = time.Second // The same for connections to the platform's services.
 	connectTimeout      = time.Second
 	idleTimeout         = 20 * time.Second // For connections to upstreams, whose own idle timeout is usually shorter.
 	dutyTimeout         = 800 * time.Millisecond
@@ -103,11 +105,15 @@
 		Dial:        exchanger.Dialer{UserTimeout: userTimeout, ConnectTimeout: connectTimeout}.Dial,
 		IdleTimeout: idleTimeout, MaxBufferedBytes: d.Limits.MemoryBytes / bufferMemoryDivisor, Memory: memory,
 	}
+	platformPool := &exchanger.Pool{
+		Dial:        exchanger.Dialer{UserTimeout: platformUserTimeout, ConnectTimeout: connectTimeout}.Dial,
+		IdleTimeout: idleTimeout, MaxBufferedBytes: pool.MaxBufferedBytes, Memory: memory,
+	}
 	l := &launcher.Launcher{
 		Deployment: d, Wire: platform.Wire{}, Decoder: platform.Decoder{},
-		Log:        &platform.LogClient{Address: d.LogAddress, Pool: pool},
-		DutyTarget: &platform.DutyClient{Address: d.DutyAddress, Instance: d.Instance, Pool: pool, Timeout: dutyTimeout},
-		Pool:       pool, Memory: memory, QueueRequests: queue, Logger: log, Tracer: tracer.Noop(),
+		Log:        &platform.LogClient{Address: d.LogAddress, Pool: platformPool},
+		DutyTarget: &platform.DutyClient{Address: d.DutyAddress, Instance: d.Instance, Pool: platformPool, Timeout: dutyTimeout},
+		Pool:       pool, PlatformPool: platformPool, Memory: memory, QueueRequests: queue, Logger: log, Tracer: tracer.Noop(),
 		ReadinessPath: platform.ReadinessPath, MetricsPath: platform.MetricsPath,
 	}
 	reload := &reloader{file: file, hangups: hangups, modified: modified, current: d, logger: log, memory: memory, addSeeds: l.AddSeeds}
--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -29,7 +29,9 @@
 	"encoding/base64"
 	mathrand "math/rand/v2"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -41,10 +43,13 @@
 const (
 	// cutOffFailures is the number of upstreams without a sign of life in between that an
 	// instance fails to reach before it counts as cut off.
-	cutOffFailures   = 3
-	probeInterval    = 200 * time.Millisecond // Between probes of upstreams while cut off.
-	probeTimeout     = 400 * time.Millisecond
-	probedUpstreams  = 2                // At a time.
+	cutOffFailures  = 3
+	probeInterval   = 200 * time.Millisecond // Between probes of upstreams while cut off.
+	probeTimeout    = 400 * time.Millisecond
+	probedUpstreams = 2 // At a time.
+	// silenceLimit is the time after a request without a sign of life of any upstream from
+	// which on upstreams are probed. Connections that hang fail only after seconds.
+	silenceLimit     = 800 * time.Millisecond
 	announceInterval = 10 * time.Second // Between announcements on the links.
 	targetTTL        = 45 * time.Second // Of an announcement, since its instance made it.
 	maxSample        = 3                // Announcements that a hub passes on at a time.
@@ -74,6 +79,7 @@
 	failed   map[string]bool // Upstreams that could not be reached since the last sign of life of any.
 	cutOff   bool
 	cutOffAt time.Duration // Uptime.
+	sentAt   time.Duration // Uptime of the first request since the last sign of life; 0 if there is none.
 	targets  map[string]*target
 	once     sync.Once
 }
@@ -107,12 +113,29 @@
 	return d.cutOff
 }
 
+// ObserveSend records that a request is sent to an upstream.
+func (d *Detourer) ObserveSend() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sentAt == 0 {
+		d.sentAt = savoryloft.Uptime()
+	}
+}
+
+// silent reports whether the upstreams have been silent since a request for too long.
+func (d *Detourer) silent() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sentAt > 0 && savoryloft.Uptime()-d.sentAt > silenceLimit
+}
+
 // ObserveContact records a sign of life of an upstream.
 func (d *Detourer) ObserveContact() {
 	d.init()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	clear(d.failed)
+	d.sentAt = 0
 	if d.cutOff {
 		d.cutOff = false
 		d.Logger.Info("an upstream can be reached again", "after", (savoryloft.Uptime() - d.cutOffAt).Milliseconds())
@@ -217,8 +240,11 @@
 			d.prune(now)
 			d.Broadcast()
 		}
-		if d.CutOff() {
-			d.probe(ctx)
+		switch {
+		case d.CutOff():
+			d.probe(ctx, probedUpstreams)
+		case d.silent() && !d.probe(ctx, 1):
+			d.probe(ctx, cutOffFailures)
 		}
 	}
 	return nil
@@ -234,23 +260,28 @@
 	}
 }
 
-// probe dials some upstreams.
-func (d *Detourer) probe(ctx context.Context) {
-	upstreams := d.Upstreams()
+// probe dials n upstreams and reports whether one can be reached.
+func (d *Detourer) probe(ctx context.Context, n int) bool {
+	upstreams := slices.DeleteFunc(d.Upstreams(), func(u savoryloft.RegisteredUpstream) bool { return u.Draining })
 	mathrand.Shuffle(len(upstreams), func(i, j int) { upstreams[i], upstreams[j] = upstreams[j], upstreams[i] })
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	var reached atomic.Bool
 	var group sync.WaitGroup
-	for _, u := range upstreams[:min(probedUpstreams, len(upstreams))] {
+	for _, u := range upstreams[:min(n, len(upstreams))] {
 		group.Go(func() {
 			conn, err := d.Dial(ctx, u.Address)
-			if err != nil {
-				return
+			switch {
+			case err == nil:
+				_ = conn.Close()
+				reached.Store(true)
+				d.ObserveContact()
+				cancel()
+			case !reached.Load():
+				d.ObserveFailure(u.ID)
 			}
-			_ = conn.Close()
-			d.ObserveContact()
-			cancel()
 		})
 	}
 	group.Wait()
+	return reached.Load()
 }
--- a/launcher/doors.go
+++ b/launcher/doors.go
@@ -47,6 +47,9 @@
 			l.detourListener.CloseIdleFor(defaultIdleTimeout)
 		}
 		l.Pool.CloseExpired()
+		if l.PlatformPool != nil {
+			l.PlatformPool.CloseExpired()
+		}
 	}
 	return nil
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -69,7 +69,9 @@
 	Log        savoryloft.RecordLog
 	DutyTarget savoryloft.DutyTarget
 	Pool       *exchanger.Pool
-	Memory     *budgeter.Budget // For data of clients and upstreams; without a limit if nil.
+	// PlatformPool has the connections of Log and DutyTarget; nil if these use Pool.
+	PlatformPool *exchanger.Pool
+	Memory       *budgeter.Budget // For data of clients and upstreams; without a limit if nil.
 	// QueueRequests makes requests with prompts wait while the upstreams have no room.
 	QueueRequests bool
 	Logger        logr.Logger
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -157,6 +157,7 @@
 	head := r.Wire.AppendCall(nil, &x.call, d)
 	x.sends++
 	a.sentAt = time.Now()
+	r.Detours.ObserveSend()
 	x.logLimitedSend(choice.Upstream)
 	if err := a.conn.Send(a.ctx, head, x.call.Body, defaultReadTimeout); err != nil {
 		return nil, a.abort(err)
