Brittle upstreams turn few requests away

Cause: the header Server-Brittle was not known. A full upstream is the last choice, but it is one, and each instance and each retry asked it again.

Change: an upstream that is brittle is not chosen while it has no room, and an instance whose request it has turned away leaves it alone for twice as long as its share of the number takes. A response without the header ends it.

--- a/call.go
+++ b/call.go
@@ -89,6 +89,8 @@
 	Leaving     bool          // The upstream is about to leave and must not get new requests.
 	Pause       time.Duration // Time for which the upstream requests a pause from this instance; 0 when it requests none.
 	Limit       float64       // Requests a second that the upstream takes from all instances together; NoLimit when it names none, InvalidLimit when it names no decimal number.
+	IsBrittle   bool          // The upstream fails if it has to turn many requests away.
+	Brittle     float64       // Requests a second that it may turn away, of all instances; 0 for none.
 	Length      int64         // Length of the body in bytes; -1 when unknown.
 }
 
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -27,6 +27,7 @@
 	probedAt           time.Time // Last request while suspended.
 	pausedUntil        time.Time // End of the pause that the upstream has asked for.
 	transfersUntil     time.Time // Expected end of the transfers of cached tokens to other upstreams, for this instance's requests.
+	brittle            bool      // It fails if it has to turn many requests away.
 	fetchPausedUntil   time.Time // Until which no tokens are fetched from it.
 	lastCandidateAt    time.Time // Last time that the upstream was a candidate.
 	awaitingFirstToken map[*Run]struct{}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -247,6 +247,14 @@
 	}
 }
 
+// SetBrittle records whether an upstream fails if it has to turn many requests away. It is
+// then not chosen while it has no room.
+func (p *Placer) SetBrittle(now time.Time, u savoryloft.RegisteredUpstream, brittle bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(now, u).brittle = brittle
+}
+
 // PauseLeft returns the time until the first of the paused upstreams may be chosen
 // again, or 0 if none is paused.
 func (p *Placer) PauseLeft(now time.Time, upstreams []savoryloft.RegisteredUpstream) time.Duration {
@@ -303,6 +311,9 @@
 			continue
 		}
 		c := p.cost(&prompt, s, s == preferred)
+		if s.brittle && c.Full {
+			continue
+		}
 		if !pt.includes(s) {
 			c.Cost += r.classMismatchMs()
 		}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -257,12 +257,38 @@
 	if a.head.Leaving && !a.choice.Upstream.Draining {
 		r.Watcher.MarkLeaving(a.choice.Upstream)
 	}
+	a.followBrittleness()
 	if a.head.Pause > 0 {
 		r.Placer.Pause(time.Now(), a.choice.Upstream, a.head.Pause)
 		r.Logger.Info("upstream asks for a pause", "id", a.exchange.call.ID, "upstream", a.choice.Upstream.ID, "pause", a.head.Pause.String())
 	}
 }
 
+const (
+	// brittleShare is the part of the requests that a brittle upstream may turn away which
+	// the instances together use up. Their rejections do not come evenly.
+	brittleShare    = 0.5
+	maxBrittlePause = 10 * time.Second
+)
+
+// followBrittleness keeps requests away from an upstream that has turned one away and fails
+// if it has to turn many away: for as long as this instance's share of these takes.
+func (a *attempt) followBrittleness() {
+	r := a.exchange.relayer
+	if a.head.Signed || a.head.IsBrittle {
+		r.Placer.SetBrittle(time.Now(), a.choice.Upstream, a.head.IsBrittle)
+	}
+	if !a.head.IsBrittle || !a.head.NotRun {
+		return
+	}
+	pause := maxBrittlePause
+	if a.head.Brittle > 0 {
+		share := brittleShare * a.head.Brittle / float64(max(r.Instances(), 1))
+		pause = min(pause, time.Duration(float64(time.Second)/share))
+	}
+	r.Placer.Pause(time.Now(), a.choice.Upstream, pause)
+}
+
 // observeLimit records the limit that the response names, or that it names none. A
 // response without a signature may have lost its header, unless the upstream refused.
 func (a *attempt) observeLimit() {
