Detours keep their connections, and are taken only where no upstream can be connected to

Cause: an exchange that ends closes connections in use, so each detour dialled anew; and two upstreams that are down, while others can be connected to, sent a request over a hop in vain.

Change: connections to other instances are released first; a request takes the detour by itself only if no connection to an upstream was opened within the last second.

The tests of detours pass twice with the race detector.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -74,14 +74,15 @@
 	Logger    logr.Logger
 	Metrics   metrics.Registry
 
-	mu       sync.Mutex
-	token    string
-	failed   map[string]bool // Upstreams that could not be reached since the last sign of life of any.
-	cutOff   bool
-	cutOffAt time.Duration // Uptime.
-	sentAt   time.Duration // Uptime of the first request since the last sign of life; 0 if there is none.
-	targets  map[string]*target
-	once     sync.Once
+	mu          sync.Mutex
+	token       string
+	failed      map[string]bool // Upstreams that could not be reached since the last sign of life of any.
+	cutOff      bool
+	cutOffAt    time.Duration // Uptime.
+	connectedAt time.Duration // Uptime of the last new connection to an upstream; 0 if there was none.
+	sentAt      time.Duration // Uptime of the first request since the last sign of life; 0 if there is none.
+	targets     map[string]*target
+	once        sync.Once
 }
 
 // target is another instance that takes requests.
@@ -113,6 +114,21 @@
 	return d.cutOff
 }
 
+// ObserveConnection records that an upstream could be connected to.
+func (d *Detourer) ObserveConnection() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.connectedAt = savoryloft.Uptime()
+}
+
+// ConnectedLately reports whether upstreams could be connected to within the last second.
+// While old connections live on and new ones are refused there is contact all the time.
+func (d *Detourer) ConnectedLately() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.connectedAt > 0 && savoryloft.Uptime()-d.connectedAt < time.Second
+}
+
 // ObserveSend records that a request is sent to an upstream.
 func (d *Detourer) ObserveSend() {
 	d.mu.Lock()
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -401,6 +401,9 @@
 // current one.
 func (c *Conn) Reused() bool { return c.exchanges > 1 }
 
+// IsNew reports whether the connection has carried no request yet.
+func (c *Conn) IsNew() bool { return c.exchanges == 0 }
+
 // maxRefused is the number of refused requests after which a connection is not kept.
 const maxRefused = 32
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -200,6 +200,7 @@
 		return err
 	}
 	a.conn = conn
+	a.observeConnection()
 	if !conn.HasRefused(a.exchange.call.ID) {
 		if err = a.verifyProcess(ctx); err == nil || !conn.Reused() {
 			return err
@@ -211,9 +212,17 @@
 		return err
 	}
 	a.conn = conn
+	a.observeConnection()
 	return a.verifyProcess(ctx)
 }
 
+// observeConnection records that an upstream could be connected to, if it was just now.
+func (a *attempt) observeConnection() {
+	if a.conn.IsNew() {
+		a.exchange.relayer.Detours.ObserveConnection()
+	}
+}
+
 // readResponseHead reads the status line and header of the response. It skips
 // late responses to earlier requests on the same connection.
 func (a *attempt) readResponseHead(timeout time.Duration) error {
--- a/relayer/detour.go
+++ b/relayer/detour.go
@@ -22,7 +22,7 @@
 	maxDetours        = 3                      // Instances to which a request is sent until one takes it.
 	detourDialTimeout = 200 * time.Millisecond // Instances are a few ms apart.
 	// detourFailures is the number of upstreams that a request fails to connect to before
-	// it is sent through another instance although others can be reached.
+	// it is sent through another instance, if no other request could connect to one lately.
 	detourFailures = 2
 	fromPeer       = "FromPeer" // User value of requests of other instances.
 )
@@ -78,7 +78,8 @@
 		return false
 	}
 	if x.possibleRuns == 0 {
-		return x.unreachable >= detourFailures || x.unreachable > 0 && x.relayer.Detours.CutOff()
+		d := x.relayer.Detours
+		return x.unreachable >= detourFailures && !d.ConnectedLately() || x.unreachable > 0 && d.CutOff()
 	}
 	return x.relayer.Detours.CutOff() && x.retryable() && x.possibleRuns < x.route.MaxAttempts &&
 		x.stillPermitted() && x.relayer.Limiter.Allow(time.Now(), x.service)
@@ -152,8 +153,8 @@
 		x.httpCtx.Response.SetBodyStream(&detouredStream{exchange: x, conn: conn, response: resp}, -1)
 		return true, nil
 	}
-	defer conn.Release()
 	body, err := conn.ReadResponseBody(x.ctx, resp, maxResponseBytes)
+	conn.Release() // Before the exchange ends, which closes connections that are in use.
 	if err != nil {
 		return false, &sendError{maybeExecuted, err}
 	}
@@ -200,8 +201,8 @@
 		return
 	}
 	s.ended = true
-	s.exchange.finish(outcome, s.response.StatusCode)
 	s.conn.Release()
+	s.exchange.finish(outcome, s.response.StatusCode)
 }
 
 // Close implements io.Closer. If the stream has not ended by then, the client has
