A refusal by another instance is no answer for a request that may have run

What callers saw: 503, which says that a request has not run, for one that had run before it was sent through another instance; and 403 for requests to an instance that had started again.

What the other instance answers was passed on as it is. A request that may be repeated, and that had run on an upstream whose connection broke, was refused there: true for that instance, not for the request. An instance that has started again has another token and answered 403 to the old one, without the header that marks it as a refusal between instances. Class: a promise that one part makes is taken for a promise of the whole.

Change: an unsigned response counts as a failed send if the request may have run before. 403 has the header. A request that may have run at the other instance is counted for usage there only. The soak's instances take requests of others (port_range).

--- a/launcher/partition_test.go
+++ b/launcher/partition_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -301,6 +302,7 @@
 		broken                bool // The client sees that the body is not complete.
 	}{
 		{"it refuses", "once", refusal, http.StatusServiceUnavailable, false},
+		{"it has started again, with another token", "once", strings.Replace(refusal, "503 Service Unavailable", "403 Forbidden", 1), http.StatusServiceUnavailable, false},
 		{"it ends the connection", "once", "", http.StatusBadGateway, false},
 		{"it ends the connection of a request that may be repeated", "twice", "", http.StatusBadGateway, false},
 		{"its response is cut", "once", "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length: 9\r\n\r\nhalf", http.StatusBadGateway, false},
@@ -316,23 +318,64 @@
 			i := c.start(longRevocation)
 			c.waitForUpstreams(i, 3)
 			i.partition.set(refusing)
-			peer := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				_, _ = io.ReadAll(r.Body)
-				conn, _, err := w.(http.Hijacker).Hijack()
-				if err == nil {
-					_, _ = conn.Write([]byte(tt.response))
-					_ = conn.Close()
-				}
-			}))
-			listener, err := net.Listen("tcp", instanceIP()+":0") // The partition does not concern it.
-			require.NoError(t, err)
-			peer.Listener = listener
-			peer.Start()
-			defer peer.Close()
-			i.launcher.detours.Merge([]savoryloft.Detour{{Instance: "peer", Incarnation: 1, Address: peer.Listener.Addr().String(), Token: "dG9rZW4"}})
+			c.addPeer(i, tt.response)
 			r := c.do(c.request(i, tt.route, "key-1"))
 			require.Equal(t, tt.status, r.status, r.body)
 			require.Equal(t, tt.broken, r.err != nil)
 		})
 	}
 }
+
+// addPeer makes an instance know another one that ends its connections after a response.
+func (c *cluster) addPeer(i *instance, response string) {
+	listener, err := net.Listen("tcp", instanceIP()+":0") // No partition concerns it.
+	require.NoError(c.t, err)
+	peer := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = conn.Write([]byte(response))
+			_ = conn.Close()
+		}
+	}))
+	peer.Listener = listener
+	peer.Start()
+	c.t.Cleanup(peer.Close)
+	i.launcher.detours.Merge([]savoryloft.Detour{{Instance: "peer", Incarnation: 1, Address: listener.Addr().String(), Token: "dG9rZW4"}})
+}
+
+// Guards against answers of "not run" to requests that an upstream may have run before they
+// were sent through another instance, which refuses them.
+func TestRefusalOfADetourAfterAPossibleRun(t *testing.T) {
+	const length = "Content-Length: 4\r\n\r\nbody"
+	for _, tt := range []struct {
+		response string
+		status   int
+	}{
+		{"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n" + length, http.StatusBadGateway},
+		{"HTTP/1.1 429 Too Many Requests\r\n" + length, http.StatusBadGateway},
+		{"HTTP/1.1 401 Unauthorized\r\n" + length, http.StatusBadGateway},
+		{"HTTP/1.1 404 Not Found\r\n" + length, http.StatusBadGateway},
+		{"HTTP/1.1 403 Forbidden\r\nSavoryloft-Detour: refused\r\n" + length, http.StatusBadGateway},
+		{"HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\n" + length, http.StatusOK},
+		{"HTTP/1.1 500 Internal Server Error\r\nX-Server-Signature: s\r\n" + length, http.StatusInternalServerError},
+	} {
+		for route, attempts := range map[string]int{"twice": 2, "resume": 3} {
+			t.Run(tt.response[len("HTTP/1.1 "):][:3]+", "+route, func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t)
+				for range 3 {
+					c.addEngine(func(*http.Request) standin.Behaviour { return standin.DropResponse })
+				}
+				i := c.start(longRevocation)
+				c.waitForUpstreams(i, 3)
+				c.addPeer(i, tt.response)
+				i.launcher.detours.ObserveFailure("a")
+				i.launcher.detours.ObserveFailure("b") // The third one is that of the request.
+				r := c.request(i, route, "key-1")
+				require.Equal(t, tt.status, c.do(r).status)
+				require.LessOrEqual(t, c.startedRuns(standin.AttemptID(r)), attempts)
+			})
+		}
+	}
+}
--- a/relayer/detour.go
+++ b/relayer/detour.go
@@ -46,6 +46,7 @@
 	case !r.Detours.Authorize(x.call.Detour.Token):
 		x.httpCtx.SetConnectionClose()
 		x.refuse(http.StatusForbidden, "NoToken", "request is not from an instance of this deployment", 0)
+		x.httpCtx.Response.Header.Set(r.Wire.DetourHeader(), savoryloft.DetourRefused) // It may be, from one that knows an earlier token.
 		return false
 	case r.Stopping() || r.Detours.CutOff():
 		x.refuseDetour()
@@ -108,8 +109,7 @@
 		case taken:
 			return true
 		case e.execution == maybeExecuted:
-			x.possibleRuns++
-			x.countUsage()
+			x.possibleRuns++ // The other instance counts it for usage.
 			x.respondToFailure(e)
 			return true
 		}
@@ -161,6 +161,10 @@
 	if resp.Header.Get(r.Wire.DetourHeader()) == savoryloft.DetourRefused {
 		return false, &sendError{notExecuted, errors.New("it cannot reach the upstreams either")}
 	}
+	if x.possibleRuns > 0 && !h.Signed {
+		// What the other instance says of the request holds for what happened there only.
+		return false, &sendError{maybeExecuted, errors.Errorf("it responded with status %d", h.StatusCode)}
+	}
 	x.timeToResponse = time.Since(x.received)
 	x.writeResponseHead(h)
 	if x.client != nil {
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -326,6 +326,7 @@
 ip = "%[2]s"
 zone = "a"
 seeds = ["%[3]s1:7103", "%[3]s2:7103"]
+port_range = [7105, 7110]
 heartbeat_ms = 1000
 [listen]
 frontend = "%[2]s:7101"
