Announcements of instances are checked strictly

Cause: Go's base64 decoder skips line ends, so a token with one passed the check and would have ended the header line of a request that is sent on; the number of announcements in a frame was not bounded. Only peers can send them. Change: tokens consist of 64 characters, a frame has at most 64 announcements.

Result: TestCheckOfDetours failed in the row with a line end and passes.

--- a/check.go
+++ b/check.go
@@ -1,12 +1,12 @@
 package savoryloft
 
 import (
-	"encoding/base64"
 	"math"
 	"net"
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -90,6 +90,9 @@
 			return err
 		}
 	}
+	if len(f.Detours) > maxDetours {
+		return errors.Errorf("%d announcements of instances, want at most %d", len(f.Detours), maxDetours)
+	}
 	for _, d := range f.Detours {
 		if err := d.Check(); err != nil {
 			return err
@@ -101,15 +104,20 @@
 	return nil
 }
 
-// maxTokenBytes is the length of the longest token of a Detour.
-const maxTokenBytes = 128
+// maxDetours is the number of announcements in a frame; instances send a few.
+const maxDetours = 64
+
+const (
+	maxTokenBytes   = 128 // Of a Detour.
+	tokenCharacters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"
+)
 
 // Check returns an error when an announcement names no instance that can be sent requests.
 func (d Detour) Check() error {
 	if _, err := netip.ParseAddrPort(d.Address); err != nil || d.Instance == "" || d.Age < 0 {
 		return errors.Errorf("announcement of instance %q at %q is malformed", d.Instance, d.Address)
 	}
-	if _, err := base64.RawURLEncoding.DecodeString(d.Token); err != nil || d.Token == "" || len(d.Token) > maxTokenBytes {
+	if d.Token == "" || len(d.Token) > maxTokenBytes || strings.Trim(d.Token, tokenCharacters) != "" {
 		return errors.Errorf("announcement of instance %q has no valid token", d.Instance)
 	}
 	return nil
--- a/frame_test.go
+++ b/frame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -59,6 +60,7 @@
 		Requests: []savoryloft.TokenRequest{{ID: 3, Service: "s", Upstreams: []string{"i-1"}, Wait: 100}},
 		Replies:  []savoryloft.TokenReply{{ID: 3, Upstream: "i-1"}},
 	}
+	require.NoError(t, frame.Check())
 	var same savoryloft.LinkFrame
 	transcode(t, &frame, &same)
 	require.Equal(t, frame, same)
@@ -87,3 +89,34 @@
 		require.False(t, reflect.ValueOf(received).Field(i).IsZero(), reflect.TypeOf(frame).Field(i).Name)
 	}
 }
+
+// Guards against announcements that make an instance send requests to nowhere, or that take
+// its memory.
+func TestCheckOfDetours(t *testing.T) {
+	sound := savoryloft.Detour{Instance: "entry-2", Incarnation: 5, Address: "10.0.0.2:1", Token: "dA", Age: 3}
+	for _, tt := range []struct {
+		name   string
+		change func(d *savoryloft.Detour)
+		count  int
+		ok     bool
+	}{
+		{"sound", func(*savoryloft.Detour) {}, 1, true},
+		{"no instance", func(d *savoryloft.Detour) { d.Instance = "" }, 1, false},
+		{"no port", func(d *savoryloft.Detour) { d.Address = "10.0.0.2" }, 1, false},
+		{"negative age", func(d *savoryloft.Detour) { d.Age = -1 }, 1, false},
+		{"no token", func(d *savoryloft.Detour) { d.Token = "" }, 1, false},
+		{"a token that splits the header", func(d *savoryloft.Detour) { d.Token = "a\r\nb" }, 1, false},
+		{"too many", func(*savoryloft.Detour) {}, 100, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			d := sound
+			tt.change(&d)
+			frame := savoryloft.LinkFrame{Detours: slices.Repeat([]savoryloft.Detour{d}, tt.count)}
+			if tt.ok {
+				require.NoError(t, frame.Check())
+			} else {
+				require.Error(t, frame.Check())
+			}
+		})
+	}
+}
