Failing test: changes at instances whose readers the log refuses; a test's order

What callers may see: a configuration, or a leaving upstream, that takes effect seconds late on fleets with hubs, where the log refuses the hubs and serves others (CONFIG, DRAIN).

Cause: not mended yet.

--- a/watcher/removal_test.go
+++ b/watcher/removal_test.go
@@ -110,9 +110,9 @@
 					Log: log, Decoder: decoder{}, Logger: logr.Discard(), ReaderRank: func() int { return int(rank.Load()) },
 					PropagationLimits: [2]time.Duration{tt.limit, tt.limit},
 				}}
-				go func() { _ = w.watcher.Run(ctx) }()
 				w.setUpstream("a")
 				w.setUpstream("b")
+				go func() { _ = w.watcher.Run(ctx) }()
 				time.Sleep(time.Second)
 				relay := func() {
 					for _, topic := range []savoryloft.Topic{savoryloft.TopicConfiguration, savoryloft.TopicRegistry} {
@@ -131,3 +131,38 @@
 		})
 	}
 }
+
+// Guards against changes that take effect late at an instance that the log serves although
+// it refuses all instances that read it for the others.
+func TestChangesTakeEffectInTimeAlthoughTheReadersAreRefused(t *testing.T) {
+	const limit, rounds = 3 * time.Second, 20
+	for range rounds { // The time of the first read is random.
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			log := &faker.Log{}
+			w := &fixture{t, log, &Watcher{
+				Log: log, Decoder: decoder{}, Logger: logr.Discard(), ReaderRank: func() int { return math.MaxInt },
+				ReadersFail: func() bool { return true }, PropagationLimits: [2]time.Duration{limit, limit},
+			}}
+			w.setUpstream("a")
+			w.setUpstream("b")
+			w.setVersion(1)
+			go func() { _ = w.watcher.Run(ctx) }()
+			for range 15 { // Longer than a success of its own counts.
+				time.Sleep(time.Second)
+				for _, topic := range []savoryloft.Topic{savoryloft.TopicConfiguration, savoryloft.TopicRegistry} {
+					w.watcher.MarkUpToDate(topic, savoryloft.Uptime())
+				}
+			}
+			w.setVersion(2)
+			w.log.Set(savoryloft.TopicRegistry, "a", nil)
+			time.Sleep(limit * 8 / 10)
+			version, upstreams := w.watcher.Version(), w.upstreams()
+			cancel()
+			synctest.Wait()
+			require.Equal(t, 2, version)
+			require.Equal(t, 1, upstreams)
+		})
+	}
+}
