An instance whose readers the log refuses reads it itself at once

Cause: while all hubs that an instance has links to say that they cannot read the log, it waited for a random time of up to 5 s before its first own read, to spare the log in an outage. Where the log refuses the hubs and serves others, nobody read it. Class: what some say of themselves is taken for the state of the thing.

Change: the first own read comes within 0.3 s once the copy is too old; probes follow if it fails. That is one call more for each instance in an outage. The readers' failure alone does not defer removals any more.

--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -5,10 +5,11 @@
 // Two instances, the readers, read the log and relay the records; the second one
 // is a standby that polls less often. The other instances apply relayed records and
 // read the log themselves when their copy becomes too old. While their readers
-// report that they cannot read the log, the others only probe it from time to time,
-// so that an outage does not multiply the calls by the size of the fleet. The age of the configuration determines whether API keys may
-// still be accepted: a revoked key must stop working even if this instance, or
-// the peer that relays records to it, was partitioned or suspended.
+// report that they cannot read the log, the others read it once, since it may refuse the
+// readers only, and then probe it from time to time, so that an outage does not multiply the
+// calls by the size of the fleet. The age of the configuration determines whether API keys may
+// still be accepted: a revoked key must stop working even if this instance, or the peer that
+// relays records to it, was partitioned or suspended.
 //
 // The log may be restored from an older copy, which starts a new era. Records are
 // ordered by era and offset. What was known before a restore holds until it is
@@ -53,6 +54,7 @@
 	readerCount              = 2                       // Instances that read the log for the others.
 	standbyPollFactor        = 3                       // Long polls of the standby reader, as a multiple of those of the first reader.
 	probeInterval            = 5 * time.Second         // Mean time between reads by an instance whose readers cannot read the log.
+	firstProbeSpread         = 300 * time.Millisecond  // Time within which all such instances read for the first time.
 	readCheckInterval        = 100 * time.Millisecond  // Between checks of whether to read.
 	minBackoff               = 100 * time.Millisecond  // After a failed read.
 	maxBackoff               = 800 * time.Millisecond  // Limits calls while the log is down, yet detects its recovery soon.
@@ -354,15 +356,11 @@
 		return false
 	case w.ReadersFail == nil || !w.ReadersFail():
 		return true
-	}
-	if t == savoryloft.TopicRegistry {
-		w.handleReadFailure(t) // By the readers.
-	}
-	switch {
 	case own.succeededAt > 0 && now-own.succeededAt < 2*probeInterval:
 		return true // The log serves this instance, though not its readers.
 	case own.probeAt == 0:
-		own.probeAt = now + time.Duration(rand.Float64()*float64(probeInterval))
+		// At once, since the log may refuse only the readers.
+		own.probeAt = now + time.Duration(rand.Float64()*float64(firstProbeSpread))
 		return false
 	case now < own.probeAt:
 		return false
