An instance is cut off only if a probe confirms it; samples have another failure domain

Cause: three upstreams that have ended, in a row, looked like a partition; and an instance that cannot be reached was tried again after two seconds.

Change: three failures lead to a probe of three upstreams, and so does a request that fails to connect to two, or to all that there are; only if none is reached does it take the detour. An instance that cannot be reached is left alone for 10 s. Each sample has an instance of another failure domain, if one is known; announcements come each 20 s.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -3,9 +3,9 @@
 //
 // A partition between an instance and all upstreams leaves its clients, its peers and the
 // log within reach. An instance therefore counts the upstreams that it fails to reach until
-// it hears from one again. Once there are several, it is cut off: it sends the requests that
-// it accepts to other instances and dials upstreams only to find out when the partition
-// ends.
+// it hears from one again. Once there are several, it dials others, since those may have
+// ended. If it reaches none it is cut off: it sends the requests that it accepts to other
+// instances and dials upstreams only to find out when the partition ends.
 //
 // Each instance announces the address at which it takes such requests, with a token that
 // they have to bear, on its links. Hubs pass a sample of what they know on, so that each
@@ -42,26 +42,32 @@
 
 const (
 	// cutOffFailures is the number of upstreams without a sign of life in between that an
-	// instance fails to reach before it counts as cut off.
+	// instance fails to reach before it probes others, and the number of these.
 	cutOffFailures  = 3
+	connectionLife  = 500 * time.Millisecond // For which a connection shows that upstreams can be connected to.
+	probeLife       = 300 * time.Millisecond // Of the result of a probe that has failed.
 	probeInterval   = 200 * time.Millisecond // Between probes of upstreams while cut off.
 	probeTimeout    = 400 * time.Millisecond
 	probedUpstreams = 2 // At a time.
 	// silenceLimit is the time after a request without a sign of life of any upstream from
 	// which on upstreams are probed. Connections that hang fail only after seconds.
 	silenceLimit     = 800 * time.Millisecond
-	announceInterval = 10 * time.Second // Between announcements on the links.
-	targetTTL        = 45 * time.Second // Of an announcement, since its instance made it.
+	announceInterval = 20 * time.Second // Between announcements on the links.
+	targetTTL        = 90 * time.Second // Of an announcement, since its instance made it.
 	maxSample        = 3                // Announcements that a hub passes on at a time.
-	failurePause     = 2 * time.Second  // For which a target that could not take a request is not chosen.
-	tokenBytes       = 16
+	// RefusalPause is the time for which a target is not chosen that did not take a request.
+	RefusalPause = 2 * time.Second
+	// SilencePause is the same for a target that could not be reached.
+	SilencePause = 10 * time.Second
+	tokenBytes   = 16
 )
 
 // Detourer keeps the state of one instance. Set the exported fields before Run.
 type Detourer struct {
-	Instance    string
-	Incarnation int
-	Address     string // At which this instance takes requests of others; empty if it takes none.
+	Instance      string
+	Incarnation   int
+	FailureDomain string
+	Address       string // At which this instance takes requests of others; empty if it takes none.
 	// Upstreams returns the registered upstreams of all services.
 	Upstreams func() []savoryloft.RegisteredUpstream
 	Dial      func(ctx context.Context, address string) (net.Conn, error)
@@ -74,15 +80,18 @@
 	Logger    logr.Logger
 	Metrics   metrics.Registry
 
-	mu          sync.Mutex
-	token       string
-	failed      map[string]bool // Upstreams that could not be reached since the last sign of life of any.
-	cutOff      bool
-	cutOffAt    time.Duration // Uptime.
-	connectedAt time.Duration // Uptime of the last new connection to an upstream; 0 if there was none.
-	sentAt      time.Duration // Uptime of the first request since the last sign of life; 0 if there is none.
-	targets     map[string]*target
-	once        sync.Once
+	mu            sync.Mutex
+	token         string
+	failed        map[string]bool // Upstreams that could not be reached since the last sign of life of any.
+	cutOff        bool
+	cutOffAt      time.Duration // Uptime.
+	connectedAt   time.Duration // Uptime of the last new connection to an upstream; 0 if there was none.
+	sentAt        time.Duration // Uptime of the first request since the last sign of life; 0 if there is none.
+	probeFailedAt time.Duration // Uptime of the last probe that reached no upstream; 0 if there was none.
+	targets       map[string]*target
+	once          sync.Once
+	suspect       chan struct{} // Receives when there are cutOffFailures.
+	probing       sync.Mutex    // Held during a probe.
 }
 
 // target is another instance that takes requests.
@@ -98,6 +107,7 @@
 		_, _ = rand.Read(b[:]) // It never fails.
 		d.token = base64.RawURLEncoding.EncodeToString(b[:])
 		d.failed, d.targets = map[string]bool{}, map[string]*target{}
+		d.suspect = make(chan struct{}, 1)
 	})
 }
 
@@ -121,12 +131,12 @@
 	d.connectedAt = savoryloft.Uptime()
 }
 
-// ConnectedLately reports whether upstreams could be connected to within the last second.
+// connectedLately reports whether upstreams could be connected to just now.
 // While old connections live on and new ones are refused there is contact all the time.
-func (d *Detourer) ConnectedLately() bool {
+func (d *Detourer) connectedLately() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.connectedAt > 0 && savoryloft.Uptime()-d.connectedAt < time.Second
+	return d.connectedAt > 0 && savoryloft.Uptime()-d.connectedAt < connectionLife
 }
 
 // ObserveSend records that a request is sent to an upstream.
@@ -169,9 +179,37 @@
 	if d.cutOff || len(d.failed) < min(cutOffFailures, known) {
 		return
 	}
+	select {
+	case d.suspect <- struct{}{}:
+	default:
+	}
+}
+
+// setCutOff records that no upstream can be reached.
+func (d *Detourer) setCutOff() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cutOff {
+		return
+	}
 	d.cutOff, d.cutOffAt = true, savoryloft.Uptime()
 	metrics.GetOrRegisterCounter("cut_off_total", d.Metrics).Inc(1)
-	d.Logger.Info("no upstream can be reached; requests are sent on through other instances", "failed", len(d.failed), "upstreams", known)
+	d.Logger.Info("no upstream can be reached; requests are sent on through other instances", "failed", len(d.failed))
+}
+
+// CanConnect reports whether upstreams can be connected to. It probes some unless that is
+// known.
+func (d *Detourer) CanConnect(ctx context.Context) bool {
+	d.init()
+	d.probing.Lock()
+	defer d.probing.Unlock()
+	if d.connectedLately() {
+		return true
+	}
+	d.mu.Lock()
+	known := d.probeFailedAt > 0 && savoryloft.Uptime()-d.probeFailedAt < probeLife
+	d.mu.Unlock()
+	return !known && d.probe(ctx, cutOffFailures)
 }
 
 // Choose returns an instance to send a request to that is not among those tried.
@@ -191,22 +229,22 @@
 	return target, seen > 0
 }
 
-// Pause keeps requests away from an instance that could not take one.
-func (d *Detourer) Pause(instance string) {
+// Pause keeps requests away from an instance for a time.
+func (d *Detourer) Pause(instance string, pause time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if t := d.targets[instance]; t != nil {
-		t.pausedUntil = savoryloft.Uptime() + failurePause
+		t.pausedUntil = max(t.pausedUntil, savoryloft.Uptime()+pause)
 	}
 }
 
 // Announcements returns what to announce on a link: this instance or, if it passes on what
-// others announce, a sample of these and itself.
+// others announce, a sample of these and itself, with one of another failure domain.
 func (d *Detourer) Announcements() []savoryloft.Detour {
 	d.init()
 	var list []savoryloft.Detour
 	if d.Address != "" && d.Accepting() {
-		list = append(list, savoryloft.Detour{Instance: d.Instance, Incarnation: d.Incarnation, Address: d.Address, Token: d.token})
+		list = append(list, savoryloft.Detour{Instance: d.Instance, Incarnation: d.Incarnation, FailureDomain: d.FailureDomain, Address: d.Address, Token: d.token})
 	}
 	if !d.PassesOn() {
 		return list
@@ -221,6 +259,9 @@
 		}
 	}
 	mathrand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if i := slices.IndexFunc(list, func(a savoryloft.Detour) bool { return a.FailureDomain != d.FailureDomain }); i > 0 {
+		list[0], list[i] = list[i], list[0]
+	}
 	return list[:min(len(list), maxSample)]
 }
 
@@ -250,7 +291,16 @@
 func (d *Detourer) Run(ctx context.Context) error {
 	d.init()
 	for announced := time.Duration(0); ctx.Err() == nil; {
-		savoryloft.Sleep(ctx, probeInterval)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.suspect:
+			if !d.confirm(ctx, cutOffFailures) {
+				d.setCutOff()
+			}
+			continue
+		case <-time.After(probeInterval):
+		}
 		if now := savoryloft.Uptime(); now-announced >= announceInterval {
 			announced = now
 			d.prune(now)
@@ -258,14 +308,21 @@
 		}
 		switch {
 		case d.CutOff():
-			d.probe(ctx, probedUpstreams)
-		case d.silent() && !d.probe(ctx, 1):
-			d.probe(ctx, cutOffFailures)
+			d.confirm(ctx, probedUpstreams)
+		case d.silent() && !d.confirm(ctx, 1) && !d.confirm(ctx, cutOffFailures):
+			d.setCutOff()
 		}
 	}
 	return nil
 }
 
+// confirm is probe, one at a time.
+func (d *Detourer) confirm(ctx context.Context, n int) bool {
+	d.probing.Lock()
+	defer d.probing.Unlock()
+	return d.probe(ctx, n)
+}
+
 func (d *Detourer) prune(now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -276,7 +333,7 @@
 	}
 }
 
-// probe dials n upstreams and reports whether one can be reached.
+// probe dials n upstreams and reports whether one can be reached. The caller holds probing.
 func (d *Detourer) probe(ctx context.Context, n int) bool {
 	upstreams := slices.DeleteFunc(d.Upstreams(), func(u savoryloft.RegisteredUpstream) bool { return u.Draining })
 	mathrand.Shuffle(len(upstreams), func(i, j int) { upstreams[i], upstreams[j] = upstreams[j], upstreams[i] })
@@ -286,18 +343,20 @@
 	var group sync.WaitGroup
 	for _, u := range upstreams[:min(n, len(upstreams))] {
 		group.Go(func() {
-			conn, err := d.Dial(ctx, u.Address)
-			switch {
-			case err == nil:
+			if conn, err := d.Dial(ctx, u.Address); err == nil {
 				_ = conn.Close()
 				reached.Store(true)
+				d.ObserveConnection()
 				d.ObserveContact()
 				cancel()
-			case !reached.Load():
-				d.ObserveFailure(u.ID)
 			}
 		})
 	}
 	group.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !reached.Load() {
+		d.probeFailedAt = savoryloft.Uptime()
+	}
 	return reached.Load()
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -236,7 +236,7 @@
 		Logger: l.Logger, Metrics: l.registry,
 	}
 	l.detours = &detourer.Detourer{
-		Instance: d.Instance, Incarnation: l.incarnation, Address: d.Listen.Detours, Upstreams: l.watcher.AllUpstreams, Dial: l.Pool.Dial,
+		Instance: d.Instance, Incarnation: l.incarnation, FailureDomain: d.FailureDomain, Address: d.Listen.Detours, Upstreams: l.watcher.AllUpstreams, Dial: l.Pool.Dial,
 		PassesOn:  func() bool { return !l.linker.InMesh() && l.linker.IsHub() },
 		Accepting: func() bool { return !l.stopping.Load() && l.watcher.Table() != nil },
 		Broadcast: l.linker.BroadcastDetours, Logger: l.Logger, Metrics: l.registry,
--- a/mesh_generated.go
+++ b/mesh_generated.go
@@ -59,6 +59,9 @@
 	// Milliseconds since the instance made the announcement.
 	Age int `json:"Age" msgpack:"Age"`
 
+	// FailureDomain corresponds to the JSON schema field "FailureDomain".
+	FailureDomain string `json:"FailureDomain" msgpack:"FailureDomain"`
+
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation int `json:"Incarnation" msgpack:"Incarnation"`
 
@@ -81,6 +84,9 @@
 	if _, ok := raw["Age"]; raw != nil && !ok {
 		return fmt.Errorf("field Age in Detour: required")
 	}
+	if _, ok := raw["FailureDomain"]; raw != nil && !ok {
+		return fmt.Errorf("field FailureDomain in Detour: required")
+	}
 	if _, ok := raw["Incarnation"]; raw != nil && !ok {
 		return fmt.Errorf("field Incarnation in Detour: required")
 	}
--- a/relayer/detour.go
+++ b/relayer/detour.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/detourer"
 	"savoryloft.example/savoryloft/exchanger"
 )
 
@@ -22,7 +23,7 @@
 	maxDetours        = 3                      // Instances to which a request is sent until one takes it.
 	detourDialTimeout = 200 * time.Millisecond // Instances are a few ms apart.
 	// detourFailures is the number of upstreams that a request fails to connect to before
-	// it is sent through another instance, if no other request could connect to one lately.
+	// it is sent through another instance, if none can be connected to.
 	detourFailures = 2
 	fromPeer       = "FromPeer" // User value of requests of other instances.
 )
@@ -74,15 +75,16 @@
 
 // mustDetour reports whether the request should be sent through another instance after a
 // failure, rather than to another upstream.
-func (x *exchange) mustDetour() bool {
-	if x.ctx.Err() != nil {
+func (x *exchange) mustDetour(e *sendError) bool {
+	if x.ctx.Err() != nil || x.unreachable == 0 {
 		return false
 	}
-	if x.possibleRuns == 0 {
-		d := x.relayer.Detours
-		return x.unreachable >= detourFailures && !d.ConnectedLately() || x.unreachable > 0 && d.CutOff()
+	d := x.relayer.Detours
+	failures := x.unreachable >= detourFailures || errors.Is(e.cause, errNoUpstream)
+	if !d.CutOff() && (!failures || d.CanConnect(x.ctx)) {
+		return false
 	}
-	return x.relayer.Detours.CutOff() && x.retryable() && x.possibleRuns < x.route.MaxAttempts &&
+	return x.possibleRuns == 0 || x.retryable() && x.possibleRuns < x.route.MaxAttempts &&
 		x.stillPermitted() && x.relayer.Limiter.Allow(time.Now(), x.service)
 }
 
@@ -113,7 +115,7 @@
 			x.respondToFailure(e)
 			return true
 		}
-		r.Detours.Pause(target.Instance)
+		r.Detours.Pause(target.Instance, detourer.RefusalPause)
 		r.Logger.Info("another instance did not take a request", "id", x.call.ID, "instance", target.Instance, "error", e.Error())
 	}
 	return false
@@ -128,6 +130,7 @@
 	defer cancel()
 	conn, err := r.Pool.Get(dialCtx, target.Address, exchanger.Recent)
 	if err != nil {
+		r.Detours.Pause(target.Instance, detourer.SilencePause)
 		return false, &sendError{notExecuted, err}
 	}
 	d := savoryloft.DetourDispatch{Token: target.Token, Attempts: x.route.MaxAttempts - x.possibleRuns}
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -24,7 +24,7 @@
 			x.respond(h, body)
 			return
 		}
-		if x.mustDetour() && x.detour() {
+		if x.mustDetour(e) && x.detour() {
 			return
 		}
 		if !x.allowRetry(e) {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -41,7 +41,7 @@
 		if e == nil {
 			break
 		}
-		if x.mustDetour() && x.detour() {
+		if x.mustDetour(e) && x.detour() {
 			return
 		}
 		if !x.allowRetry(e) {
