--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -25,6 +25,6 @@
 go test -timeout 8m -count 1 ${skip_pattern:+-skip "$skip_pattern"} -run "$alone" "$@" ./soaker
 if [ "${#race_flags[@]}" -gt 0 ]; then
   echo "tests of large fleets and the longest ones of package server, without the race detector, whose runtime has ended in them"
-  go test -timeout 8m -count 1 -run Fleet "$@" ./launcher
+  go test -timeout 8m -count 1 ${skip_pattern:+-skip "$skip_pattern"} -run Fleet "$@" ./launcher
   go test -timeout 8m -count 1 -run '^(TestFaultMatrix|TestAbsenceBeyondRetention)$' "$@" ./server
 fi
