Log why a request is not sent again, and what it was predicted to wait

The logs showed neither whether the retry budget or the number of sends ended a request, nor the predicted wait by which requests are shed.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -409,7 +411,7 @@
 	x.triedUpstreams[c.Upstream.ID] = true
 	if x.ctx.Err() == nil {
 		x.relayer.Logger.Info("attempt failed", "id", x.call.ID, "upstream", c.Upstream.ID, "address", c.Upstream.Address,
-			"send", x.sends, "may_have_run", e.execution == maybeExecuted, "parts", x.sharedParts(), "request", x.quarantineRequest().Fingerprint(), "error", e.cause.Error())
+			"send", x.sends, "may_have_run", e.execution == maybeExecuted, "urgency", x.identity.Urgency, "running", c.Running, "since_received", time.Since(x.received).Milliseconds(), "parts", x.sharedParts(), "request", x.quarantineRequest().Fingerprint(), "error", e.cause.Error())
 	}
 	return e
 }
@@ -460,7 +462,12 @@
 		x.retryReserved = false
 		return true
 	}
-	return x.sends == 0 || x.relayer.Limiter.Allow(time.Now(), x.service)
+	if x.sends == 0 || x.relayer.Limiter.Allow(time.Now(), x.service) {
+		return true
+	}
+	x.retryDenied = true
+	metrics.GetOrRegisterCounter("retries_denied_total."+x.service+"."+strconv.Itoa(x.identity.Urgency), x.relayer.Metrics).Inc(1)
+	return false
 }
 
 // reserveResumption reports whether the request may be sent again, and another upstream
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -132,6 +132,7 @@
 	unreachable      int                 // Upstreams that no connection could be opened to.
 	fromPeer         bool                // Another instance has sent the request on.
 	retryReserved    bool                // The next retry counts toward the budget already.
+	retryDenied      bool                // The retry budget did not permit another send.
 	brokenSends      int                 // Sends whose connection broke before the response was complete.
 	probed           chan bool           // Receives for each of these sends whether its upstream has ended.
 	probesRead       int                 // Results received from probed.
@@ -369,10 +370,10 @@
 	}
 	x.relayer.Logger.Info("request", "id", x.call.ID, "outcome", outcome, "status", status,
 		"route", route, "kind", kind, "account", x.identity.Account, "rank", x.identity.Rank, "urgency", x.identity.Urgency, "service", x.service,
-		"upstream", x.upstream, "software", x.choice.Upstream.Version, "resumes", x.call.Resumes, "after", x.call.LastEventID, "sends", x.sends, "runs", x.possibleRuns,
+		"upstream", x.upstream, "software", x.choice.Upstream.Version, "resumes", x.call.Resumes, "after", x.call.LastEventID, "sends", x.sends, "runs", x.possibleRuns, "retry_denied", x.retryDenied,
 		"first", x.timeToResponse.Milliseconds(), "took", time.Since(x.received).Milliseconds(),
 		"version", version, "age", x.configAge.Milliseconds(),
-		"cost", int(x.choice.Cost), "preferred", x.choice.Preferred, "prompt", x.call.PromptTokens, "uncached", x.choice.UncachedTokens, "fetched", x.choice.FetchedTokens, "fetch_from", x.choice.FetchSource, "running", x.choice.Running, "waiting", x.choice.QueuedTokens, "waited", x.waited.Milliseconds())
+		"cost", int(x.choice.Cost), "preferred", x.choice.Preferred, "prompt", x.call.PromptTokens, "uncached", x.choice.UncachedTokens, "fetched", x.choice.FetchedTokens, "fetch_from", x.choice.FetchSource, "running", x.choice.Running, "waiting", x.choice.QueuedTokens, "predicted", x.choice.TimeToFirstToken.Milliseconds(), "waited", x.waited.Milliseconds())
 }
 
 // recordMetrics counts the outcome and records the latencies in ms.
