Failing tests: urgent requests beside less urgent ones

Requests that wait in a queue are cut after 2.5 objectives and sent to one that is as full. At the same predicted wait the most urgent route is shed first, since its objective is the shortest.

--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -52,6 +53,8 @@
 	instances  []*instance
 	engines    []*standin.Engine
 	attempts   int
+	slots      int  // Of each engine in the registry; 8 when zero.
+	rank       *int // Of the accounts; that of the route when nil.
 
 	membersDelay time.Duration // Of reads of the member list.
 	bootstrap    bool          // The instances are the first ones of a new deployment.
@@ -124,15 +127,16 @@
 	}
 	engine := map[string]any{"slots": 8, "kv_capacity": 100000}
 	maps.Copy(engine, c.traits)
+	accounts := []any{
+		map[string]any{"name": "account", "api_keys": c.keys, "priority": c.rank},
+		map[string]any{"name": "other", "api_keys": c.otherKeys, "priority": c.rank},
+	}
 	value, err := json.Marshal(map[string]any{
 		"version":  c.version,
 		"routes":   routes,
 		"services": []any{map[string]any{"name": "s", "max_conns": 100, "inference_engine": engine}},
 		"limits":   c.limits,
-		"tenants": []any{
-			map[string]any{"name": "account", "api_keys": c.keys},
-			map[string]any{"name": "other", "api_keys": c.otherKeys},
-		},
+		"tenants":  accounts,
 	})
 	require.NoError(c.t, err)
 	c.log.Set(savoryloft.TopicConfiguration, "config", value)
@@ -141,7 +145,23 @@
 // addEngine starts an engine and adds it to the registry.
 func (c *cluster) addEngine(decide func(r *http.Request) standin.Behaviour) *standin.Engine {
 	e := &standin.Engine{ID: fmt.Sprintf("i-%d", len(c.engines)), EventCount: 6, EventInterval: 5 * time.Millisecond, Decide: decide}
-	server := c.serve(e)
+	c.serveEngine(e, e)
+	return e
+}
+
+// addSlottedEngine starts an engine with so many slots and places in its queue and adds it
+// to the registry.
+func (c *cluster) addSlottedEngine(slots, queue int, interval time.Duration) *standin.SlottedEngine {
+	e := &standin.Engine{ID: fmt.Sprintf("i-%d", len(c.engines)), EventCount: 6, EventInterval: interval}
+	slotted := &standin.SlottedEngine{Engine: e, Slots: slots, Queue: queue}
+	c.slots = slots
+	c.serveEngine(e, slotted)
+	return slotted
+}
+
+// serveEngine starts an engine that a handler serves and adds it to the registry.
+func (c *cluster) serveEngine(e *standin.Engine, h http.Handler) {
+	server := c.serve(h)
 	c.t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
@@ -149,7 +169,6 @@
 	e.Start()
 	c.engines = append(c.engines, e)
 	c.register(e.ID, server.Listener.Addr().String(), "ready")
-	return e
 }
 
 // register writes an upstream's registry entry to the log.
@@ -158,7 +177,7 @@
 	if n := slices.IndexFunc(c.engines, func(e *standin.Engine) bool { return e.ID == id }); n >= 0 {
 		e = c.engines[n]
 	}
-	c.log.Set(savoryloft.TopicRegistry, id, e.RegistryEntry(address, state, 8))
+	c.log.Set(savoryloft.TopicRegistry, id, e.RegistryEntry(address, state, cmp.Or(c.slots, 8)))
 }
 
 // instanceIP returns a loopback address that nothing else in this test process, or in
