Requests are shed by their place among the urgencies of their service

Callers saw: in a shortage the most urgent kind of request was refused (503, Crowded) at a predicted wait at which the least urgent one was still sent.

Cause: the limit was a multiple of the request's own objective, and the most urgent have the shortest.

A limit that rises with urgency can not refuse a request before a less urgent one.

--- a/relayer/admission.go
+++ b/relayer/admission.go
@@ -48,8 +48,9 @@
 
 // admissionInput holds what the decision depends on whether a request may start.
 type admissionInput struct {
-	Rank           int
+	Position       int // Among the urgencies of the service; 0 is the most urgent.
 	Objective      time.Duration
+	MaxFirstToken  time.Duration // Longest predicted time to the first token with which the request starts.
 	Waited         time.Duration // Since the request was received.
 	Choice         placer.Choice // Best upstream for the request.
 	Slots          int           // Of that upstream; 0 if unknown.
@@ -66,14 +67,14 @@
 // than its rank allows; and, for a long prompt, that it would queue ahead of the
 // requests of more urgent ranks, or that nothing is known of the upstreams yet.
 func decideAdmission(in admissionInput) savoryloft.RoomReply {
-	if in.Rank < firstSheddableRank || in.Objective <= 0 {
+	if in.Position == 0 || in.Objective <= 0 {
 		return savoryloft.RoomReply{Taken: true}
 	}
 	slots := in.Share * float64(in.Slots)
 	if in.Choice.Full || in.Share < 1 && slots > 0 && float64(in.Choice.Running) >= slots {
 		return savoryloft.RoomReply{Wait: fullUpstreamsWait}
 	}
-	limit, expected := maxFirstToken(in.Rank, in.Objective), in.Choice.TimeToFirstToken+in.Lateness
+	limit, expected := in.MaxFirstToken, in.Choice.TimeToFirstToken+in.Lateness
 	lightlyLoaded := slots > 0 && float64(in.Choice.Running) < refusableLoadShare*slots
 	if in.Last && lightlyLoaded {
 		expected = in.Choice.TimeToFirstToken // What was late may have been one upstream.
@@ -107,14 +108,14 @@
 func (in admissionInput) maxBacklog() time.Duration {
 	limit := urgentBacklogShare*float64(in.UrgentNeed) - float64(in.UrgentLateness)
 	limit = max(limit, minBacklogShare*float64(in.UrgentNeed))
-	return time.Duration(limit / float64(in.Rank))
+	return time.Duration(limit / float64(in.Position))
 }
 
 // spreads reports whether the request has waited so long that an upstream with less
 // queued prefill is better than the one with the least cost, which has cached the prompt
 // or is for prompts of its length.
 func (in admissionInput) spreads() bool {
-	return in.Rank >= firstSheddableRank && in.UrgentNeed > 0 && in.Waited > time.Duration(spreadShare*float64(in.Objective))
+	return in.Position > 0 && in.UrgentNeed > 0 && in.Waited > time.Duration(spreadShare*float64(in.Objective))
 }
 
 // room is the capacity of the upstreams for one exchange. It implements savoryloft.Room.
@@ -132,7 +133,7 @@
 	x.relayer.RefreshPeerLoads()
 	key := x.rankKey()
 	in := admissionInput{
-		Rank: x.identity.Rank, Objective: x.route.Objective, Waited: now.Sub(x.received), Last: last,
+		Position: x.bounds().Position(x.identity.Urgency), MaxFirstToken: x.bounds().MaxFirstToken(x.identity.Urgency), Objective: x.route.Objective, Waited: now.Sub(x.received), Last: last,
 		Lateness: x.relayer.ranks.latenessOf(now, key), Share: x.relayer.loadShare(), Starting: x.relayer.ranks.starting(x.service),
 	}
 	in.UrgentNeed, in.UrgentLateness = x.relayer.ranks.urgent(now, key)
--- a/relayer/gate.go
+++ b/relayer/gate.go
@@ -7,20 +7,11 @@
 	"github.com/juju/errors"
 
 	"savoryloft.example/savoryloft/placer"
+	"savoryloft.example/savoryloft/ranker"
 )
 
 const (
-	// firstSheddableRank is the most urgent rank that is subject to load shedding.
-	// Engines schedule more urgent requests ahead of queued ones themselves.
-	firstSheddableRank = 1
-	// leastUrgentShedFactor and defaultShedFactor limit the predicted time to the
-	// first token of the least urgent and of the other sheddable requests, as
-	// multiples of the route's objective. A request beyond the limit would miss the
-	// objective, and its prompt would delay others.
-	leastUrgentShedFactor = 1.2
-	defaultShedFactor     = 2.5
 	evacuatedRetryAfter   = 2 * time.Second // An operator takes an evacuation back after seconds at the earliest.
-	firstLeastUrgentRank  = 2               // This rank and all higher ones are the least urgent.
 	minOverloadRetryAfter = 300 * time.Millisecond
 	maxOverloadRetryAfter = 2500 * time.Millisecond
 )
@@ -29,25 +20,18 @@
 const errOverloaded = errors.ConstError("all upstreams are overloaded")
 
 // overloaded reports whether to shed a request because its predicted time to the
-// first token is too long for its rank even on the chosen upstream. Without load
+// first token is too long for its urgency even on the chosen upstream. Without load
 // shedding, a burst of long prompts starved shorter and more urgent ones. A stream that
 // has begun is not shed, since what its client has already received would be lost.
 func (x *exchange) overloaded(c placer.Choice) bool {
-	if x.begun() || len(x.call.Parts) == 0 || x.route.Objective <= 0 || x.identity.Rank < firstSheddableRank {
+	if x.begun() || len(x.call.Parts) == 0 || x.route.Objective <= 0 {
 		return false
 	}
-	return c.TimeToFirstToken > maxFirstToken(x.identity.Rank, x.route.Objective)
+	return c.TimeToFirstToken > x.bounds().MaxFirstToken(x.identity.Urgency)
 }
 
-// maxFirstToken returns the longest predicted time to the first token with which a
-// sheddable request is sent.
-func maxFirstToken(rank int, objective time.Duration) time.Duration {
-	factor := defaultShedFactor
-	if rank >= firstLeastUrgentRank {
-		factor = leastUrgentShedFactor
-	}
-	return time.Duration(factor * float64(objective))
-}
+// bounds returns the bounds by urgency of the requests of the exchange's service.
+func (x *exchange) bounds() *ranker.Service { return x.table.Bounds(x.service) }
 
 // refuseNoUpstream refuses a request for which no upstream is available. If some
 // upstreams have asked for a pause, Retry-After is the time until the first of them
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 	"strings"
 
 	"savoryloft.example/savoryloft"
+	"savoryloft.example/savoryloft/ranker"
 )
 
 // Table is a configuration indexed for lookups. It is safe for concurrent use.
@@ -32,6 +33,7 @@
 	services    map[string]*savoryloft.UpstreamService // By name.
 	requireKeys bool                                   // Routes that are not public need an API key.
 	urgencies   map[rankPair]int                       // See Identity.Urgency.
+	bounds      map[string]*ranker.Service             // By service.
 }
 
 // rankPair is what requests are ordered by: the rank that takes precedence, and then the
@@ -75,9 +77,53 @@
 		}
 	}
 	t.urgencies = urgencies(c)
+	t.bounds = t.boundServices(c)
 	return t
 }
 
+// boundServices returns the bounds of each service by the urgencies that its requests can
+// have.
+func (t *Table) boundServices(c savoryloft.Configuration) map[string]*ranker.Service {
+	kinds := map[string][]ranker.Kind{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		firstRanks := map[int]bool{}
+		if !t.NeedsKey(r) {
+			firstRanks[r.Rank] = true
+		} else {
+			for _, a := range c.Accounts {
+				firstRanks[firstRank(r, &a)] = true
+			}
+		}
+		for _, share := range r.Shares {
+			for rank := range firstRanks {
+				kinds[share.Service] = append(kinds[share.Service], ranker.Kind{Urgency: t.urgencies[rankPair{rank, r.Rank}], Objective: r.Objective})
+			}
+		}
+	}
+	bounds := map[string]*ranker.Service{}
+	for service, list := range kinds {
+		bounds[service] = ranker.New(list)
+	}
+	return bounds
+}
+
+// firstRank returns the rank that takes precedence for an account's requests on a route.
+func firstRank(r *savoryloft.PathRoute, a *savoryloft.KeyedAccount) int {
+	if a.HasRank {
+		return a.Rank
+	}
+	return r.Rank
+}
+
+// Bounds returns the bounds by urgency of a service's requests.
+func (t *Table) Bounds(service string) *ranker.Service {
+	if s := t.bounds[service]; s != nil {
+		return s
+	}
+	return &ranker.Service{}
+}
+
 // urgencies numbers the pairs of ranks that requests can have in a configuration, in
 // order.
 func urgencies(c savoryloft.Configuration) map[rankPair]int {
@@ -146,9 +192,8 @@
 		return id, false
 	}
 	id.Account, id.Regions = a.Name, a.Regions
-	if a.HasRank {
-		id.Rank, id.Urgency = a.Rank, t.urgencies[rankPair{a.Rank, r.Rank}]
-	}
+	id.Rank = firstRank(r, a)
+	id.Urgency = t.urgencies[rankPair{id.Rank, r.Rank}]
 	return id, true
 }
 
