Less urgent requests leave room in the queues of upstreams

Callers saw: the most urgent requests got 503 (UpstreamsFull) while less urgent ones ran. Upstreams admit the most urgent first, but reject all once their queue is full, and nothing kept less urgent requests from filling it: the prediction that sheds them knows prompts, not slots.

A request is added up to a load that rises with its urgency, also after a rejection.

TestEndlessUpstreamResponses sends 20 requests at once to one upstream, for which it names 8 slots, and wants none refused before it has failed there; the upstream now has 40 slots. Nothing else in the test changes.

--- a/launcher/upstream_test.go
+++ b/launcher/upstream_test.go
@@ -186,6 +186,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := newCluster(t)
+			c.slots = 2 * callers // No caller is refused for lack of room.
 			c.addEngine(func(*http.Request) standin.Behaviour { return tt.behaviour })
 			i := c.start(longRevocation)
 			c.waitForUpstreams(i, 1)
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -100,3 +100,14 @@
 	}
 	return s.kinds[i].maxFirstToken
 }
+
+// MaxRunning returns the number of requests that run or wait at an upstream from which on no
+// request of an urgency is added. The most urgent ones may use all of its queue; the slots of
+// the upstream may be unknown (0).
+func (s *Service) MaxRunning(urgency, slots int) int {
+	i, n := s.Position(urgency), len(s.kinds)
+	if i == 0 || i >= n || slots <= 0 {
+		return math.MaxInt
+	}
+	return slots + int(math.Ceil(maxQueueShare*float64(slots)*float64(n-i)/float64(n)))
+}
--- a/relayer/admission.go
+++ b/relayer/admission.go
@@ -287,6 +287,7 @@
 // queues. It is called about once a second.
 func (r *Relayer) Maintain(now time.Time) {
 	r.ranks.prune(now)
+	r.pressure.Prune(now)
 	r.share.Store(math.Float64bits(r.LoadShare()))
 	if r.Admitter == nil {
 		return
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -462,6 +462,9 @@
 		x.retryReserved = false
 		return true
 	}
+	if x.sends > 0 && len(x.refusedBy) > 0 && x.crowdedOut() {
+		return false
+	}
 	if x.sends == 0 || x.relayer.Limiter.Allow(time.Now(), x.service) {
 		return true
 	}
@@ -532,6 +535,7 @@
 	case errors.Is(e.cause, errNoUpstream):
 		x.refuseNoUpstream()
 	default:
+		x.recordNoRoom()
 		x.refuse(http.StatusServiceUnavailable, "UpstreamsFull", "upstreams refused; the request has not run", upstreamsFullRetryAfter)
 	}
 }
--- a/relayer/gate.go
+++ b/relayer/gate.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/placer"
 	"savoryloft.example/savoryloft/ranker"
 )
@@ -20,14 +21,63 @@
 const errOverloaded = errors.ConstError("all upstreams are overloaded")
 
 // overloaded reports whether to shed a request because its predicted time to the
-// first token is too long for its urgency even on the chosen upstream. Without load
+// first token is too long for its urgency even on the chosen upstream, or because it would
+// take a place in the queue there that more urgent ones need. Without load
 // shedding, a burst of long prompts starved shorter and more urgent ones. A stream that
 // has begun is not shed, since what its client has already received would be lost.
 func (x *exchange) overloaded(c placer.Choice) bool {
 	if x.begun() || len(x.call.Parts) == 0 || x.route.Objective <= 0 {
 		return false
 	}
-	return c.TimeToFirstToken > x.bounds().MaxFirstToken(x.identity.Urgency)
+	bounds, urgency := x.bounds(), x.identity.Urgency
+	return c.TimeToFirstToken > bounds.MaxFirstToken(urgency) || c.Running >= bounds.MaxRunning(urgency, x.slotsOf(c.Upstream))
+}
+
+// mustShed reports whether to shed a request that has not run, rather than to send it to the
+// chosen upstream.
+func (x *exchange) mustShed(c placer.Choice) bool {
+	return x.possibleRuns == 0 && (x.overloaded(c) || x.givesWay(c))
+}
+
+// givesWay reports whether to shed a request since more urgent ones have been refused here
+// lately. An upstream with many free slots has room for both.
+func (x *exchange) givesWay(c placer.Choice) bool {
+	if x.begun() || len(x.call.Parts) == 0 || x.route.Objective <= 0 {
+		return false
+	}
+	slots := x.slotsOf(c.Upstream)
+	if slots == 0 || float64(c.Running) < refusableLoadShare*float64(slots) {
+		return false
+	}
+	return x.relayer.pressure.GivesWay(time.Now(), x.service, x.identity.Urgency, x.call.PromptTokens)
+}
+
+// crowdedOut reports whether a request that an upstream rejected finds no room elsewhere
+// either. Another send would only take a place in the retry budget from a more urgent one.
+func (x *exchange) crowdedOut() bool {
+	if x.possibleRuns > 0 {
+		return false
+	}
+	_, choice, ok := x.place(x.placerRequest())
+	return ok && x.overloaded(choice)
+}
+
+// recordNoRoom records that the request is refused for lack of room.
+func (x *exchange) recordNoRoom() {
+	if len(x.call.Parts) > 0 {
+		x.relayer.pressure.RecordRefusal(time.Now(), x.service, x.identity.Urgency, x.call.PromptTokens)
+	}
+}
+
+// slotsOf returns the requests that an upstream runs at a time; 0 if unknown.
+func (x *exchange) slotsOf(u savoryloft.RegisteredUpstream) int {
+	if u.Slots > 0 {
+		return u.Slots
+	}
+	if s := x.table.LookupService(x.service); s != nil && s.Engine != nil {
+		return s.Engine.Slots
+	}
+	return 0
 }
 
 // bounds returns the bounds by urgency of the requests of the exchange's service.
@@ -64,5 +114,6 @@
 // refuseOverloaded refuses a request. Retry-After is the time until there is room for
 // requests of its rank.
 func (x *exchange) refuseOverloaded() {
+	x.recordNoRoom()
 	x.refuse(http.StatusServiceUnavailable, "Crowded", "too much waits at the upstreams; the request has not run", x.retryAfterOverload())
 }
--- a/relayer/limit.go
+++ b/relayer/limit.go
@@ -49,7 +49,7 @@
 		return choice, errNoUpstream
 	}
 	x.choice, x.upstream = choice, choice.Upstream.ID
-	if x.sends == 0 && x.overloaded(choice) {
+	if x.mustShed(choice) {
 		return choice, errOverloaded
 	}
 	if _, limited := r.Throttler.Limit(choice.Upstream); !limited {
@@ -82,7 +82,7 @@
 		return best, errLimited
 	}
 	x.choice, x.upstream = other, other.Upstream.ID
-	if x.sends == 0 && x.overloaded(other) {
+	if x.mustShed(other) {
 		return other, errOverloaded
 	}
 	return other, nil
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -40,6 +40,7 @@
 	"savoryloft.example/savoryloft/observer"
 	"savoryloft.example/savoryloft/placer"
 	"savoryloft.example/savoryloft/quarantiner"
+	"savoryloft.example/savoryloft/ranker"
 	"savoryloft.example/savoryloft/router"
 	"savoryloft.example/savoryloft/throttler"
 	"savoryloft.example/savoryloft/tracker"
@@ -100,9 +101,10 @@
 	Metrics          metrics.Registry
 	Memory           *budgeter.Budget // For bodies of requests, and for responses until they are sent.
 
-	active atomic.Int64
-	ranks  rankStates
-	share  atomic.Uint64 // Last LoadShare, as float64 bits; 0 before the first call of Maintain.
+	active   atomic.Int64
+	ranks    rankStates
+	pressure ranker.Pressure
+	share    atomic.Uint64 // Last LoadShare, as float64 bits; 0 before the first call of Maintain.
 }
 
 // exchange is one client request in progress.
@@ -201,6 +203,9 @@
 		return
 	}
 	r.Limiter.RecordRequest(x.received, x.service)
+	if len(x.call.Parts) > 0 {
+		r.pressure.RecordRequest(x.received, x.service, x.identity.Urgency)
+	}
 	if streaming {
 		if x.resolveOrigin() {
 			x.serveStream()
