A queued request keeps its place where all upstreams are full

Callers saw: 502 after 625 ms for the most urgent kind, after 2,500 ms for the least urgent one, while their requests waited in an upstream's queue.

Cause: an attempt without a first event is cut after 2.5 objectives, one without an event for 6 pauses, a plain one without a response for 0.8 objectives, so that another upstream can take it. Where all are full, the request gives up its place, uses up a retry and is rejected or queued again; the most urgent ones first.

After that time a request moves only if another upstream has a free slot and the budget permits it; otherwise it looks again after the same time. Where an upstream hangs and others have room, nothing changes: the tests of silent upstreams pass.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -107,7 +107,7 @@
 const errNoUpstream = errors.ConstError("no upstream is available")
 
 // send chooses an upstream, sends the request and reads the status line and
-// header of the response. A headTimeout of zero means no timeout for the header.
+// header of the response. The header timeout is that of attempt.watch.
 func (x *exchange) send(lastEventID string, headTimeout time.Duration) (*attempt, *sendError) {
 	r := x.relayer
 	if a := r.Quarantine.Admit(x.quarantineRequest()); !a.OK {
@@ -225,13 +225,41 @@
 	}
 }
 
+// watch cancels the attempt, unless stop is called before, when the timeout has passed and
+// the request may move to another upstream. While it may not, it keeps its place at this one.
+// A timeout of zero means none.
+func (a *attempt) watch(timeout time.Duration) (stop func()) {
+	if timeout <= 0 {
+		return func() {}
+	}
+	var mu sync.Mutex // Held while the exchange is read, which its goroutine may change after stop.
+	var timer *time.Timer
+	stopped := false
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(timeout, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case stopped:
+		case a.exchange.reserveMove():
+			a.cancel()
+		default:
+			timer.Reset(timeout)
+		}
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		timer.Stop()
+	}
+}
+
 // readResponseHead reads the status line and header of the response. It skips
-// late responses to earlier requests on the same connection.
+// late responses to earlier requests on the same connection. The timeout is that of watch.
 func (a *attempt) readResponseHead(timeout time.Duration) error {
-	if timeout > 0 {
-		timer := time.AfterFunc(timeout, a.cancel)
-		defer timer.Stop()
-	}
+	defer a.watch(timeout)()
 	for n := range maxStaleResponses + 1 {
 		resp, err := a.conn.ReadResponse(a.ctx, a.exchange.call.Method)
 		if err != nil {
@@ -473,10 +501,10 @@
 	return false
 }
 
-// reserveResumption reports whether the request may be sent again, and another upstream
-// could take it, if the one that runs it is given up. That retry then counts toward the
-// service's retry budget.
-func (x *exchange) reserveResumption() bool {
+// reserveMove reports whether the request may be sent again, and another upstream has room
+// for it, if the one that has it is given up: where all are full it would lose its place for
+// another wait. That retry then counts toward the service's retry budget.
+func (x *exchange) reserveMove() bool {
 	if x.ctx.Err() != nil || x.sends >= maxSends || x.trial || !x.stillPermitted() {
 		return false
 	}
@@ -486,7 +514,7 @@
 	req := x.placerRequest()
 	req.Exclude = maps.Clone(req.Exclude)
 	req.Exclude[x.upstream] = true
-	if _, _, ok := x.place(req); !ok {
+	if _, choice, ok := x.place(req); !ok || choice.Full {
 		return false
 	}
 	x.retryReserved = x.retryReserved || x.relayer.Limiter.Allow(time.Now(), x.service)
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -10,8 +10,8 @@
 	"savoryloft.example/savoryloft/placer"
 )
 
-// attemptTimeoutShare is the timeout for the header of the response, as a share
-// of the route's objective, while the request may be retried on another upstream.
+// attemptTimeoutShare is the time after which a request without a response looks for another
+// upstream, as a share of the route's objective.
 const attemptTimeoutShare = 0.8
 
 // serveBuffered serves a request whose response is buffered completely before it
@@ -50,9 +50,7 @@
 	}
 	a.recordFirstToken(time.Now())
 	x.countUsage()
-	if headTimeout > 0 {
-		defer time.AfterFunc(headTimeout, a.cancel).Stop() // The same time for the body.
-	}
+	defer a.watch(headTimeout)() // The same time for the body.
 	body, err := a.conn.ReadResponseBody(a.ctx, a.response, maxResponseBytes)
 	if err != nil {
 		return a.head, nil, a.abort(err)
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -17,9 +17,9 @@
 	streamBufferBytes       = 4 << 10 // Initial size; several events fit.
 	minReadBytes            = 1 << 10 // Free space below which the buffer grows before a read.
 	maxEventBytes           = 256 << 10
-	minEventTimeout         = 1200 * time.Millisecond // Minimum time without data after which a resumable stream counts as broken.
-	eventTimeoutFactor      = 6                       // Time without data after which a resumable stream counts as broken, as a multiple of the route's pause objective.
-	firstEventTimeoutFactor = 2.5                     // Timeout for the first event of a resumable stream, as a multiple of the route's objective.
+	minEventTimeout         = 1200 * time.Millisecond // Minimum time without data after which a resumable stream looks for another upstream.
+	eventTimeoutFactor      = 6                       // The same as a multiple of the route's pause objective.
+	firstEventTimeoutFactor = 2.5                     // Time after which a resumable stream without an event looks for another upstream, as a multiple of the route's objective.
 	separatorBytes          = 2
 	// minSequence is the number of events without a gap between their IDs from which on a
 	// resumption must not have one either.
@@ -106,11 +106,11 @@
 	if timeout == 0 {
 		timeout = defaultReadTimeout
 	}
+	a.conn.ExtendReads(s.extension)
 	if err := s.fill(timeout); err != nil {
 		return s.abort(err)
 	}
 	x.beginStream(a.choice.Upstream)
-	a.conn.ExtendReads(s.extension)
 	a.firstEventAt = time.Now()
 	a.observeFirstToken()
 	a.notifyPrefillChange()
@@ -200,8 +200,8 @@
 	return err == nil && lastErr == nil && n == m+1
 }
 
-// firstEventTimeout returns the timeout for the first event while a further
-// attempt is permitted, and 0 otherwise.
+// firstEventTimeout returns the time after which a stream without an event looks for another
+// upstream while a further attempt is permitted, and 0 otherwise.
 func (s *stream) firstEventTimeout() time.Duration {
 	x := s.exchange
 	if !x.retryable() || x.possibleRuns+1 >= x.route.MaxAttempts {
@@ -239,7 +239,7 @@
 			return s.brokenBy
 		}
 		left := time.Until(end)
-		if left <= 0 && !s.attempt.firstEventAt.IsZero() {
+		if left <= 0 {
 			left = s.extension()
 			end = time.Now().Add(left)
 		}
@@ -335,11 +335,14 @@
 }
 
 // extension returns how much longer to wait for an upstream that has sent no event within
-// the time limit: zero if the stream can be resumed on another one.
+// the time limit: zero if the stream can go on at another one.
 func (s *stream) extension() time.Duration {
-	if !s.unidentified && s.exchange.reserveResumption() {
+	if !s.unidentified && s.exchange.reserveMove() {
 		return 0
 	}
+	if timeout := s.firstEventTimeout(); s.attempt.firstEventAt.IsZero() && timeout > 0 {
+		return timeout
+	}
 	return s.eventTimeout()
 }
 
