Retries of less urgent requests leave part of the budget

Callers saw: urgent requests that one upstream had rejected got 503 at once.

Cause: all requests to a service share one retry budget, and those of the least urgent kind, rejected or cut again and again, used it up.

Evidence: TestLessUrgentRetriesLeavePartOfTheBudget. With one share for all, as before, the first 40 retries take the whole budget.

The least urgent may use up half of it, the most urgent all. The bound over all instances is unchanged (TestRetryBudgetHoldsAcrossInstances).

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -10,6 +10,8 @@
 //	if l.Allow(now, "assistants") {
 //		// Retry the request.
 //	}
+//
+// Requests that are less urgent than others use AllowWithin.
 package limiter
 
 import (
@@ -53,7 +55,11 @@
 
 // Allow reports whether the budget of a service permits one more retry, and
 // records the retry if so.
-func (l *Limiter) Allow(now time.Time, service string) bool {
+func (l *Limiter) Allow(now time.Time, service string) bool { return l.AllowWithin(now, service, 1) }
+
+// AllowWithin is Allow for a request that may use up a share of the budget only. The rest is
+// left to others.
+func (l *Limiter) AllowWithin(now time.Time, service string, share float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w := l.windowAt(now, service)
@@ -63,7 +69,7 @@
 		retries += w.retries[i]
 	}
 	budget := budgetFraction * (l.Ratio*float64(requests) + float64(l.Slack)/float64(max(l.Instances(), 1)))
-	if float64(retries+1) > budget {
+	if float64(retries+1) > share*budget {
 		return false
 	}
 	w.retries[w.bucket%bucketsPerWindow]++
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -48,6 +48,27 @@
 	require.NotEmpty(t, retries)
 }
 
+// Guards against urgent requests that are not sent again after a rejection, since retries of
+// less urgent ones have used up the budget.
+func TestLessUrgentRetriesLeavePartOfTheBudget(t *testing.T) {
+	l := &Limiter{Ratio: 0.2, Slack: 25, Window: 10 * time.Second, Instances: func() int { return 1 }}
+	now := time.Unix(1000, 0)
+	for range 125 {
+		l.RecordRequest(now, "s")
+	}
+	retry := func(share float64) (n int) {
+		for range 100 {
+			if l.AllowWithin(now, "s", share) {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 20, retry(0.5), "half of 0.8 x (0.2 x 125 + 25)")
+	require.Equal(t, 20, retry(1))
+	require.Zero(t, retry(1))
+}
+
 func TestServicesHaveSeparateBudgets(t *testing.T) {
 	l := &Limiter{Slack: 2, Window: time.Second, Instances: func() int { return 1 }}
 	now := time.Unix(5, 0)
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -33,6 +33,9 @@
 	// queue at an upstream, if there are many urgencies. Upstreams reject what exceeds their
 	// queue, however urgent it is.
 	maxQueueShare = 1.0
+	// minRetryShare is the part of a service's retry budget that the least urgent requests may
+	// use up.
+	minRetryShare = 0.5
 )
 
 // Kind is one kind of requests of a service.
@@ -111,3 +114,22 @@
 	}
 	return slots + int(math.Ceil(maxQueueShare*float64(slots)*float64(n-i)/float64(n)))
 }
+
+// RetryShare returns the part of the service's retry budget that requests of an urgency may
+// use up.
+func (s *Service) RetryShare(urgency int) float64 {
+	i, n := s.Position(urgency), len(s.kinds)
+	if i >= n || n == 1 {
+		return 1
+	}
+	return 1 - (1-minRetryShare)*float64(i)/float64(n-1)
+}
+
+// LongestObjective returns the longest objective of the requests of an urgency and of all less
+// urgent ones; 0 if there are none. A wait that is a part of it does not end before theirs.
+func (s *Service) LongestObjective(urgency int) time.Duration {
+	if i := s.Position(urgency); i < len(s.kinds) {
+		return s.kinds[i].longest
+	}
+	return 0
+}
--- a/ranker/ranker_test.go
+++ b/ranker/ranker_test.go
@@ -27,10 +27,13 @@
 				more := s.kinds[i-1].urgency
 				require.Greater(t, s.MaxFirstToken(more), s.MaxFirstToken(k.urgency))
 				require.GreaterOrEqual(t, s.MaxRunning(more, slots), s.MaxRunning(k.urgency, slots))
+				require.Greater(t, s.RetryShare(more), s.RetryShare(k.urgency))
+				require.GreaterOrEqual(t, s.LongestObjective(more), s.LongestObjective(k.urgency))
 			}
 		}
 		if len(s.kinds) > 0 {
 			require.Equal(t, math.MaxInt, s.MaxRunning(s.kinds[0].urgency, slots))
+			require.InDelta(t, 1, s.RetryShare(s.kinds[0].urgency), 1e-9)
 		}
 	})
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -493,7 +493,7 @@
 	if x.sends > 0 && len(x.refusedBy) > 0 && x.crowdedOut() {
 		return false
 	}
-	if x.sends == 0 || x.relayer.Limiter.Allow(time.Now(), x.service) {
+	if x.sends == 0 || x.takeRetry() {
 		return true
 	}
 	x.retryDenied = true
@@ -501,6 +501,12 @@
 	return false
 }
 
+// takeRetry reports whether the part of the retry budget that the request may use permits
+// another send, which then counts toward it.
+func (x *exchange) takeRetry() bool {
+	return x.relayer.Limiter.AllowWithin(time.Now(), x.service, x.bounds().RetryShare(x.identity.Urgency))
+}
+
 // reserveMove reports whether the request may be sent again, and another upstream has room
 // for it, if the one that has it is given up: where all are full it would lose its place for
 // another wait. That retry then counts toward the service's retry budget.
@@ -517,7 +523,7 @@
 	if _, choice, ok := x.place(req); !ok || choice.Full {
 		return false
 	}
-	x.retryReserved = x.retryReserved || x.relayer.Limiter.Allow(time.Now(), x.service)
+	x.retryReserved = x.retryReserved || x.takeRetry()
 	return x.retryReserved
 }
 
--- a/relayer/detour.go
+++ b/relayer/detour.go
@@ -85,7 +85,7 @@
 		return false
 	}
 	return x.possibleRuns == 0 || x.retryable() && x.possibleRuns < x.route.MaxAttempts &&
-		x.stillPermitted() && x.relayer.Limiter.Allow(time.Now(), x.service)
+		x.stillPermitted() && x.takeRetry()
 }
 
 // detour sends the request through another instance and responds to the client. It returns
