Urgent requests wait for tokens of limited upstreams as long as less urgent ones

Cause: a request waited for a token for half of its own objective, so the most urgent gave up first and the tokens went to the others; and tokens were handed out by the rank of the account, which hides that of the route.

Requests now wait for half of the longest objective that is not more urgent and are ordered by urgency. An older build orders its requests by the account's rank, so during a roll those of the two builds are ordered by different numbers.

--- a/relayer/limit.go
+++ b/relayer/limit.go
@@ -14,9 +14,10 @@
 
 const (
 	// limitWaitShare is the time for which a request waits for a token, as a share of the
-	// route's objective.
+	// longest objective of the requests that are not more urgent. Tokens go to the more urgent
+	// first, so a shorter wait would only leave them to others.
 	limitWaitShare   = 0.5
-	defaultLimitWait = 250 * time.Millisecond // For a route without an objective.
+	defaultLimitWait = 250 * time.Millisecond // For a service without objectives.
 	maxLimitChoices  = 8                      // Upstreams with limits for which one request asks for a token.
 	bestLimitChoices = 4                      // Of these, that are the best ones; the others are chosen at random.
 )
@@ -62,7 +63,7 @@
 func (x *exchange) chooseWithinLimits(req placer.Request, upstreams []savoryloft.RegisteredUpstream, best placer.Choice) (placer.Choice, error) {
 	r := x.relayer
 	limited, other, hasOther := x.rankChoices(req, upstreams, best)
-	want := throttler.Want{Service: x.service, Rank: x.identity.Rank, Wait: x.maxLimitWait()}
+	want := throttler.Want{Service: x.service, Rank: x.identity.Urgency, Wait: x.maxLimitWait()}
 	for _, c := range limited {
 		want.Upstreams = append(want.Upstreams, c.Upstream.ID)
 	}
@@ -124,8 +125,8 @@
 // maxLimitWait returns the time for which the request may wait for a token.
 func (x *exchange) maxLimitWait() time.Duration {
 	wait := defaultLimitWait
-	if x.route.Objective > 0 {
-		wait = time.Duration(limitWaitShare * float64(x.route.Objective))
+	if longest := x.bounds().LongestObjective(x.identity.Urgency); longest > 0 {
+		wait = time.Duration(limitWaitShare * float64(longest))
 	}
 	return max(min(wait, time.Until(x.deadline)/2), 0)
 }
--- a/relayer/urgent_test.go
+++ b/relayer/urgent_test.go
@@ -90,3 +90,17 @@
 		})
 	}
 }
+
+// Guards against urgent requests that stop to wait for a token of a limited upstream
+// while less urgent ones go on.
+func TestNoBoundOfARequestIsBelowThatOfALessUrgentOne(t *testing.T) {
+	keys := []string{"rank-0", "rank-1", "rank-2"}
+	list := exchangesByUrgency(t, keys...)
+	var waits []time.Duration
+	for _, x := range list {
+		x.relayer = &Relayer{}
+		x.deadline = time.Now().Add(time.Hour)
+		waits = append(waits, -x.maxLimitWait())
+	}
+	require.True(t, slices.IsSorted(waits), "%v", waits)
+}
