One connection of each instance to an upstream is left to the most urgent requests

Each instance may use a share of an upstream's connections, as little as four. Less urgent requests could hold all of them, and the most urgent ones found no upstream. Found by reading; no run has shown it. The test of the bounds failed on it: equal shares for all urgencies.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -83,6 +83,9 @@
 		req.Engine, req.WarmUpLimited = s.Engine, s.WarmUpRate > 0
 		if s.MaxConnections > 0 {
 			req.MaxConnections = max(s.MaxConnections/(x.relayer.Instances()+1), minConnections)
+			if x.bounds().Position(x.identity.Urgency) > 0 {
+				req.MaxConnections-- // One is left to the most urgent requests.
+			}
 		}
 	}
 	return req
--- a/relayer/urgent_test.go
+++ b/relayer/urgent_test.go
@@ -11,13 +11,14 @@
 	"savoryloft.example/savoryloft"
 	"savoryloft.example/savoryloft/placer"
 	"savoryloft.example/savoryloft/router"
+	"savoryloft.example/savoryloft/tracker"
 )
 
 // rankedTable returns a configuration with three routes to one service, the most urgent of
 // which has the shortest objective, and an account for each key: "plain", or "rank-N" for one
 // with a rank of its own.
 func rankedTable(keys ...string) *router.Table {
-	c := savoryloft.Configuration{Version: 1, Services: []savoryloft.UpstreamService{{Name: "s", Engine: &savoryloft.EngineTraits{Slots: 12}}}}
+	c := savoryloft.Configuration{Version: 1, Services: []savoryloft.UpstreamService{{Name: "s", MaxConnections: 100, Engine: &savoryloft.EngineTraits{Slots: 12}}}}
 	for rank, objective := range []time.Duration{250 * time.Millisecond, 300 * time.Millisecond, time.Second} {
 		c.Routes = append(c.Routes, savoryloft.PathRoute{
 			Name: fmt.Sprint("route-", rank), Host: "h.example", Prefix: fmt.Sprintf("/%d/", rank), Rank: rank, Objective: objective,
@@ -91,16 +92,20 @@
 	}
 }
 
-// Guards against urgent requests that stop to wait for a token of a limited upstream
-// while less urgent ones go on.
+// Guards against urgent requests that stop to wait for a token of a limited upstream, or are
+// left without a connection to one, while less urgent ones go on.
 func TestNoBoundOfARequestIsBelowThatOfALessUrgentOne(t *testing.T) {
 	keys := []string{"rank-0", "rank-1", "rank-2"}
 	list := exchangesByUrgency(t, keys...)
 	var waits []time.Duration
+	var connections []int
 	for _, x := range list {
-		x.relayer = &Relayer{}
+		x.relayer = &Relayer{Instances: func() int { return 9 }, Tracker: &tracker.Tracker{}}
 		x.deadline = time.Now().Add(time.Hour)
 		waits = append(waits, -x.maxLimitWait())
+		connections = append(connections, -x.placerRequest().MaxConnections)
 	}
 	require.True(t, slices.IsSorted(waits), "%v", waits)
+	require.True(t, slices.IsSorted(connections), "%v", connections)
+	require.Less(t, connections[0], connections[len(connections)-1])
 }
