--- a/relayer/admission.go
+++ b/relayer/admission.go
@@ -35,7 +35,7 @@
 	// request to be refused, unless the prompts queued there alone take too long.
 	refusableLoadShare = 0.5
 	// minHoldShare is the minimum time for which a request may wait here, as a share of
-	// the objective.
+	// the longest objective that is not more urgent.
 	minHoldShare = 0.125
 	// maxReturnShare bounds Retry-After as a share of the time that the client has left.
 	// Clients do not heed a longer one.
@@ -200,14 +200,16 @@
 }
 
 // admissionClass returns the class by which the request is queued. Its patience ends when
-// the request can not meet its objective any more, if an idle upstream took it.
+// no request that is not more urgent could meet its objective any more, if an idle upstream
+// took this prompt: the more urgent one starts first, so it does not give up first.
 func (x *exchange) admissionClass(req placer.Request) *savoryloft.Class {
 	objective := x.route.Objective
-	hold := objective - x.relayer.ranks.latenessOf(time.Now(), x.rankKey())
+	longest := x.bounds().LongestObjective(x.identity.Urgency)
+	hold := longest - x.relayer.ranks.latenessOf(time.Now(), x.rankKey())
 	hold -= time.Duration(float64(max(req.PromptTokens, 0)) / prefillTokensPerMs * float64(time.Millisecond))
 	return &savoryloft.Class{
 		Name: x.route.Name + " " + strconv.Itoa(x.identity.Urgency), Tier: x.table.Tier(x.identity, admitter.Tiers),
-		FirstToken: savoryloft.Duration(objective), Patience: savoryloft.Duration(max(hold, time.Duration(minHoldShare*float64(objective)))),
+		FirstToken: savoryloft.Duration(objective), Patience: savoryloft.Duration(max(hold, time.Duration(minHoldShare*float64(longest)))),
 	}
 }
 
--- a/relayer/urgent_test.go
+++ b/relayer/urgent_test.go
@@ -92,20 +92,23 @@
 	}
 }
 
-// Guards against urgent requests that stop to wait for a token of a limited upstream, or are
-// left without a connection to one, while less urgent ones go on.
+// Guards against urgent requests that stop to wait for a token of a limited upstream or for
+// room, or are left without a connection to one, while less urgent ones go on.
 func TestNoBoundOfARequestIsBelowThatOfALessUrgentOne(t *testing.T) {
 	keys := []string{"rank-0", "rank-1", "rank-2"}
 	list := exchangesByUrgency(t, keys...)
 	var waits []time.Duration
+	var patience []savoryloft.Duration // In this instance's own queue.
 	var connections []int
 	for _, x := range list {
 		x.relayer = &Relayer{Instances: func() int { return 9 }, Tracker: &tracker.Tracker{}}
 		x.deadline = time.Now().Add(time.Hour)
 		waits = append(waits, -x.maxLimitWait())
+		patience = append(patience, -x.admissionClass(placer.Request{}).Patience)
 		connections = append(connections, -x.placerRequest().MaxConnections)
 	}
 	require.True(t, slices.IsSorted(waits), "%v", waits)
+	require.True(t, slices.IsSorted(patience), "%v", patience)
 	require.True(t, slices.IsSorted(connections), "%v", connections)
 	require.Less(t, connections[0], connections[len(connections)-1])
 }
