Soak: a fleet is rolled to another build while configurations change

All instances run one build and are replaced by another, several at a time, while configurations come each 0.1 to 1 s and instances are killed, frozen, reloaded or lose their way to the store. Requests on routes just added or dropped go to each instance; their responses are compared with the operator's acknowledgement (2 s) and, in one life of a process, with what it has shown before (250 ms).

--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -7,6 +7,7 @@
 //	make soak SEEDS="1 2 3" SECONDS=20
 //	SOAK_INSTANCES=60 make soak SEEDS="4 5" SECONDS=20 // More processes.
 //	SOAK_OTHER=/tmp/savoryloft make soak SEEDS="6 7" SECONDS=8 // Beside another build.
+//	SOAK_OTHER=/tmp/savoryloft SOAK_INSTANCES=60 SOAK_ROLLS="8 9" go test -v -run TestRollSoak ./soaker // A roll between builds.
 package soaker
 
 import (
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -111,6 +111,9 @@
 	engines       []*standin.Engine // Of the upstreams now, one for each process.
 	everyEngine   []*standin.Engine // Of all that have served.
 	oneVersion    bool              // The run begins with one software version.
+	rolling       bool              // See TestRollSoak.
+	startsOther   bool              // All instances of a roll begin with the other build.
+	extraRoutes   []string          // Of the configuration, to service s.
 	releases      int               // Software versions so far, less one.
 	releasing     [engineCount]bool // Upstreams that are being replaced.
 	unregistered  [engineCount]bool // Upstreams of which the registry shows an old entry.
@@ -253,8 +256,11 @@
 	}
 	store, target := s.serve(&standin.LogServer{Log: s.log}), s.serve(s.duties)
 	for i := range instanceCount {
-		n := &instance{other: otherBinary != "" && i%2 == 1, ip: s.ipPrefix + strconv.Itoa(i+1), settings: filepath.Join(s.dir, fmt.Sprintf("entry-%d.toml", i))}
+		n := &instance{other: otherBinary != "" && (i%2 == 1 && !s.rolling || s.startsOther), ip: s.ipPrefix + strconv.Itoa(i+1), settings: filepath.Join(s.dir, fmt.Sprintf("entry-%d.toml", i))}
 		text := fmt.Sprintf(settingsTemplate, i, n.ip, s.ipPrefix, s.startProxy(store), target)
+		if s.rolling { // With hubs in several failure domains, if there are enough instances.
+			text = strings.Replace(text, `zone = "a"`, fmt.Sprintf(`zone = "%c"`, 'a'+i%3), 1)
+		}
 		require.NoError(s.t, os.WriteFile(n.settings, []byte(firstStart+text), 0o600))
 		file, err := os.Create(n.settings + ".log")
 		require.NoError(s.t, err)
@@ -393,11 +399,15 @@
 	if loose {
 		stream = route("stream", "streaming", "s", 4, true)
 	}
+	var extra strings.Builder
+	for _, name := range s.extraRoutes {
+		extra.WriteString("," + route(name, "idempotent", "s", 3, false))
+	}
 	s.configuration = []byte(fmt.Sprintf(
-		`{"version":%d,"routes":[%s,%s,%s,%s,%s],"services":[{"name":"s","max_conns":500,"inference_engine":{"slots":64,"kv_capacity":1000000}},{"name":"odd","max_conns":100}],`+
+		`{"version":%d,"routes":[%s,%s,%s,%s,%s%s],"services":[{"name":"s","max_conns":500,"inference_engine":{"slots":64,"kv_capacity":1000000}},{"name":"odd","max_conns":100}],`+
 			`"tenants":[{"name":"account","api_keys":[%s]}]}`, s.version,
 		stream, route("resume", "streaming", "s", 4, true), once, route("twice", "idempotent", "s", 3, false),
-		route("odd", "non_idempotent", "odd", 1, false), strings.Join(keys, ",")))
+		route("odd", "non_idempotent", "odd", 1, false), extra.String(), strings.Join(keys, ",")))
 	s.log.Set(savoryloft.TopicConfiguration, "config", s.configuration)
 }
 
