Retries leave part of the budget only while more urgent requests come

Callers would have seen: requests of a rank that is not the most urgent are refused a second try although nobody else needs it.

An instance counts the requests of each urgency; a part is kept for 5 s after the last one that is more urgent.

--- a/ranker/pressure.go
+++ b/ranker/pressure.go
@@ -15,9 +15,10 @@
 	// maxRefusedShare is the share of the recent requests of an urgency that are refused from
 	// which on all less urgent ones are refused. With a lower share a part of them is.
 	maxRefusedShare = 0.08
+	recentRequests  = 5 * time.Second // Time after a request in which others compete with those of its urgency.
 )
 
-// Pressure counts the requests of one instance that were refused for lack of room. The less
+// Pressure counts the requests of one instance, and those that were refused for lack of room. The less
 // urgent ones give way to them: bounds on the load alone do not keep urgencies apart, since
 // each instance knows the loads late and compares a few upstreams only. The zero value is
 // ready for use. The methods are safe for concurrent use.
@@ -31,6 +32,7 @@
 	requests, refused float64
 	tokens            float64 // Of the prompts of those that were refused.
 	at                time.Time
+	lastRequest       time.Time
 }
 
 func (r *refusals) decay(now time.Time) {
@@ -44,7 +46,22 @@
 func (p *Pressure) RecordRequest(now time.Time, service string, urgency int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.count(now, service, urgency).requests++
+	r := p.count(now, service, urgency)
+	r.requests++
+	r.lastRequest = now
+}
+
+// Competes reports whether requests of an urgency compete with more urgent ones: some have
+// come lately.
+func (p *Pressure) Competes(now time.Time, service string, urgency int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for other, r := range p.counts[service] {
+		if other < urgency && now.Sub(r.lastRequest) < recentRequests {
+			return true
+		}
+	}
+	return false
 }
 
 // RecordRefusal records that a request with a prompt of so many tokens was refused for lack
--- a/ranker/ranker_test.go
+++ b/ranker/ranker_test.go
@@ -79,6 +79,9 @@
 	}
 	require.True(t, p.GivesWay(now, "chat", 2, 9000))
 	require.Less(t, p.Share(now.Add(5*time.Second), "chat", 2, 9000), 0.3)
+	require.True(t, p.Competes(now.Add(time.Second), "chat", 2))
+	require.False(t, p.Competes(now, "chat", 1), "nothing is more urgent")
+	require.False(t, p.Competes(now.Add(6*time.Second), "chat", 2), "no urgent request lately")
 	p.Prune(now.Add(2 * time.Minute))
 	require.Empty(t, p.counts)
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -507,7 +507,11 @@
 // takeRetry reports whether the part of the retry budget that the request may use permits
 // another send, which then counts toward it.
 func (x *exchange) takeRetry() bool {
-	return x.relayer.Limiter.AllowWithin(time.Now(), x.service, x.bounds().RetryShare(x.identity.Urgency))
+	r, now, share := x.relayer, time.Now(), 1.0
+	if r.pressure.Competes(now, x.service, x.identity.Urgency) {
+		share = x.bounds().RetryShare(x.identity.Urgency)
+	}
+	return r.Limiter.AllowWithin(now, x.service, share)
 }
 
 // reserveMove reports whether the request may be sent again, and another upstream has room
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -203,9 +203,7 @@
 		return
 	}
 	r.Limiter.RecordRequest(x.received, x.service)
-	if len(x.call.Parts) > 0 {
-		r.pressure.RecordRequest(x.received, x.service, x.identity.Urgency)
-	}
+	r.pressure.RecordRequest(x.received, x.service, x.identity.Urgency)
 	if streaming {
 		if x.resolveOrigin() {
 			x.serveStream()
